--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+SOURCES := clementinebank standins tests benchmarks examples
+export PYTHONPATH := $(CURDIR)
+
+.PHONY: test lint types unit run faults format clean
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --requirement requirements-dev.txt
+	touch $@
+
+test: lint types unit
+
+lint: $(VENV)/.installed
+	$(PYTHON) -m ruff format --check $(SOURCES)
+	$(PYTHON) -m ruff check $(SOURCES)
+	$(PYTHON) -m flake8 $(SOURCES)
+
+types: $(VENV)/.installed
+	$(PYTHON) -m mypy clementinebank standins
+
+unit: $(VENV)/.installed
+	$(PYTHON) -m pytest
+
+run: $(VENV)/.installed
+	sh examples/run.sh $(PYTHON)
+
+format: $(VENV)/.installed
+	$(PYTHON) -m ruff format $(SOURCES)
+	$(PYTHON) -m ruff check --fix $(SOURCES)
+
+clean:
+	rm -rf build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/clementinebank/cli/_client.py
@@ -0,0 +1,91 @@
+"""Calls of the tool to an instance."""
+
+import json
+from typing import Any
+
+import attrs
+import curio
+from result import Err, Ok, Result
+
+from clementinebank.errors import Execution, Failure, Step
+from clementinebank.http import (
+    HttpProtocolError,
+    HttpRequest,
+    fetch,
+    json_request,
+)
+
+CALL_TIMEOUT_S = 10.0
+
+
+@attrs.frozen
+class Reply:
+    """JSON reply of an instance.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    data : object
+        Decoded body.
+    """
+
+    status: int
+    data: Any
+
+
+def call(
+    address: str,
+    method: str,
+    target: str,
+    body: Any = None,
+    timeout_s: float = CALL_TIMEOUT_S,
+    headers: dict[str, str] | None = None,
+) -> Result[Reply, Failure]:
+    """Call one instance.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of a listener.
+    method, target : str
+        HTTP method and target.
+    body : object, optional
+        JSON body.
+    timeout_s : float
+        Longest time of the call in seconds.
+    headers : dict of str to str, optional
+        Further headers.
+    """
+    host, _, port = address.rpartition(':')
+    if not port.isdigit():
+        message = f'must be IP:PORT, got {address!r}'
+        return Err(
+            Failure('invalid_address', message, Step.ACCEPT, field='address')
+        )
+    request = json_request(method, target, body, headers)
+    return curio.run(_fetch_json, host, int(port), request, timeout_s)
+
+
+async def _fetch_json(
+    host: str, port: int, request: HttpRequest, timeout_s: float
+) -> Result[Reply, Failure]:
+    peer = f'{host}:{port}'
+    try:
+        response = await fetch(host, port, request, timeout_s)
+    except (OSError, HttpProtocolError, curio.TaskTimeout) as error:
+        message = str(error) or 'no answer in time'
+        return Err(
+            Failure(
+                'instance_unreachable',
+                message,
+                Step.DISPATCH,
+                peer=peer,
+                execution=Execution.UNKNOWN,
+            )
+        )
+    try:
+        return Ok(Reply(response.status, json.loads(response.body)))
+    except ValueError:
+        message = f'status {response.status} without a JSON body'
+        return Err(Failure('invalid_reply', message, Step.READ, peer=peer))
--- /dev/null
+++ b/clementinebank/cli/_main.py
@@ -0,0 +1,69 @@
+"""Entry point of the operators' tool."""
+
+import argparse
+import json
+import sys
+from typing import Any
+
+from result import Err
+
+from clementinebank.cli import _document_commands, _search_command
+from clementinebank.cli._commands import COMMANDS, Command, ExitStatus
+
+# Importing these modules registers their commands.
+COMMAND_MODULES = (_document_commands, _search_command)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run one command of the tool.
+
+    Parameters
+    ----------
+    arguments : list of str, optional
+        Command line without the program's name.
+
+    Returns
+    -------
+    int
+        Exit status, see ``ExitStatus``.
+    """
+    options = _build_parser().parse_args(arguments)
+    outcome = options.command.run(options)
+    if isinstance(outcome, Err):
+        sys.stderr.write(f'error: {outcome.err_value}\n')
+        return int(ExitStatus.UNREACHABLE)
+    report = outcome.ok_value
+    if options.format == 'json':
+        sys.stdout.write(f'{json.dumps(report.data, indent=2)}\n')
+    else:
+        sys.stdout.write(f'{report.text}\n')
+    return int(report.status)
+
+
+def _build_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='clementinebank', description='Operate the query tier.'
+    )
+    top = parser.add_subparsers(required=True, metavar='COMMAND')
+    groups: dict[str, Any] = {}
+    for each in COMMANDS.values():
+        first, _, second = each.name.partition(' ')
+        if second and first not in groups:
+            group = top.add_parser(first, help=f'{first} commands')
+            groups[first] = group.add_subparsers(
+                required=True, metavar='COMMAND'
+            )
+        _add_command(groups[first] if second else top, each)
+    return parser
+
+
+def _add_command(subparsers: Any, each: Command) -> None:
+    parser = subparsers.add_parser(
+        each.name.rpartition(' ')[2],
+        help=each.summary,
+        description=each.summary,
+        epilog=f'example: {each.example}',
+    )
+    parser.add_argument('--format', choices=('text', 'json'), default='text')
+    each.configure(parser)
+    parser.set_defaults(command=each)
--- /dev/null
+++ b/clementinebank/cli/_search_command.py
@@ -0,0 +1,72 @@
+"""The ``search`` command."""
+
+import argparse
+from typing import Any
+
+from result import Ok, Result
+
+from clementinebank.cli._client import Reply, call
+from clementinebank.cli._commands import ExitStatus, Report, command
+from clementinebank.errors import Failure
+
+
+def _configure(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('service', help='name of a search service')
+    parser.add_argument('query', help='query text')
+    parser.add_argument('--limit', type=int, default=10)
+    parser.add_argument('--deadline-ms', type=int)
+    parser.add_argument(
+        '--callers',
+        default='127.0.0.1:9000',
+        help='callers listener of an instance',
+    )
+
+
+@command(
+    'search',
+    'run one search and print its records and coverage',
+    'clementinebank search pickup-desk silk --callers 127.0.0.1:9000',
+    _configure,
+)
+def search(options: argparse.Namespace) -> Result[Report, Failure]:
+    """Run one search."""
+    headers = {}
+    if options.deadline_ms:
+        headers['deadline-ms'] = str(options.deadline_ms)
+    reply = call(
+        options.callers,
+        'POST',
+        f'/v1/services/{options.service}/search',
+        {'query': options.query, 'limit': options.limit},
+        headers=headers,
+    )
+    return reply.and_then(lambda each: Ok(_report(each)))
+
+
+def _report(reply: Reply) -> Report:
+    if reply.status != 200:
+        return Report(_error_text(reply.data), reply.data, ExitStatus.REFUSED)
+    coverage = reply.data['coverage']
+    lines = [
+        f'{record["score"]:8.3f}  {record["record_id"]}  '
+        f'{record["yard"]}  {record["fields"]}'
+        for record in reply.data['records']
+    ]
+    state = 'complete' if coverage['complete'] else 'PARTIAL'
+    lines.append(
+        f'snapshot {reply.data["snapshot"]}: {state}, '
+        f'{coverage["shards_answered"]} of {coverage["shards_asked"]} shards, '
+        f'{coverage["partitions_answered"]} of {coverage["partitions"]} '
+        f'partitions, revision {reply.data["configuration"]["revision"]}'
+    )
+    lines.extend(
+        f'missing: {shard["group"]} of {shard["yard"]}: {shard["reason"]}'
+        for shard in coverage['missing']
+    )
+    return Report('\n'.join(lines), reply.data)
+
+
+def _error_text(data: Any) -> str:
+    error = data['error']
+    field = f' ({error["field"]})' if error['field'] else ''
+    return f'{error["code"]}{field}: {error["message"]} [{error["execution"]}]'
--- /dev/null
+++ b/clementinebank/clock/_fake.py
@@ -0,0 +1,54 @@
+"""A clock that moves only when the runtime would wait."""
+
+import selectors
+from typing import Any
+
+import attrs
+
+FAKE_EPOCH_S = 1_800_000_000.0
+
+
+@attrs.define
+class FakeClock:
+    """Replacement of the ``time`` module inside the curio kernel.
+
+    Parameters
+    ----------
+    seconds : float
+        Current monotonic time in seconds.
+    """
+
+    seconds: float = 1000.0
+
+    def monotonic(self) -> float:
+        """Return the fake monotonic time in seconds."""
+        return self.seconds
+
+    def time(self) -> float:
+        """Return the fake Unix time in seconds."""
+        return self.wall_time()
+
+    def wall_time(self) -> float:
+        """Return the fake Unix time in seconds."""
+        return FAKE_EPOCH_S + self.seconds
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock forward."""
+        self.seconds += seconds
+
+
+class FakeClockSelector(selectors.DefaultSelector):
+    """Selector that advances a fake clock in place of waiting."""
+
+    def __init__(self, fake: FakeClock) -> None:
+        """Bind the selector to the clock it advances."""
+        super().__init__()
+        self._fake = fake
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        """Poll once, then advance the clock by the timeout."""
+        ready = super().select(0)
+        if ready or timeout is None:
+            return ready or super().select(timeout)
+        self._fake.advance(max(timeout, 0))
+        return ready
--- /dev/null
+++ b/clementinebank/document/_parse.py
@@ -0,0 +1,212 @@
+"""Strict reading of the document's sections."""
+
+from collections import Counter
+from collections.abc import Mapping
+
+from result import Err, Ok, Result
+
+from clementinebank.document._model import (
+    DEFAULT_DEADLINE_MS,
+    DEFAULT_EXTRA_LOAD,
+    DEFAULT_MAX_INSTANCES,
+    DEFAULT_RETENTION_HOURS,
+    SINGLE_GROUP,
+    Document,
+    FleetSettings,
+    GroupSettings,
+    LeafSettings,
+    Objectives,
+    ServiceSettings,
+)
+from clementinebank.errors import FieldProblem
+from clementinebank.validation import FieldReader, parse_yaml
+
+SERVICE_PREFIX = 'service.'
+FLEET_SECTION = 'fleet'
+KINDS = ('search', 'booking')
+ISOLATION_CHOICES = ('refuse', 'serve')
+ANSWER_POLICY_NAMES = ('latency_first', 'coverage_first')
+MAX_DEADLINE_MS = 60_000
+
+Parsed = Result[Document, list[FieldProblem]]
+
+
+def parse_document(
+    texts_by_section: Mapping[str, str], revision: int
+) -> Parsed:
+    """Parse and validate all sections.
+
+    Parameters
+    ----------
+    texts_by_section : mapping of str to str
+        YAML text of each section by its name.
+    revision : int
+        Revision of the head record.
+
+    Returns
+    -------
+    Result
+        The document, or every problem found.
+    """
+    problems: list[FieldProblem] = []
+    readers: dict[str, FieldReader] = {}
+    for name, text in texts_by_section.items():
+        parsed = parse_yaml(text)
+        if isinstance(parsed, Err):
+            problem = parsed.err_value
+            path = f'{name}.{problem.field}'
+            problems.append(FieldProblem(path, problem.message, problem.line))
+            continue
+        lines = {
+            f'{name}.{path}': line
+            for path, line in parsed.ok_value.lines_by_path.items()
+        }
+        readers[name] = FieldReader(parsed.ok_value.data, name, lines, problems)
+    if FLEET_SECTION not in texts_by_section:
+        problems.append(FieldProblem(FLEET_SECTION, 'missing section'))
+    if problems:
+        return Err(problems)
+    document = _read_document(readers, revision)
+    return Err(problems) if problems else Ok(document)
+
+
+def _read_document(readers: dict[str, FieldReader], revision: int) -> Document:
+    fleet = _read_fleet(readers[FLEET_SECTION])
+    services: dict[str, ServiceSettings] = {}
+    for section, reader in readers.items():
+        if section == FLEET_SECTION:
+            continue
+        if not section.startswith(SERVICE_PREFIX):
+            reader.report('', 'unknown section')
+            continue
+        name = section.removeprefix(SERVICE_PREFIX)
+        services[name] = _read_service(name, reader, fleet)
+    return Document(revision, fleet, services)
+
+
+def _read_fleet(reader: FieldReader) -> FleetSettings:
+    regions = {}
+    for name, data_centre in reader.children('data_centres'):
+        regions[name] = data_centre.text('region')
+        data_centre.finish()
+    fleet = FleetSettings(
+        owner=reader.text('owner'),
+        regions_by_data_centre=regions,
+        max_instances=reader.integer(
+            'max_instances', DEFAULT_MAX_INSTANCES, minimum=1, maximum=64
+        ),
+        isolation=reader.text('isolation', 'refuse', ISOLATION_CHOICES),
+        data_centre_delay_ms=reader.number('data_centre_delay_ms', 4),
+        region_delay_ms=reader.number('region_delay_ms', 8),
+        caller_delay_ms=reader.number('caller_delay_ms', 3),
+        booking_writes_per_second=reader.integer(
+            'booking_writes_per_second', 200, minimum=1
+        ),
+    )
+    reader.finish()
+    return fleet
+
+
+def _read_service(
+    name: str, reader: FieldReader, fleet: FleetSettings
+) -> ServiceSettings:
+    kind = reader.text('kind', choices=KINDS)
+    groups = (
+        _read_groups(reader, fleet)
+        if kind == 'search'
+        else _read_single_group(reader, fleet)
+    )
+    service = ServiceSettings(
+        name=name,
+        owner=reader.text('owner'),
+        kind=kind,
+        groups_by_id=groups,
+        slots=reader.integer('slots', minimum=1),
+        connections=reader.integer('connections', minimum=1),
+        connect_ms=reader.integer('connect_ms', 6),
+        deadline_ms=reader.integer(
+            'deadline_ms',
+            DEFAULT_DEADLINE_MS,
+            minimum=1,
+            maximum=MAX_DEADLINE_MS,
+        ),
+        answer_policy=reader.text(
+            'answer_policy', 'latency_first', ANSWER_POLICY_NAMES
+        ),
+        extra_load=reader.number('extra_load', DEFAULT_EXTRA_LOAD, maximum=1),
+        retention_hours=reader.integer(
+            'retention_hours', DEFAULT_RETENTION_HOURS, minimum=1
+        ),
+        objectives=_read_objectives(reader),
+    )
+    if service.connections < fleet.max_instances:
+        reader.report(
+            'connections',
+            f'{service.connections} cannot be divided among '
+            f'{fleet.max_instances} instances (fleet.max_instances)',
+        )
+    reader.finish()
+    return service
+
+
+def _read_objectives(reader: FieldReader) -> Objectives:
+    child = reader.child('objectives', required=False)
+    objectives = Objectives(
+        latency_ms=child.integer('latency_ms', DEFAULT_DEADLINE_MS, minimum=1),
+        latency_ratio=child.number('latency_ratio', 0.99, maximum=1),
+        coverage_ratio=child.number('coverage_ratio', 0.999, maximum=1),
+    )
+    child.finish()
+    return objectives
+
+
+def _read_groups(
+    reader: FieldReader, fleet: FleetSettings
+) -> dict[str, GroupSettings]:
+    groups: dict[str, GroupSettings] = {}
+    for group_id, group in reader.children('groups'):
+        groups[group_id] = GroupSettings(
+            group_id, group.text('yard'), _read_leafs(group, fleet)
+        )
+        group.finish()
+    if not groups:
+        reader.report('groups', 'must name at least one group')
+    _report_shared_leafs(reader, groups)
+    return groups
+
+
+def _report_shared_leafs(
+    reader: FieldReader, groups: dict[str, GroupSettings]
+) -> None:
+    counts = Counter(
+        leaf_id for group in groups.values() for leaf_id in group.leafs_by_id
+    )
+    for leaf_id, count in counts.items():
+        if count > 1:
+            reader.report('groups', f'leaf {leaf_id} is in {count} groups')
+
+
+def _read_single_group(
+    reader: FieldReader, fleet: FleetSettings
+) -> dict[str, GroupSettings]:
+    leafs = _read_leafs(reader, fleet)
+    return {SINGLE_GROUP: GroupSettings(SINGLE_GROUP, '', leafs)}
+
+
+def _read_leafs(
+    reader: FieldReader, fleet: FleetSettings
+) -> dict[str, LeafSettings]:
+    leafs: dict[str, LeafSettings] = {}
+    for leaf_id, leaf in reader.children('leafs'):
+        data_centre = leaf.text('data_centre')
+        if data_centre not in fleet.regions_by_data_centre:
+            leaf.report(
+                'data_centre', f'not in fleet.data_centres: {data_centre!r}'
+            )
+        leafs[leaf_id] = LeafSettings(
+            leaf_id, leaf.address('address'), data_centre
+        )
+        leaf.finish()
+    if not leafs:
+        reader.report('leafs', 'must name at least one leaf')
+    return leafs
--- /dev/null
+++ b/clementinebank/http/_client.py
@@ -0,0 +1,152 @@
+"""HTTP/1.1 client connection on curio with h11."""
+
+from typing import Any
+
+import attrs
+import curio
+import h11
+
+from clementinebank.http._messages import HttpRequest, HttpResponse
+
+READ_SIZE_BYTES = 65_536
+MAX_REPLY_BYTES = 8 * 1024 * 1024
+
+
+class HttpProtocolError(Exception):
+    """The other side broke HTTP or closed in the middle of a message."""
+
+
+@attrs.define
+class HttpConnection:
+    """One client connection with at most one request outstanding.
+
+    Parameters
+    ----------
+    host : str
+        IP number.
+    port : int
+        TCP port.
+    max_body_bytes : int
+        Largest accepted body of a response.
+    """
+
+    host: str
+    port: int
+    max_body_bytes: int = MAX_REPLY_BYTES
+    bytes_sent: int = 0
+    _sock: Any = None
+    _http: Any = None
+
+    async def connect(self) -> None:
+        """Open the connection.
+
+        Raises
+        ------
+        OSError
+            If the other side does not accept it.
+        """
+        self._sock = await curio.open_connection(self.host, self.port)
+        self._http = h11.Connection(h11.CLIENT)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether another request may be sent."""
+        return self._sock is not None and self._http.our_state is h11.IDLE
+
+    async def request(self, message: HttpRequest) -> HttpResponse:
+        """Send one request and read its response.
+
+        Raises
+        ------
+        HttpProtocolError
+            If the response is malformed, too large or cut short.
+        OSError
+            If the transport fails.
+        """
+        await self.send(message)
+        return await self.receive()
+
+    async def send(self, message: HttpRequest) -> None:
+        """Send one request; ``bytes_sent`` counts what left the process."""
+        headers = {
+            'host': f'{self.host}:{self.port}',
+            'content-length': str(len(message.body)),
+            **message.headers,
+        }
+        head = h11.Request(
+            method=message.method,
+            target=message.target,
+            headers=list(headers.items()),
+        )
+        payload = self._http.send(head)
+        if message.body:
+            payload += self._http.send(h11.Data(data=message.body))
+        payload += self._http.send(h11.EndOfMessage())
+        self.bytes_sent += len(payload)
+        await self._sock.sendall(payload)
+
+    async def receive(self) -> HttpResponse:
+        """Read the response of the request that was sent last."""
+        head = await self._next_event()
+        while isinstance(head, h11.InformationalResponse):
+            head = await self._next_event()
+        body = await self._read_body()
+        self._start_next_cycle()
+        headers = {
+            name.decode('latin-1'): value.decode('latin-1')
+            for name, value in head.headers
+        }
+        return HttpResponse(head.status_code, headers, body)
+
+    async def close(self) -> None:
+        """Close the connection; safe to repeat."""
+        if self._sock is not None:
+            sock = self._sock
+            self._sock = None
+            await sock.close()
+
+    async def _read_body(self) -> bytes:
+        body = bytearray()
+        event = await self._next_event()
+        while isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > self.max_body_bytes:
+                raise HttpProtocolError('the response body is too large')
+            event = await self._next_event()
+        return bytes(body)
+
+    def _start_next_cycle(self) -> None:
+        states = {self._http.our_state, self._http.their_state}
+        if states == {h11.DONE}:
+            self._http.start_next_cycle()
+
+    async def _next_event(self) -> Any:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise HttpProtocolError(str(error)) from error
+            if isinstance(event, h11.ConnectionClosed):
+                raise HttpProtocolError('the connection was closed')
+            if event is not h11.NEED_DATA:
+                return event
+            self._http.receive_data(await self._sock.recv(READ_SIZE_BYTES))
+
+
+async def fetch(
+    host: str, port: int, message: HttpRequest, timeout_s: float
+) -> HttpResponse:
+    """Send one request over a connection of its own.
+
+    Raises
+    ------
+    HttpProtocolError, OSError, curio.TaskTimeout
+        If no complete response arrives within the timeout.
+    """
+    connection = HttpConnection(host, port)
+    try:
+        async with curio.timeout_after(timeout_s):
+            await connection.connect()
+            return await connection.request(message)
+    finally:
+        await connection.close()
--- /dev/null
+++ b/clementinebank/platform/__init__.py
@@ -0,0 +1,15 @@
+"""Ports and adapters of the platform's services."""
+
+from clementinebank.platform._key_value import (
+    MAX_VALUE_BYTES,
+    Entry,
+    HttpKeyValueService,
+    KeyValueService,
+)
+
+__all__ = (
+    'MAX_VALUE_BYTES',
+    'Entry',
+    'HttpKeyValueService',
+    'KeyValueService',
+)
--- /dev/null
+++ b/clementinebank/platform/_key_value.py
@@ -0,0 +1,163 @@
+"""Port and HTTP adapter of the platform's key-value service."""
+
+from typing import Protocol
+from urllib.parse import quote
+
+import attrs
+import curio
+from result import Err, Ok, Result
+
+from clementinebank.errors import Execution, Failure, Step
+from clementinebank.http import (
+    HttpConnection,
+    HttpProtocolError,
+    HttpRequest,
+    HttpResponse,
+)
+from clementinebank.validation import Address
+
+MAX_VALUE_BYTES = 1_000_000
+CALL_TIMEOUT_S = 2.0
+
+
+@attrs.frozen
+class Entry:
+    """One stored value.
+
+    Parameters
+    ----------
+    value : bytes
+        At most 1 MB.
+    version : int
+        Changes with every write; 0 means absent.
+    """
+
+    value: bytes
+    version: int
+
+
+class KeyValueService(Protocol):
+    """What the system needs of the key-value service."""
+
+    async def read(self, key: str) -> Result[Entry, Failure]:
+        """Return the entry, with version 0 if the key is absent."""
+        ...
+
+    async def swap(
+        self, key: str, value: bytes, version: int
+    ) -> Result[Entry, Failure]:
+        """Write the value if the version is still the given one.
+
+        A failure of code ``version_mismatch`` means not written; any other
+        one leaves open whether the write takes effect, perhaps later.
+        """
+        ...
+
+    async def watch(
+        self, key: str, version: int, wait_ms: int
+    ) -> Result[Entry | None, Failure]:
+        """Wait until the version differs; ``None`` after the time."""
+        ...
+
+
+@attrs.define
+class HttpKeyValueService:
+    """Adapter that speaks HTTP/1.1 to the service.
+
+    Parameters
+    ----------
+    address : Address
+        Where the service listens.
+    timeout_s : float
+        Longest time of a call in seconds.
+    """
+
+    address: Address
+    timeout_s: float = CALL_TIMEOUT_S
+    calls: int = 0
+
+    async def read(self, key: str) -> Result[Entry, Failure]:
+        """Return the entry, with version 0 if the key is absent."""
+        reply = await self._call(
+            HttpRequest('GET', _target(key)), Step.READ_HEAD, self.timeout_s
+        )
+        return reply.map(_entry_of)
+
+    async def swap(
+        self, key: str, value: bytes, version: int
+    ) -> Result[Entry, Failure]:
+        """Write the value if the version is still the given one."""
+        request = HttpRequest(
+            'PUT', f'{_target(key)}?version={version}', body=value
+        )
+        reply = await self._call(request, Step.SWAP, self.timeout_s)
+        if isinstance(reply, Err):
+            return reply
+        response = reply.ok_value
+        if response.status == 409:
+            return Err(
+                self._failure(
+                    'version_mismatch', 'the version has changed', Step.SWAP
+                )
+            )
+        return Ok(Entry(value, _version_of(response)))
+
+    async def watch(
+        self, key: str, version: int, wait_ms: int
+    ) -> Result[Entry | None, Failure]:
+        """Wait until the version differs; ``None`` after the time."""
+        target = f'{_target(key)}?after={version}&wait_ms={wait_ms}'
+        reply = await self._call(
+            HttpRequest('GET', target),
+            Step.READ_HEAD,
+            self.timeout_s + wait_ms / 1000,
+        )
+        return reply.map(
+            lambda response: (
+                None if response.status == 304 else _entry_of(response)
+            )
+        )
+
+    async def _call(
+        self, request: HttpRequest, step: Step, timeout_s: float
+    ) -> Result[HttpResponse, Failure]:
+        self.calls += 1
+        connection = HttpConnection(self.address.host, self.address.port)
+        try:
+            async with curio.timeout_after(timeout_s):
+                await connection.connect()
+                response = await connection.request(request)
+        except curio.TaskTimeout:
+            message = f'no answer within {timeout_s} s'
+            return Err(self._failure('key_value_timeout', message, step))
+        except (OSError, HttpProtocolError) as error:
+            return Err(self._failure('key_value_unreachable', str(error), step))
+        finally:
+            await connection.close()
+        if response.status in {200, 304, 404, 409}:
+            return Ok(response)
+        message = f'status {response.status}'
+        return Err(self._failure('key_value_refused', message, step))
+
+    def _failure(self, code: str, message: str, step: Step) -> Failure:
+        return Failure(
+            code,
+            message,
+            step,
+            peer=str(self.address),
+            execution=Execution.UNKNOWN,
+        )
+
+
+def _target(key: str) -> str:
+    return f'/v1/keys/{quote(key, safe="")}'
+
+
+def _version_of(response: HttpResponse) -> int:
+    return int(response.headers.get('version', '0'))
+
+
+def _entry_of(response: HttpResponse) -> Entry:
+    if response.status == 404:
+        return Entry(b'', _version_of(response))
+    return Entry(response.body, _version_of(response))
--- /dev/null
+++ b/clementinebank/routing/__init__.py
@@ -0,0 +1,5 @@
+"""Replica selection."""
+
+from clementinebank.routing._router import LeafState, Router
+
+__all__ = ('LeafState', 'Router')
--- /dev/null
+++ b/clementinebank/server/_caller_routes.py
@@ -0,0 +1,117 @@
+"""Routes of the callers' listener."""
+
+import re
+import uuid
+from typing import Any
+
+from eliot import start_action
+from result import Err, Ok, Result
+
+from clementinebank.clock import now
+from clementinebank.document import ServiceSettings
+from clementinebank.errors import Failure, Step
+from clementinebank.http import HttpRequest, HttpResponse, json_response
+from clementinebank.search import Answer, SearchRequest, read_search_body
+from clementinebank.server._instance import Instance
+from clementinebank.server._routes import Listener, refuse, route
+
+MS_PER_S = 1000
+MAX_DEADLINE_MS = 60_000
+REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
+
+
+@route(Listener.CALLERS, 'POST', '/v1/services/{service}/search')
+async def search(
+    instance: Instance, request: HttpRequest, service: str
+) -> HttpResponse:
+    """Answer one search."""
+    accepted = _accept(instance, request, service)
+    if isinstance(accepted, Err):
+        return refuse(accepted.err_value)
+    search_request = accepted.ok_value
+    engine = instance.engines_by_service[service]
+    revision = instance.document_revision
+    with start_action(
+        action_type='request:search',
+        request_id=search_request.request_id,
+        service=service,
+    ) as action:
+        answer = await engine.search(search_request)
+        action.add_success_fields(
+            snapshot=answer.snapshot, complete=answer.coverage.is_complete
+        )
+    return json_response(
+        200,
+        _answer_json(answer, revision),
+        {'request-id': search_request.request_id},
+    )
+
+
+def _accept(
+    instance: Instance, request: HttpRequest, service: str
+) -> Result[SearchRequest, Failure]:
+    settings = instance.service(service)
+    if settings is None or service not in instance.engines_by_service:
+        return Err(
+            Failure(
+                'unknown_service',
+                f'no search service is named {service!r}',
+                Step.ACCEPT,
+                field='service',
+                status=404,
+            )
+        )
+    request_id = request.headers.get('request-id') or uuid.uuid4().hex
+    if not REQUEST_ID_PATTERN.fullmatch(request_id):
+        return _invalid('Request-Id', 'must be 1 to 64 of A-Z a-z 0-9 _ -')
+    deadline_ms = _deadline_ms(instance, request, settings)
+    if isinstance(deadline_ms, Err):
+        return deadline_ms
+    body = read_search_body(request.body)
+    if isinstance(body, Err):
+        problem = body.err_value[0]
+        return _invalid(problem.field, problem.message)
+    query, limit = body.ok_value
+    deadline = now() + deadline_ms.ok_value / MS_PER_S
+    return Ok(SearchRequest(request_id, query, limit, deadline))
+
+
+def _deadline_ms(
+    instance: Instance, request: HttpRequest, settings: ServiceSettings
+) -> Result[float, Failure]:
+    """Return the time for the answer, less the delay back to the caller."""
+    raw = request.headers.get('deadline-ms', str(settings.deadline_ms))
+    if not (raw.isascii() and raw.isdigit() and 0 < int(raw)):
+        return _invalid(
+            'Deadline-Ms', f'must be a positive integer, got {raw!r}'
+        )
+    deadline_ms = min(int(raw), MAX_DEADLINE_MS)
+    document = instance.document
+    delay_ms = document.fleet.caller_delay_ms if document else 0
+    return Ok(deadline_ms - delay_ms)
+
+
+def _invalid(field: str, message: str) -> Err[Failure]:
+    return Err(
+        Failure(
+            'invalid_request', message, Step.ACCEPT, field=field, status=400
+        )
+    )
+
+
+def _answer_json(answer: Answer, revision: int) -> dict[str, Any]:
+    return {
+        'request_id': answer.request_id,
+        'snapshot': answer.snapshot,
+        'records': [
+            {
+                'record_id': record.record_id,
+                'yard': record.yard,
+                'score': record.score,
+                'fields': record.fields,
+            }
+            for record in answer.records
+        ],
+        'coverage': answer.coverage.as_json(),
+        'configuration': {'revision': revision},
+    }
--- /dev/null
+++ b/clementinebank/server/_operator_routes.py
@@ -0,0 +1,33 @@
+"""Routes of the operators' listener."""
+
+from clementinebank.http import HttpRequest, HttpResponse, json_response
+from clementinebank.server._instance import Instance
+from clementinebank.server._routes import Listener, route
+
+
+@route(Listener.OPERATORS, 'GET', '/healthz')
+async def healthz(instance: Instance, request: HttpRequest) -> HttpResponse:
+    """Report that the process answers."""
+    return json_response(200, {'healthy': True})
+
+
+@route(Listener.OPERATORS, 'GET', '/readyz')
+async def readyz(instance: Instance, request: HttpRequest) -> HttpResponse:
+    """Report whether callers may be sent to this instance."""
+    status = 200 if instance.is_ready else 503
+    return json_response(status, {'ready': instance.is_ready})
+
+
+@route(Listener.OPERATORS, 'GET', '/v1/status')
+async def status(instance: Instance, request: HttpRequest) -> HttpResponse:
+    """Report the state of this instance."""
+    return json_response(
+        200,
+        {
+            'instance_id': instance.settings.instance_id,
+            'data_centre': instance.settings.data_centre,
+            'ready': instance.is_ready,
+            'revision': instance.document_revision,
+            'services': sorted(instance.engines_by_service),
+        },
+    )
--- /dev/null
+++ b/clementinebank/settings/__init__.py
@@ -0,0 +1,5 @@
+"""Settings of one instance."""
+
+from clementinebank.settings._instance import InstanceSettings, load_settings
+
+__all__ = ('InstanceSettings', 'load_settings')
--- /dev/null
+++ b/clementinebank/settings/_instance.py
@@ -0,0 +1,90 @@
+"""Settings of one instance, read from its own YAML file."""
+
+from pathlib import Path
+
+import attrs
+from result import Err, Ok, Result
+
+from clementinebank.errors import FieldProblem
+from clementinebank.validation import Address, FieldReader, parse_yaml
+
+
+@attrs.frozen
+class InstanceSettings:
+    """Everything an instance knows before it reads the document.
+
+    Parameters
+    ----------
+    instance_id : str
+        Unique name in the fleet.
+    data_centre : str
+        Data centre in which the instance runs.
+    callers, peers, operators : Address
+        Listeners.
+    key_value, instance_list : Address
+        Services of the platform.
+    log_path : str
+        Log file, ``-`` for standard error.
+    drain_delay_ms : int
+        Time to keep serving after SIGTERM, in milliseconds.
+    shutdown_limit_ms : int
+        Longest shutdown, in milliseconds.
+    """
+
+    instance_id: str
+    data_centre: str
+    callers: Address
+    peers: Address
+    operators: Address
+    key_value: Address
+    instance_list: Address
+    log_path: str = '-'
+    drain_delay_ms: int = 3000
+    shutdown_limit_ms: int = 15_000
+
+
+def load_settings(path: Path) -> Result[InstanceSettings, list[FieldProblem]]:
+    """Read and validate a settings file.
+
+    Parameters
+    ----------
+    path : Path
+        YAML file.
+
+    Returns
+    -------
+    Result
+        The settings, or every problem found.
+    """
+    try:
+        text = path.read_text()
+    except OSError as error:
+        return Err([FieldProblem('$', f'cannot read {path}: {error}')])
+    parsed = parse_yaml(text)
+    if isinstance(parsed, Err):
+        return Err([parsed.err_value])
+    reader = FieldReader(
+        parsed.ok_value.data, lines_by_path=parsed.ok_value.lines_by_path
+    )
+    settings = _read_settings(reader)
+    return Err(reader.problems) if reader.problems else Ok(settings)
+
+
+def _read_settings(reader: FieldReader) -> InstanceSettings:
+    listen = reader.child('listen')
+    platform = reader.child('platform')
+    settings = InstanceSettings(
+        instance_id=reader.text('instance_id'),
+        data_centre=reader.text('data_centre'),
+        callers=listen.address('callers'),
+        peers=listen.address('peers'),
+        operators=listen.address('operators'),
+        key_value=platform.address('key_value'),
+        instance_list=platform.address('instance_list'),
+        log_path=reader.text('log_path', '-'),
+        drain_delay_ms=reader.integer('drain_delay_ms', 3000),
+        shutdown_limit_ms=reader.integer('shutdown_limit_ms', 15_000),
+    )
+    for part in (reader, listen, platform):
+        part.finish()
+    return settings
--- /dev/null
+++ b/clementinebank/upstream/__init__.py
@@ -0,0 +1,17 @@
+"""Calls to leafs over pooled connections."""
+
+from clementinebank.upstream._pool import LeafCall, LeafPool, LeafReply
+from clementinebank.upstream._status import (
+    LeafStatus,
+    ServedSnapshot,
+    decode_status,
+)
+
+__all__ = (
+    'LeafCall',
+    'LeafPool',
+    'LeafReply',
+    'LeafStatus',
+    'ServedSnapshot',
+    'decode_status',
+)
--- /dev/null
+++ b/clementinebank/upstream/_pool.py
@@ -0,0 +1,215 @@
+"""Connections of one instance to one leaf."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import curio
+from result import Err, Ok, Result
+
+from clementinebank.clock import now
+from clementinebank.document import LeafSettings
+from clementinebank.errors import Execution, Failure, Step
+from clementinebank.http import (
+    HttpConnection,
+    HttpProtocolError,
+    HttpRequest,
+    HttpResponse,
+)
+
+# A reply that comes later than this after its deadline costs a connection.
+LATE_REPLY_LIMIT_S = 1.0
+CANCEL_TIMEOUT_S = 0.5
+
+
+@attrs.frozen
+class LeafReply:
+    """End of one call to a leaf.
+
+    Parameters
+    ----------
+    call_id : str
+        Id of the call.
+    leaf_id : str
+        Leaf that was called.
+    outcome : Result
+        The response, or the failure with its step and execution.
+    elapsed_s : float
+        Time since the call was submitted, in seconds.
+    """
+
+    call_id: str
+    leaf_id: str
+    outcome: Result[HttpResponse, Failure]
+    elapsed_s: float
+
+
+Deliver = Callable[[LeafReply], Awaitable[None]]
+
+
+@attrs.define(eq=False)
+class LeafCall:
+    """One request to a leaf.
+
+    Parameters
+    ----------
+    call_id : str
+        Unique id, echoed by the leaf.
+    request : HttpRequest
+        What is sent.
+    deadline : float
+        Runtime time in seconds after which nothing is started.
+    deliver : callable
+        Coroutine function that receives the reply exactly once.
+    """
+
+    call_id: str
+    request: HttpRequest
+    deadline: float
+    deliver: Deliver
+    submitted_at: float = 0
+    is_sent: bool = False
+    is_cancelled: bool = False
+
+
+@attrs.define(eq=False)
+class LeafPool:
+    """At most ``share`` connections to one leaf, one task for each.
+
+    Parameters
+    ----------
+    leaf : LeafSettings
+        The leaf.
+    share : int
+        Connections that this instance may hold to the leaf.
+    """
+
+    leaf: LeafSettings
+    share: int
+    open_connections: int = 0
+    is_retired: bool = False
+    _calls: Any = attrs.field(factory=curio.Queue)
+    _idle: int = 0
+    _calls_by_id: dict[str, LeafCall] = attrs.Factory(dict)
+
+    async def submit(self, call: LeafCall) -> None:
+        """Queue a call for the next free connection."""
+        call.submitted_at = now()
+        self._calls_by_id[call.call_id] = call
+        await self._calls.put(call)
+        waiting = self._calls.qsize()
+        if waiting > self._idle and self.open_connections < self.share:
+            self.open_connections += 1
+            await curio.spawn(self._run_connection, daemon=True)
+
+    async def cancel(self, call_id: str) -> None:
+        """Cancel a call: unsent it is dropped, sent the leaf is told.
+
+        The connection stays in use until the late reply was read, so that
+        no other call can see it.
+        """
+        call = self._calls_by_id.get(call_id)
+        if call is None or call.is_cancelled:
+            return
+        call.is_cancelled = True
+        if call.is_sent:
+            await self.submit(
+                LeafCall(
+                    f'cancel-{call_id}',
+                    HttpRequest('DELETE', f'/v1/requests/{call_id}'),
+                    now() + CANCEL_TIMEOUT_S,
+                    _discard,
+                )
+            )
+
+    async def retire(self) -> None:
+        """Close every connection after its reply; accept no more calls."""
+        self.is_retired = True
+        for _ in range(self.open_connections):
+            await self._calls.put(None)
+
+    async def _run_connection(self) -> None:
+        connection = self._new_connection()
+        try:
+            while True:
+                call = await self._next_call()
+                if call is None:
+                    break
+                await self._run_call(connection, call)
+                if not connection.is_reusable:
+                    await connection.close()
+                    connection = self._new_connection()
+        finally:
+            self.open_connections -= 1
+            await connection.close()
+
+    async def _next_call(self) -> LeafCall | None:
+        self._idle += 1
+        try:
+            return await self._calls.get()
+        finally:
+            self._idle -= 1
+
+    async def _run_call(
+        self, connection: HttpConnection, call: LeafCall
+    ) -> None:
+        outcome = await self._exchange(connection, call)
+        if isinstance(outcome, Err):
+            await connection.close()
+        self._calls_by_id.pop(call.call_id, None)
+        await call.deliver(
+            LeafReply(
+                call.call_id,
+                self.leaf.leaf_id,
+                outcome,
+                now() - call.submitted_at,
+            )
+        )
+
+    async def _exchange(
+        self, connection: HttpConnection, call: LeafCall
+    ) -> Result[HttpResponse, Failure]:
+        if call.is_cancelled or now() >= call.deadline:
+            message = 'cancelled or expired before it was sent'
+            return Err(self._failure('expired', message, Step.DISPATCH, call))
+        step = Step.DISPATCH
+        try:
+            async with curio.timeout_after(call.deadline - now()):
+                if not connection.is_reusable:
+                    await connection.connect()
+                call.is_sent = True
+                await connection.send(call.request)
+            step = Step.READ
+            limit_s = call.deadline - now() + LATE_REPLY_LIMIT_S
+            async with curio.timeout_after(limit_s):
+                response = await connection.receive()
+        except curio.TaskTimeout:
+            message = 'no reply in time'
+            return Err(self._failure('leaf_timeout', message, step, call))
+        except (OSError, HttpProtocolError) as error:
+            return Err(self._failure('leaf_broken', str(error), step, call))
+        if response.headers.get('request-id') != call.call_id:
+            message = 'the reply is of another request'
+            return Err(self._failure('leaf_mismatch', message, step, call))
+        return Ok(response)
+
+    def _failure(
+        self, code: str, message: str, step: Step, call: LeafCall
+    ) -> Failure:
+        return Failure(
+            code,
+            message,
+            step,
+            peer=f'{self.leaf.leaf_id} ({self.leaf.address})',
+            execution=(
+                Execution.UNKNOWN if call.is_sent else Execution.NOT_RUN
+            ),
+        )
+
+    def _new_connection(self) -> HttpConnection:
+        address = self.leaf.address
+        return HttpConnection(address.host, address.port)
+
+
+async def _discard(reply: LeafReply) -> None:
+    """Ignore the reply of a cancel message, which needs no answer."""
--- /dev/null
+++ b/standins/leaf.py
@@ -0,0 +1,228 @@
+"""Stand-in for one or more leafs of one service."""
+
+import argparse
+import json
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import attrs
+import curio
+
+from clementinebank.cli._document_commands import split_sections
+from clementinebank.clock import run_service
+from clementinebank.document import (
+    GroupSettings,
+    LeafSettings,
+    ServiceSettings,
+    parse_document,
+)
+from clementinebank.http import HttpRequest, HttpResponse, json_response
+from standins._control import pause, serve_with_control
+
+PARTITIONS_PER_GROUP = 2
+RECORDS_PER_PARTITION = 5
+GOODS = ('silk', 'wool', 'cotton', 'cedar', 'teak')
+
+
+@attrs.define
+class LeafFaults:
+    """Behaviour that a test can set.
+
+    Parameters
+    ----------
+    delay_ms : float
+        Delay of every search and execution.
+    state : str
+        Reported state: ``serving``, ``draining`` or ``cold``.
+    load : float
+        Reported load.
+    shed : bool
+        Refuse work with 429.
+    reply : str
+        ``good``, ``malformed``, ``crossed`` or ``wrong_snapshot``.
+    sequences : list of int
+        Snapshots served, by sequence number.
+    """
+
+    delay_ms: float = 1
+    state: str = 'serving'
+    load: float = 0
+    shed: bool = False
+    reply: str = 'good'
+    sequences: list[int] = attrs.Factory(lambda: [1])
+
+
+@attrs.define(eq=False)
+class Leaf:
+    """One leaf with generated records.
+
+    Parameters
+    ----------
+    service : ServiceSettings
+        Service of the leaf.
+    group : GroupSettings
+        Group of the leaf.
+    leaf : LeafSettings
+        The leaf itself.
+    """
+
+    service: ServiceSettings
+    group: GroupSettings
+    leaf: LeafSettings
+    faults: LeafFaults = attrs.Factory(LeafFaults)
+    executions_by_key: Counter[str] = attrs.Factory(Counter)
+    cancelled: set[str] = attrs.Factory(set)
+    in_flight: int = 0
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one call, echoing its id."""
+        response = await self._route(request)
+        request_id = request.headers.get('request-id', '')
+        if self.faults.reply == 'crossed' and request.method == 'POST':
+            request_id = 'another-request'
+        return attrs.evolve(
+            response, headers={**response.headers, 'request-id': request_id}
+        )
+
+    async def _route(self, request: HttpRequest) -> HttpResponse:
+        if request.method == 'DELETE':
+            self.cancelled.add(request.path.rpartition('/')[2])
+            return json_response(202, {})
+        if request.path == '/v1/status':
+            return json_response(200, self._status())
+        if request.path == '/executions':
+            return json_response(200, dict(self.executions_by_key))
+        refusal = self._refusal()
+        if refusal:
+            return refusal
+        self.in_flight += 1
+        try:
+            await pause(self.faults.delay_ms)
+            if request.path == '/v1/search':
+                return self._search(request)
+            if request.path == '/v1/execute':
+                return self._execute(request)
+        finally:
+            self.in_flight -= 1
+        return json_response(404, {'code': 'unknown_path', 'ran': False})
+
+    def _refusal(self) -> HttpResponse | None:
+        if self.faults.state == 'draining':
+            return json_response(503, {'code': 'draining', 'ran': False})
+        if self.faults.shed or self.in_flight >= self.service.slots:
+            return json_response(429, {'code': 'shed', 'ran': False})
+        return None
+
+    def _status(self) -> dict[str, Any]:
+        return {
+            'state': self.faults.state,
+            'load': self.faults.load,
+            'snapshots': [
+                {
+                    'snapshot': f's-{sequence}',
+                    'sequence': sequence,
+                    'partition_count': self._partition_count,
+                    'partitions': self._partitions,
+                }
+                for sequence in self.faults.sequences
+            ],
+        }
+
+    @property
+    def _partition_count(self) -> int:
+        return len(self.service.groups_by_id) * PARTITIONS_PER_GROUP
+
+    @property
+    def _partitions(self) -> list[int]:
+        index = sorted(self.service.groups_by_id).index(self.group.group_id)
+        first = index * PARTITIONS_PER_GROUP
+        return list(range(first, first + PARTITIONS_PER_GROUP))
+
+    def _search(self, request: HttpRequest) -> HttpResponse:
+        snapshot = request.headers.get('snapshot', '')
+        if snapshot not in {f's-{each}' for each in self.faults.sequences}:
+            return json_response(
+                409, {'code': 'snapshot_unavailable', 'ran': False}
+            )
+        if self.faults.reply == 'malformed':
+            return HttpResponse(200, {}, b'{"records": 7')
+        if self.faults.reply == 'wrong_snapshot':
+            snapshot = 's-0'
+        asked = json.loads(request.body)
+        return json_response(
+            200,
+            {
+                'request_id': request.headers.get('request-id'),
+                'snapshot': snapshot,
+                'partitions': asked['partitions'],
+                'records': [
+                    record
+                    for partition in asked['partitions']
+                    for record in self._records(partition, asked['query'])
+                ],
+            },
+        )
+
+    def _records(self, partition: int, query: str) -> list[dict[str, Any]]:
+        found = []
+        for number in range(RECORDS_PER_PARTITION):
+            goods = GOODS[number % len(GOODS)]
+            if query in {goods, '*'}:
+                found.append(
+                    {
+                        'record_id': f'{partition:04d}-{number}',
+                        'partition': partition,
+                        'yard': self.group.yard,
+                        'score': 1 / (1 + partition),
+                        'fields': {'goods': goods},
+                    }
+                )
+        return found
+
+    def _execute(self, request: HttpRequest) -> HttpResponse:
+        key = request.headers.get('idempotency-key', '')
+        self.executions_by_key[key] += 1
+        return json_response(
+            200,
+            {'ran': True, 'outcome': {'booked': json.loads(request.body)}},
+        )
+
+
+async def run_leafs(leafs: list[Leaf]) -> None:
+    """Serve all leafs until the task is cancelled."""
+    async with curio.TaskGroup() as group:
+        for each in leafs:
+            address = each.leaf.address
+            await group.spawn(
+                serve_with_control,
+                address.host,
+                address.port,
+                each.handle,
+                each.faults,
+            )
+
+
+def main() -> None:
+    """Run the chosen leafs of one service of a document file."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--document', type=Path, required=True)
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--leaf', action='append', help='default: all')
+    options = parser.parse_args()
+    sections = split_sections(options.document.read_text())
+    document = parse_document(sections, 1).unwrap()
+    service = document.services_by_name[options.service]
+    run_service(
+        run_leafs,
+        [
+            Leaf(service, group, leaf)
+            for group in service.groups_by_id.values()
+            for leaf in group.leafs_by_id.values()
+            if not options.leaf or leaf.leaf_id in options.leaf
+        ],
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,247 @@
+"""Starts the stand-ins and instances of a process test."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import attrs
+import yaml
+
+START_LIMIT_S = 30
+STOP_LIMIT_S = 20
+POLL_INTERVAL_S = 0.05
+ROOT = Path(__file__).parent.parent
+
+
+def free_ports(count: int) -> list[int]:
+    """Return free TCP ports, which were bound at the same time."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind(('127.0.0.1', 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+@attrs.frozen
+class HttpReply:
+    """Status, headers and decoded JSON body of a reply."""
+
+    status: int
+    headers: dict
+    data: object
+
+
+def call(port, method, target, body=None, headers=None, timeout_s=10):
+    """Send one request to a local port."""
+    connection = http.client.HTTPConnection(
+        '127.0.0.1', port, timeout=timeout_s
+    )
+    try:
+        payload = None if body is None else json.dumps(body)
+        connection.request(method, target, payload, headers or {})
+        response = connection.getresponse()
+        raw = response.read()
+    finally:
+        connection.close()
+    try:
+        data = json.loads(raw) if raw else None
+    except ValueError:
+        data = raw.decode()
+    return HttpReply(
+        response.status,
+        {name.lower(): text for name, text in response.getheaders()},
+        data,
+    )
+
+
+def eventually(condition, limit_s=START_LIMIT_S):
+    """Poll until the condition is true and return its value."""
+    end = time.monotonic() + limit_s
+    while True:
+        try:
+            found = condition()
+        except OSError:
+            found = None
+        if found or time.monotonic() > end:
+            return found
+        time.sleep(POLL_INTERVAL_S)
+
+
+@attrs.define
+class InstancePorts:
+    """Ports of one instance."""
+
+    callers: int
+    peers: int
+    operators: int
+
+
+@attrs.define
+class Fleet:
+    """Processes of one test."""
+
+    directory: Path
+    document: dict
+    instance_count: int = 2
+    processes: dict = attrs.Factory(dict)
+    instances: list = attrs.Factory(list)
+    key_value_port: int = 0
+    list_port: int = 0
+    leaf_ports: dict = attrs.Factory(dict)
+
+    def start(self):
+        """Start everything and apply the document."""
+        self._assign_ports()
+        self._spawn(
+            'kv', 'standins.kv', '--listen', f'127.0.0.1:{self.key_value_port}'
+        )
+        self._spawn(
+            'list',
+            'standins.instance_list',
+            '--listen',
+            f'127.0.0.1:{self.list_port}',
+        )
+        path = self.directory / 'document.yaml'
+        path.write_text(yaml.safe_dump(self.document, sort_keys=False))
+        for section in self.document:
+            if section.startswith('service.'):
+                name = section.removeprefix('service.')
+                self._spawn(
+                    f'leafs-{name}',
+                    'standins.leaf',
+                    '--document',
+                    str(path),
+                    '--service',
+                    name,
+                )
+        for number in range(self.instance_count):
+            self.start_instance(number)
+        assert eventually(lambda: call(self.list_port, 'GET', '/v1/instances'))
+        self.control(self.list_port, instances=self.listed_instances())
+        assert eventually(self._apply)
+
+    def listed_instances(self):
+        """Return the content of the instance list."""
+        return [
+            {
+                'instance_id': f'entry-{number}',
+                'address': f'127.0.0.1:{ports.peers}',
+                'data_centre': self._data_centre(number),
+                'state': 'live',
+            }
+            for number, ports in enumerate(self.instances)
+        ]
+
+    def start_instance(self, number):
+        """Start, or start again, one instance."""
+        ports = self.instances[number]
+        settings = {
+            'instance_id': f'entry-{number}',
+            'data_centre': self._data_centre(number),
+            'listen': {
+                'callers': f'127.0.0.1:{ports.callers}',
+                'peers': f'127.0.0.1:{ports.peers}',
+                'operators': f'127.0.0.1:{ports.operators}',
+            },
+            'platform': {
+                'key_value': f'127.0.0.1:{self.key_value_port}',
+                'instance_list': f'127.0.0.1:{self.list_port}',
+            },
+            'log_path': str(self.directory / f'entry-{number}.log'),
+            'drain_delay_ms': 300,
+        }
+        path = self.directory / f'entry-{number}.yaml'
+        path.write_text(yaml.safe_dump(settings))
+        self._spawn(
+            f'entry-{number}',
+            'clementinebank.server',
+            '--settings',
+            str(path),
+        )
+
+    def search(self, number, service, query='*', **headers):
+        """Search through one instance."""
+        return call(
+            self.instances[number].callers,
+            'POST',
+            f'/v1/services/{service}/search',
+            {'query': query, 'limit': 100},
+            headers,
+        )
+
+    def control(self, port, **faults):
+        """Set faults of a stand-in."""
+        return call(port, 'POST', '/control', faults)
+
+    def signal(self, name, number):
+        """Send a signal to a process."""
+        self.processes[name].send_signal(number)
+
+    def stop(self):
+        """Stop every process."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait(STOP_LIMIT_S)
+
+    def _assign_ports(self):
+        leafs = [
+            (leaf_id, leaf)
+            for section in self.document.values()
+            for leaf_id, leaf in _leafs_of(section)
+        ]
+        count = 2 + 3 * self.instance_count + len(leafs)
+        ports = iter(free_ports(count))
+        self.key_value_port = next(ports)
+        self.list_port = next(ports)
+        self.instances = [
+            InstancePorts(next(ports), next(ports), next(ports))
+            for _ in range(self.instance_count)
+        ]
+        for leaf_id, leaf in leafs:
+            self.leaf_ports[leaf_id] = next(ports)
+            leaf['address'] = f'127.0.0.1:{self.leaf_ports[leaf_id]}'
+
+    def _data_centre(self, number):
+        names = list(self.document['fleet']['data_centres'])
+        return names[number % len(names)]
+
+    def _spawn(self, name, module, *arguments):
+        log = (self.directory / f'{name}.out').open('a')
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, '-m', module, *arguments],
+            cwd=ROOT,
+            env={**os.environ, 'PYTHONPATH': str(ROOT)},
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+
+    def _apply(self):
+        sections = {
+            name: yaml.safe_dump(section, sort_keys=False)
+            for name, section in self.document.items()
+        }
+        reply = call(
+            self.instances[0].operators,
+            'POST',
+            '/v1/document/changes',
+            {'sections': sections},
+        )
+        return reply.status == 200
+
+
+def _leafs_of(section):
+    groups = section.get('groups', {'all': section})
+    for group in groups.values():
+        yield from group.get('leafs', {}).items()
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,45 @@
+"""Guards against a break of the path from a caller to the leafs and back."""
+
+from tests.harness import eventually
+
+
+def _is_complete(fleet, number):
+    reply = fleet.search(number, 'pickup-desk', **{'Deadline-Ms': '5000'})
+    return reply.status == 200 and reply.data['coverage']['complete']
+
+
+def test_search_through_both_instances(fleet):
+    for number in range(fleet.instance_count):
+        assert eventually(lambda number=number: _is_complete(fleet, number))
+        reply = fleet.search(number, 'pickup-desk', **{'Deadline-Ms': '5000'})
+        assert len(reply.data['records']) == 4 * 2 * 5
+        assert reply.data['snapshot'] == 's-1'
+        assert reply.data['configuration']['revision'] == 1
+
+
+def test_group_that_is_draining_is_reported_missing(fleet):
+    assert eventually(lambda: _is_complete(fleet, 0))
+    for replica in 'abc':
+        port = fleet.leaf_ports[f'pickup-desk-01-{replica}']
+        fleet.control(port, state='draining')
+
+    def is_missing():
+        reply = fleet.search(0, 'pickup-desk', **{'Deadline-Ms': '5000'})
+        missing = reply.data['coverage']['missing']
+        return [shard['group'] for shard in missing] == ['group-01']
+
+    assert eventually(is_missing)
+    reply = fleet.search(0, 'pickup-desk', **{'Deadline-Ms': '5000'})
+    assert not reply.data['coverage']['complete']
+    assert reply.data['coverage']['yards']['uto-yard']['answered'] == 0
+
+
+def test_bad_requests_name_their_field(fleet):
+    assert eventually(lambda: _is_complete(fleet, 0))
+    unknown = fleet.search(0, 'absent')
+    assert unknown.status == 404
+    assert unknown.data['error']['field'] == 'service'
+    late = fleet.search(0, 'pickup-desk', **{'Deadline-Ms': 'soon'})
+    assert late.status == 400
+    assert late.data['error']['field'] == 'Deadline-Ms'
+    assert late.data['error']['execution'] == 'not_run'
