List and delete keys of the key-value service

Cause: bookings need to list unresolved claims and to remove expired ones; the port offered neither. A failed call also did not say whether it was sent. Ruled out: one listing of all keys, whose reply grows with the traffic. Change: list_page (prefix, after, limit) and delete with version in the port and the HTTP adapter; the stand-in pages its listing and can lose a write before its effect. A failure before the first byte has execution not_run. Conclusion: callers can tell a write that was never sent from an unknown one.

--- a/clementinebank/platform/__init__.py
+++ b/clementinebank/platform/__init__.py
@@ -5,6 +5,8 @@
     Entry,
     HttpKeyValueService,
     KeyValueService,
+    ListedEntry,
+    Page,
 )
 
 __all__ = (
@@ -12,4 +14,6 @@
     'Entry',
     'HttpKeyValueService',
     'KeyValueService',
+    'ListedEntry',
+    'Page',
 )
--- a/clementinebank/platform/_key_value.py
+++ b/clementinebank/platform/_key_value.py
@@ -1,7 +1,8 @@
 """Port and HTTP adapter of the platform's key-value service."""
 
+import json
 from typing import Protocol
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import attrs
 import curio
@@ -18,6 +19,8 @@
 
 MAX_VALUE_BYTES = 1_000_000
 CALL_TIMEOUT_S = 2.0
+PAGE_LIMIT = 100
+_MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
 
 
 @attrs.frozen
@@ -36,6 +39,38 @@
     version: int
 
 
+@attrs.frozen
+class ListedEntry:
+    """One entry of a listing.
+
+    Parameters
+    ----------
+    key : str
+        Key of the entry.
+    entry : Entry
+        Its value and version.
+    """
+
+    key: str
+    entry: Entry
+
+
+@attrs.frozen
+class Page:
+    """Part of a listing, in the order of the keys.
+
+    Parameters
+    ----------
+    listed : tuple of ListedEntry
+        Entries of this page.
+    is_last : bool
+        Whether no entry follows.
+    """
+
+    listed: tuple[ListedEntry, ...]
+    is_last: bool
+
+
 class KeyValueService(Protocol):
     """What the system needs of the key-value service."""
 
@@ -48,8 +83,9 @@
     ) -> Result[Entry, Failure]:
         """Write the value if the version is still the given one.
 
-        A failure of code ``version_mismatch`` means not written; any other
-        one leaves open whether the write takes effect, perhaps later.
+        A failure of code ``version_mismatch`` means not written, and one of
+        execution ``not_run`` that no byte was sent; any other one leaves
+        open whether the write takes effect, perhaps later.
         """
         ...
 
@@ -59,6 +95,19 @@
         """Wait until the version differs; ``None`` after the time."""
         ...
 
+    async def list_page(
+        self, prefix: str, after: str = '', limit: int = PAGE_LIMIT
+    ) -> Result[Page, Failure]:
+        """Return at most ``limit`` entries whose keys follow ``after``."""
+        ...
+
+    async def delete(self, key: str, version: int) -> Result[Entry, Failure]:
+        """Delete the entry if the version is still the given one.
+
+        Failures mean the same as for ``swap``.
+        """
+        ...
+
 
 @attrs.define
 class HttpKeyValueService:
@@ -87,20 +136,23 @@
         self, key: str, value: bytes, version: int
     ) -> Result[Entry, Failure]:
         """Write the value if the version is still the given one."""
-        request = HttpRequest(
-            'PUT', f'{_target(key)}?version={version}', body=value
+        return await self._write('PUT', key, value, version)
+
+    async def delete(self, key: str, version: int) -> Result[Entry, Failure]:
+        """Delete the entry if the version is still the given one."""
+        return await self._write('DELETE', key, b'', version)
+
+    async def list_page(
+        self, prefix: str, after: str = '', limit: int = PAGE_LIMIT
+    ) -> Result[Page, Failure]:
+        """Return at most ``limit`` entries whose keys follow ``after``."""
+        query = urlencode({'prefix': prefix, 'after': after, 'limit': limit})
+        reply = await self._call(
+            HttpRequest('GET', f'/v1/keys?{query}'),
+            Step.READ_HEAD,
+            self.timeout_s,
         )
-        reply = await self._call(request, Step.SWAP, self.timeout_s)
-        if isinstance(reply, Err):
-            return reply
-        response = reply.ok_value
-        if response.status == 409:
-            return Err(
-                self._failure(
-                    'version_mismatch', 'the version has changed', Step.SWAP
-                )
-            )
-        return Ok(Entry(value, _version_of(response)))
+        return reply.and_then(self._page_of)
 
     async def watch(
         self, key: str, version: int, wait_ms: int
@@ -118,6 +170,41 @@
             )
         )
 
+    async def _write(
+        self, method: str, key: str, value: bytes, version: int
+    ) -> Result[Entry, Failure]:
+        request = HttpRequest(
+            method, f'{_target(key)}?version={version}', body=value
+        )
+        reply = await self._call(request, Step.SWAP, self.timeout_s)
+        if isinstance(reply, Err):
+            return reply
+        response = reply.ok_value
+        if response.status == 409:
+            return Err(
+                self._failure(
+                    'version_mismatch', 'the version has changed', Step.SWAP
+                )
+            )
+        return Ok(Entry(value, _version_of(response)))
+
+    def _page_of(self, response: HttpResponse) -> Result[Page, Failure]:
+        try:
+            body = json.loads(response.body)
+            listed = tuple(
+                ListedEntry(
+                    str(each['key']),
+                    Entry(each['value'].encode(), int(each['version'])),
+                )
+                for each in body['entries']
+            )
+        except _MALFORMED as error:
+            message = f'invalid listing: {error!r}'
+            return Err(
+                self._failure('key_value_malformed', message, Step.READ_HEAD)
+            )
+        return Ok(Page(listed, is_last=body.get('more') is not True))
+
     async def _call(
         self, request: HttpRequest, step: Step, timeout_s: float
     ) -> Result[HttpResponse, Failure]:
@@ -129,9 +216,11 @@
                 response = await connection.request(request)
         except curio.TaskTimeout:
             message = f'no answer within {timeout_s} s'
-            return Err(self._failure('key_value_timeout', message, step))
+            failure = self._failure('key_value_timeout', message, step)
+            return Err(_with_execution(failure, connection))
         except (OSError, HttpProtocolError) as error:
-            return Err(self._failure('key_value_unreachable', str(error), step))
+            failure = self._failure('key_value_unreachable', str(error), step)
+            return Err(_with_execution(failure, connection))
         finally:
             await connection.close()
         if response.status in {200, 304, 404, 409}:
@@ -149,6 +238,13 @@
         )
 
 
+def _with_execution(failure: Failure, connection: HttpConnection) -> Failure:
+    """State that nothing was run if no byte was sent."""
+    if connection.bytes_sent:
+        return failure
+    return attrs.evolve(failure, execution=Execution.NOT_RUN)
+
+
 def _target(key: str) -> str:
     return f'/v1/keys/{quote(key, safe="")}'
 
--- a/standins/kv.py
+++ b/standins/kv.py
@@ -14,6 +14,7 @@
 KEY_PREFIX = '/v1/keys/'
 MAX_VALUE_BYTES = 1_000_000
 MAX_WAIT_MS = 60_000
+MAX_PAGE = 1000
 
 
 @attrs.define
@@ -28,6 +29,8 @@
         Delay of every answer.
     lose_write_answers : int
         Writes that take effect and are answered with 503.
+    lose_writes : int
+        Writes that take no effect and are answered with 503.
     late_writes : int
         Writes answered with 503 at once that take effect later.
     late_write_ms : float
@@ -37,6 +40,7 @@
     down: bool = False
     delay_ms: float = 0
     lose_write_answers: int = 0
+    lose_writes: int = 0
     late_writes: int = 0
     late_write_ms: float = 200
 
@@ -63,7 +67,7 @@
             name: found[-1] for name, found in parse_qs(request.query).items()
         }
         if request.path == KEY_PREFIX.rstrip('/'):
-            return self._list(query.get('prefix', ''))
+            return self._list(query)
         key = unquote(request.path.removeprefix(KEY_PREFIX))
         if request.method == 'GET':
             return await self._get(key, query)
@@ -71,13 +75,18 @@
             return await self._write(key, query, request)
         return json_response(405, {'code': 'method_not_allowed'})
 
-    def _list(self, prefix: str) -> HttpResponse:
+    def _list(self, query: dict[str, str]) -> HttpResponse:
+        prefix = query.get('prefix', '')
+        after = query.get('after', '')
+        limit = min(int(query.get('limit', MAX_PAGE)), MAX_PAGE)
         found = [
             {'key': key, 'version': version, 'value': value.decode()}
             for key, (value, version) in sorted(self.entries.items())
-            if key.startswith(prefix)
+            if key.startswith(prefix) and key > after
         ]
-        return json_response(200, {'entries': found})
+        return json_response(
+            200, {'entries': found[:limit], 'more': len(found) > limit}
+        )
 
     async def _get(self, key: str, query: dict[str, str]) -> HttpResponse:
         if 'after' not in query:
@@ -110,6 +119,9 @@
                 self._write_late, key, expected, request, daemon=True
             )
             return json_response(503, {'code': 'unavailable'})
+        if self.faults.lose_writes > 0:
+            self.faults.lose_writes -= 1
+            return json_response(503, {'code': 'unavailable'})
         response = await self._swap(key, expected, request)
         if self.faults.lose_write_answers > 0:
             self.faults.lose_write_answers -= 1
