Run bookings at most once over a claim per key

Cause: non-idempotent requests had no path through the system. Ruled out: taking a claim over after a timeout, because a paused holder may still send; deleting a claim on release, because a late create-if-absent write of another attempt could then take effect. A released record keeps its key and is claimed again by compare-and-swap. Change: package booking (decisions, steps, engine, ledger, budget, operations), the caller and operator routes and the commands book and bookings. The pool checks cancellation and deadline again after connecting, so that a withdrawn call is never sent. make run sends one booking.

--- /dev/null
+++ b/clementinebank/booking/__init__.py
@@ -0,0 +1,62 @@
+"""Requests that run at most once: claim, dispatch, record, settle."""
+
+from clementinebank.booking._booking import Booking
+from clementinebank.booking._budget import BookingBudget, TokenBucket
+from clementinebank.booking._engine import BookingEngine
+from clementinebank.booking._engines import BookingEngines
+from clementinebank.booking._key import KEY_FIELD, created_at, new_key, read_key
+from clementinebank.booking._ledger import BookingLedger
+from clementinebank.booking._messages import BookingAnswer, BookingRequest
+from clementinebank.booking._operations import (
+    ClaimList,
+    Settlement,
+    find_claim,
+    list_claims,
+    settle,
+)
+from clementinebank.booking._record import (
+    ClaimRecord,
+    ClaimState,
+    HistoryEntry,
+    Outcome,
+    decode_record,
+    storage_key,
+)
+from clementinebank.booking._run import BookingRun
+from clementinebank.booking._steps import (
+    BOOKING_STEPS,
+    STEP_ORDER,
+    BookingStep,
+    booking_step,
+)
+
+__all__ = (
+    'BOOKING_STEPS',
+    'KEY_FIELD',
+    'STEP_ORDER',
+    'Booking',
+    'BookingAnswer',
+    'BookingBudget',
+    'BookingEngine',
+    'BookingEngines',
+    'BookingLedger',
+    'BookingRequest',
+    'BookingRun',
+    'BookingStep',
+    'ClaimList',
+    'ClaimRecord',
+    'ClaimState',
+    'HistoryEntry',
+    'Outcome',
+    'Settlement',
+    'TokenBucket',
+    'booking_step',
+    'created_at',
+    'decode_record',
+    'find_claim',
+    'list_claims',
+    'new_key',
+    'read_key',
+    'settle',
+    'storage_key',
+)
--- /dev/null
+++ b/clementinebank/booking/_answers.py
@@ -0,0 +1,116 @@
+"""What a stored record or a state of an attempt means for the caller."""
+
+from clementinebank.booking._key import KEY_FIELD
+from clementinebank.booking._messages import BookingAnswer, BookingRequest
+from clementinebank.booking._record import ClaimRecord, ClaimState
+from clementinebank.errors import Execution, Failure, Step
+
+STATUS_CONFLICT = 409
+STATUS_KEY_REUSED = 422
+STATUS_TOO_MANY = 429
+STATUS_GATEWAY_TIMEOUT = 504
+REPEAT_HINT = (
+    'this request was not run; an earlier one with the same key may have '
+    'been, so repeat it only with the same key'
+)
+
+
+def answer_of_record(
+    record: ClaimRecord, request: BookingRequest
+) -> BookingAnswer:
+    """Return the answer to a request whose key is claimed already."""
+    if record.digest != request.digest:
+        return refusal(
+            'key_reused',
+            'the key was used for another body; this request was not run',
+            Step.ACCEPT,
+            status=STATUS_KEY_REUSED,
+        )
+    if record.state is ClaimState.RECORDED:
+        return BookingAnswer(record.outcome, is_repeated=True, is_recorded=True)
+    if record.state is ClaimState.SETTLED:
+        return _settled(record)
+    return unresolved(record.instance_id)
+
+
+def _settled(record: ClaimRecord) -> BookingAnswer:
+    resolution = record.resolution or Execution.UNKNOWN
+    who = record.history[-1].who if record.history else 'an operator'
+    return refusal(
+        'settled',
+        f'{who} settled this key as {resolution.value}; it is not run again',
+        Step.ACCEPT,
+        status=STATUS_CONFLICT,
+        execution=resolution,
+    )
+
+
+def unresolved(peer: str | None = None) -> BookingAnswer:
+    """Return the answer to a request whose key has an unresolved claim."""
+    return refusal(
+        'outcome_unknown',
+        'outcome unknown, not repeated',
+        Step.ACCEPT,
+        peer=peer,
+        status=STATUS_CONFLICT,
+        execution=Execution.UNKNOWN,
+    )
+
+
+def unconfirmed(peer: str | None) -> BookingAnswer:
+    """Return the answer if the claim was written without confirmation."""
+    return refusal(
+        'claim_unconfirmed',
+        'the claim was not confirmed: this request sent nothing to a leaf and '
+        'will not, but whether the key is claimed or was run is unknown; '
+        'repeat only with the same key',
+        Step.CLAIM_CONFIRM,
+        peer=peer,
+        execution=Execution.UNKNOWN,
+    )
+
+
+def over_budget(bookings_per_second: float) -> BookingAnswer:
+    """Return the answer above the budget of the instance."""
+    return refusal(
+        'booking_rate_exceeded',
+        f'this instance accepts {bookings_per_second:g} bookings a second; '
+        f'{REPEAT_HINT}',
+        Step.ACCEPT,
+        status=STATUS_TOO_MANY,
+    )
+
+
+def deadline_passed(
+    step: Step, execution: Execution, peer: str | None = None
+) -> BookingAnswer:
+    """Return the answer at the deadline."""
+    message = (
+        REPEAT_HINT
+        if execution is Execution.NOT_RUN
+        else 'the deadline passed before the outcome was known'
+    )
+    return refusal(
+        'deadline_passed',
+        message,
+        step,
+        peer=peer,
+        status=STATUS_GATEWAY_TIMEOUT,
+        execution=execution,
+    )
+
+
+def refusal(
+    code: str,
+    message: str,
+    step: Step,
+    *,
+    peer: str | None = None,
+    status: int = 503,
+    execution: Execution = Execution.NOT_RUN,
+) -> BookingAnswer:
+    """Return an answer without an outcome."""
+    field = KEY_FIELD if code == 'key_reused' else None
+    return BookingAnswer(
+        failure=Failure(code, message, step, peer, field, execution, status)
+    )
--- /dev/null
+++ b/clementinebank/booking/_record.py
@@ -0,0 +1,205 @@
+"""The claim record of one idempotency key."""
+
+import enum
+import json
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+
+from clementinebank.errors import Execution, FieldProblem
+from clementinebank.validation import FieldReader
+
+KEY_PREFIX = 'clementinebank/bookings/'
+# A key that is claimed and released again and again must not outgrow a value.
+MAX_HISTORY = 50
+
+
+class ClaimState(enum.Enum):
+    """State of a claim record.
+
+    A released record keeps its key, so that a late create-if-absent write of
+    any attempt fails; the next attempt claims it by compare-and-swap.
+    """
+
+    CLAIMED = 'claimed'
+    RECORDED = 'recorded'
+    RELEASED = 'released'
+    SETTLED = 'settled'
+
+
+@attrs.frozen
+class Outcome:
+    """What the leaf that ran the request answered.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the leaf.
+    content : object
+        Decoded ``outcome`` of its body.
+    """
+
+    status: int
+    content: Any
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the stored form."""
+        return {'status': self.status, 'content': self.content}
+
+
+@attrs.frozen
+class HistoryEntry:
+    """One change of a record.
+
+    Parameters
+    ----------
+    at : float
+        Unix time in seconds.
+    who : str
+        Instance or operator.
+    event : str
+        What was changed.
+    why : str
+        Reason, given by operators.
+    """
+
+    at: float
+    who: str
+    event: str
+    why: str = ''
+
+
+@attrs.frozen
+class ClaimRecord:
+    """Claim, and later outcome, of one idempotency key.
+
+    Parameters
+    ----------
+    key : str
+        Idempotency key.
+    service : str
+        Booking service.
+    digest : str
+        SHA-256 of the caller's body.
+    attempt_id : str
+        Attempt that holds the claim.
+    instance_id : str
+        Instance that runs the attempt.
+    claimed_at : float
+        Unix time in seconds.
+    state : ClaimState
+        Only ``claimed`` is unresolved.
+    outcome : Outcome or None
+        Answer of the leaf, if recorded.
+    resolution : Execution or None
+        Statement of the operator who settled the record.
+    history : tuple of HistoryEntry
+        Changes, oldest first.
+    """
+
+    key: str
+    service: str
+    digest: str
+    attempt_id: str
+    instance_id: str
+    claimed_at: float
+    state: ClaimState = ClaimState.CLAIMED
+    outcome: Outcome | None = None
+    resolution: Execution | None = None
+    history: tuple[HistoryEntry, ...] = ()
+
+    @property
+    def is_unresolved(self) -> bool:
+        """Return whether the outcome is not known."""
+        return self.state is ClaimState.CLAIMED
+
+    def changed(
+        self, state: ClaimState, entry: HistoryEntry, **fields: Any
+    ) -> 'ClaimRecord':
+        """Return the record in another state, with the change noted."""
+        history = (*self.history, entry)[-MAX_HISTORY:]
+        return attrs.evolve(self, state=state, history=history, **fields)
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the stored form."""
+        return {
+            'key': self.key,
+            'service': self.service,
+            'digest': self.digest,
+            'attempt_id': self.attempt_id,
+            'instance_id': self.instance_id,
+            'claimed_at': self.claimed_at,
+            'state': self.state.value,
+            'outcome': self.outcome.as_json() if self.outcome else None,
+            'resolution': self.resolution.value if self.resolution else None,
+            'history': [attrs.asdict(entry) for entry in self.history],
+        }
+
+    def encode(self) -> bytes:
+        """Return the value for the key-value service."""
+        return json.dumps(self.as_json()).encode()
+
+
+def storage_key(service: str, key: str) -> str:
+    """Return the key of a record; its order is that of the keys' times."""
+    return f'{KEY_PREFIX}{service}/{key}'
+
+
+def decode_record(value: bytes) -> Result[ClaimRecord, list[FieldProblem]]:
+    """Decode and validate a stored record."""
+    try:
+        reader = FieldReader(json.loads(value))
+    except ValueError as error:
+        return Err([FieldProblem('$', f'invalid JSON: {error}')])
+    states = [state.value for state in ClaimState]
+    state = reader.text('state', choices=states)
+    record = ClaimRecord(
+        key=reader.text('key'),
+        service=reader.text('service'),
+        digest=reader.text('digest'),
+        attempt_id=reader.text('attempt_id'),
+        instance_id=reader.text('instance_id'),
+        claimed_at=reader.number('claimed_at', maximum=1e12),
+        state=ClaimState(state) if state in states else ClaimState.CLAIMED,
+        outcome=_read_outcome(reader),
+        resolution=_read_resolution(reader),
+        history=_read_history(reader),
+    )
+    return Err(reader.problems) if reader.problems else Ok(record)
+
+
+def _read_outcome(reader: FieldReader) -> Outcome | None:
+    if reader.data.get('outcome') is None:
+        return None
+    child = reader.child('outcome')
+    status = child.integer('status', minimum=100, maximum=599)
+    return Outcome(status, child.data.get('content'))
+
+
+def _read_resolution(reader: FieldReader) -> Execution | None:
+    choices = [execution.value for execution in Execution]
+    if reader.data.get('resolution') is None:
+        return None
+    found = reader.text('resolution', choices=choices)
+    return Execution(found) if found in choices else None
+
+
+def _read_history(reader: FieldReader) -> tuple[HistoryEntry, ...]:
+    raw = reader.data.get('history')
+    if not isinstance(raw, list):
+        reader.report('history', 'must be a list')
+        return ()
+    entries = []
+    for each in raw:
+        child = FieldReader(each, 'history', problems=reader.problems)
+        why = child.data.get('why')
+        entries.append(
+            HistoryEntry(
+                child.number('at', maximum=1e12),
+                child.text('who'),
+                child.text('event'),
+                why if isinstance(why, str) else '',
+            )
+        )
+    return tuple(entries)
--- /dev/null
+++ b/clementinebank/booking/_steps.py
@@ -0,0 +1,53 @@
+"""Registry of the steps of a booking, in their order."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+
+from clementinebank.errors import Step
+
+StepRun = Callable[[Any], Awaitable[Step | None]]
+
+STEP_ORDER = (
+    Step.ACCEPT,
+    Step.CLAIM_SEND,
+    Step.CLAIM_CONFIRM,
+    Step.DISPATCH,
+    Step.FIRST_BYTE,
+    Step.REPLY_READ,
+    Step.RECORD,
+    Step.RESPOND,
+)
+
+
+@attrs.frozen
+class BookingStep:
+    """One step.
+
+    Parameters
+    ----------
+    step : Step
+        Name of the step.
+    run : callable
+        Coroutine function of the run; returns the next step, or ``None`` at
+        the end.
+    """
+
+    step: Step
+    run: StepRun
+
+
+BOOKING_STEPS: dict[Step, BookingStep] = {}
+
+
+def booking_step(step: Step) -> Callable[[StepRun], StepRun]:
+    """Register the function that performs a step."""
+
+    def register(run: StepRun) -> StepRun:
+        if step in BOOKING_STEPS:
+            raise ValueError(f'step {step.value} is registered twice')
+        BOOKING_STEPS[step] = BookingStep(step, run)
+        return run
+
+    return register
--- /dev/null
+++ b/clementinebank/cli/_booking_commands.py
@@ -0,0 +1,205 @@
+"""The ``book`` and ``bookings`` commands."""
+
+import argparse
+import getpass
+import json
+from typing import Any
+
+from result import Ok, Result
+
+from clementinebank.booking import KEY_FIELD, new_key
+from clementinebank.cli._client import Reply, call
+from clementinebank.cli._commands import ExitStatus, Report, command
+from clementinebank.clock import wall_time
+from clementinebank.errors import Failure
+
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+
+
+def _configure_book(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('service', help='name of a booking service')
+    parser.add_argument('body', help='JSON object')
+    parser.add_argument('--key', help='UUIDv7; a new one by default')
+    parser.add_argument('--deadline-ms', type=int)
+    parser.add_argument(
+        '--callers',
+        default='127.0.0.1:9000',
+        help='callers listener of an instance',
+    )
+
+
+@command(
+    'book',
+    'send one booking and print its outcome',
+    'clementinebank book claim-counter \'{"rug": "R-17"}\'',
+    _configure_book,
+)
+def book(options: argparse.Namespace) -> Result[Report, Failure]:
+    """Send one booking."""
+    try:
+        body = json.loads(options.body)
+    except ValueError as error:
+        text = f'body: invalid JSON: {error}'
+        return Ok(Report(text, {'problems': [text]}, ExitStatus.USAGE))
+    key = options.key or new_key(wall_time())
+    headers = {KEY_FIELD.lower(): key}
+    if options.deadline_ms:
+        headers['deadline-ms'] = str(options.deadline_ms)
+    reply = call(
+        options.callers,
+        'POST',
+        f'/v1/services/{options.service}/requests',
+        body,
+        headers=headers,
+    )
+    return reply.map(lambda each: _report_book(key, each))
+
+
+def _report_book(key: str, reply: Reply) -> Report:
+    if 'error' in reply.data:
+        execution = reply.data['error']['execution']
+        status = (
+            ExitStatus.UNKNOWN if execution == 'unknown' else ExitStatus.REFUSED
+        )
+        text = f'key {key}: {_error_text(reply.data)}'
+        return Report(text, reply.data, status)
+    source = 'recorded earlier' if reply.data['repeated'] else 'ran now'
+    recorded = '' if reply.data['recorded'] else ', NOT RECORDED'
+    outcome = json.dumps(reply.data['outcome'])
+    text = f'key {key}: {source}{recorded}: {outcome}'
+    return Report(text, reply.data)
+
+
+def _configure_operators(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--operators',
+        default='127.0.0.1:9002',
+        help='operators listener of an instance',
+    )
+
+
+def _configure_list(parser: argparse.ArgumentParser) -> None:
+    _configure_operators(parser)
+    parser.add_argument('--service', help='only this service')
+    parser.add_argument(
+        '--all', action='store_true', help='also resolved claims'
+    )
+
+
+@command(
+    'bookings list',
+    'list unresolved bookings',
+    'clementinebank bookings list --operators 127.0.0.1:9002',
+    _configure_list,
+)
+def list_bookings(options: argparse.Namespace) -> Result[Report, Failure]:
+    """List unresolved claims."""
+    parameters = ['all=1'] if options.all else []
+    if options.service:
+        parameters.append(f'service={options.service}')
+    query = '&'.join(parameters)
+    reply = call(options.operators, 'GET', f'/v1/bookings?{query}')
+    return reply.map(_report_list)
+
+
+def _report_list(reply: Reply) -> Report:
+    if reply.status != STATUS_OK:
+        return _refused(reply)
+    bookings = reply.data['bookings']
+    lines = [
+        f'{each["service"]}  {each["key"]}  {each["state"]}  '
+        f'{each["age_s"]:.0f} s  {each["instance_id"]}'
+        for each in bookings
+    ]
+    lines.extend(f'UNREADABLE {key}' for key in reply.data['unreadable'])
+    unresolved = sum(each['state'] == 'claimed' for each in bookings)
+    whole = '' if reply.data['whole'] else ', LIST IS NOT WHOLE'
+    lines.append(f'{unresolved} unresolved{whole}')
+    return Report('\n'.join(lines), reply.data)
+
+
+def _configure_show(parser: argparse.ArgumentParser) -> None:
+    _configure_operators(parser)
+    parser.add_argument('service', help='name of a booking service')
+    parser.add_argument('key', help='idempotency key')
+
+
+@command(
+    'bookings show',
+    'show one booking with its history',
+    'clementinebank bookings show claim-counter '
+    '01890a5d-ac96-774b-bcce-b302099a8057',
+    _configure_show,
+)
+def show(options: argparse.Namespace) -> Result[Report, Failure]:
+    """Show one claim."""
+    target = f'/v1/bookings/{options.service}/{options.key}'
+    return call(options.operators, 'GET', target).map(_report_claim)
+
+
+def _configure_settle(parser: argparse.ArgumentParser) -> None:
+    _configure_show(parser)
+    parser.add_argument(
+        '--as', dest='resolution', required=True, choices=('ran', 'not_run')
+    )
+    parser.add_argument('--why', required=True, help='reason, kept for ever')
+    parser.add_argument('--who', help='default: the current user')
+
+
+@command(
+    'bookings settle',
+    'resolve one unresolved booking after a check at its leaf',
+    'clementinebank bookings settle claim-counter '
+    '01890a5d-ac96-774b-bcce-b302099a8057 --as ran --why "seen in the ledger"',
+    _configure_settle,
+)
+def settle(options: argparse.Namespace) -> Result[Report, Failure]:
+    """Settle one claim."""
+    reply = call(
+        options.operators,
+        'POST',
+        f'/v1/bookings/{options.service}/{options.key}/settle',
+        {
+            'resolution': options.resolution,
+            'who': options.who or getpass.getuser(),
+            'why': options.why,
+        },
+    )
+    return reply.map(_report_claim)
+
+
+def _report_claim(reply: Reply) -> Report:
+    if reply.status != STATUS_OK:
+        return _refused(reply)
+    claim = reply.data
+    lines = [
+        f'{claim["service"]} {claim["key"]}: {claim["state"]}',
+        f'claimed {claim["age_s"]:.0f} s ago by {claim["instance_id"]}, '
+        f'attempt {claim["attempt_id"]}',
+    ]
+    if claim['outcome']:
+        lines.append(f'outcome: {json.dumps(claim["outcome"])}')
+    if claim['resolution']:
+        lines.append(f'resolution: {claim["resolution"]}')
+    lines.extend(
+        f'{each["at"]:.3f} {each["who"]}: {each["event"]} {each["why"]}'.strip()
+        for each in claim['history']
+    )
+    return Report('\n'.join(lines), claim)
+
+
+def _refused(reply: Reply) -> Report:
+    error = reply.data['error']
+    is_conflict = reply.status == STATUS_CONFLICT
+    if error['execution'] == 'unknown':
+        status = ExitStatus.UNKNOWN
+    else:
+        status = ExitStatus.CONFLICT if is_conflict else ExitStatus.REFUSED
+    return Report(_error_text(reply.data), reply.data, status)
+
+
+def _error_text(data: Any) -> str:
+    error = data['error']
+    field = f' ({error["field"]})' if error['field'] else ''
+    return f'{error["code"]}{field}: {error["message"]} [{error["execution"]}]'
--- a/clementinebank/cli/_main.py
+++ b/clementinebank/cli/_main.py
@@ -7,11 +7,15 @@
 
 from result import Err
 
-from clementinebank.cli import _document_commands, _search_command
+from clementinebank.cli import (
+    _booking_commands,
+    _document_commands,
+    _search_command,
+)
 from clementinebank.cli._commands import COMMANDS, Command, ExitStatus
 
 # Importing these modules registers their commands.
-COMMAND_MODULES = (_document_commands, _search_command)
+COMMAND_MODULES = (_booking_commands, _document_commands, _search_command)
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/clementinebank/server/__init__.py
+++ b/clementinebank/server/__init__.py
@@ -1,6 +1,7 @@
 """Listeners and life cycle of an entry instance."""
 
 from clementinebank.server import (
+    _booking_routes,
     _caller_routes,
     _document_routes,
     _operator_routes,
@@ -20,4 +21,9 @@
 )
 
 # Importing these modules registers their routes.
-ROUTE_MODULES = (_caller_routes, _document_routes, _operator_routes)
+ROUTE_MODULES = (
+    _booking_routes,
+    _caller_routes,
+    _document_routes,
+    _operator_routes,
+)
--- /dev/null
+++ b/clementinebank/server/_booking_routes.py
@@ -0,0 +1,184 @@
+"""Booking routes of the callers' and the operators' listener."""
+
+import json
+import re
+import uuid
+from typing import Any
+from urllib.parse import parse_qs
+
+from result import Err, Ok, Result
+
+from clementinebank.booking import (
+    KEY_FIELD,
+    BookingAnswer,
+    BookingRequest,
+    ClaimRecord,
+    Settlement,
+    find_claim,
+    list_claims,
+    read_key,
+    settle,
+)
+from clementinebank.clock import now, wall_time
+from clementinebank.errors import Execution, Failure, Step
+from clementinebank.http import HttpRequest, HttpResponse, json_response
+from clementinebank.server._instance import Instance
+from clementinebank.server._routes import Listener, refuse, route
+from clementinebank.validation import FieldReader
+
+MS_PER_S = 1000
+MAX_DEADLINE_MS = 60_000
+REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
+RESOLUTIONS = ('ran', 'not_run')
+
+
+@route(Listener.CALLERS, 'POST', '/v1/services/{service}/requests')
+async def book(
+    instance: Instance, request: HttpRequest, service: str
+) -> HttpResponse:
+    """Run one request at most once."""
+    accepted = _accept(instance, request, service)
+    if isinstance(accepted, Err):
+        return refuse(accepted.err_value)
+    booking = accepted.ok_value
+    engine = instance.bookings.engines_by_service[service]
+    answer = await engine.book(booking)
+    return _respond(booking, answer, instance.document_revision)
+
+
+@route(Listener.OPERATORS, 'GET', '/v1/bookings')
+async def list_bookings(
+    instance: Instance, request: HttpRequest
+) -> HttpResponse:
+    """List unresolved claims, or with ``all=1`` every claim."""
+    query = parse_qs(request.query)
+    found = await list_claims(
+        instance.key_value,
+        unresolved_only=query.get('all') != ['1'],
+        service=query.get('service', [''])[0],
+    )
+    if isinstance(found, Err):
+        return refuse(found.err_value)
+    claims = found.ok_value
+    return json_response(
+        200,
+        {
+            'bookings': [_claim_json(record) for record in claims.records],
+            'unreadable': list(claims.unreadable),
+            'whole': claims.is_whole,
+        },
+    )
+
+
+@route(Listener.OPERATORS, 'GET', '/v1/bookings/{service}/{key}')
+async def show_booking(
+    instance: Instance, request: HttpRequest, service: str, key: str
+) -> HttpResponse:
+    """Return one claim with its history."""
+    found = await find_claim(instance.key_value, service, key)
+    if isinstance(found, Err):
+        return refuse(found.err_value)
+    return json_response(200, _claim_json(found.ok_value[0]))
+
+
+@route(Listener.OPERATORS, 'POST', '/v1/bookings/{service}/{key}/settle')
+async def settle_booking(
+    instance: Instance, request: HttpRequest, service: str, key: str
+) -> HttpResponse:
+    """Settle one unresolved claim."""
+    settlement = _read_settlement(request.body, service, key)
+    if isinstance(settlement, Err):
+        return refuse(settlement.err_value)
+    settled = await settle(instance.key_value, settlement.ok_value, wall_time())
+    if isinstance(settled, Err):
+        return refuse(settled.err_value)
+    return json_response(200, _claim_json(settled.ok_value))
+
+
+def _accept(
+    instance: Instance, request: HttpRequest, service: str
+) -> Result[BookingRequest, Failure]:
+    engine = instance.bookings.engines_by_service.get(service)
+    if engine is None:
+        message = f'no booking service is named {service!r}'
+        return _invalid('service', message, 'unknown_service', 404)
+    request_id = request.headers.get('request-id') or uuid.uuid4().hex
+    if not REQUEST_ID_PATTERN.fullmatch(request_id):
+        return _invalid('Request-Id', 'must be 1 to 64 of A-Z a-z 0-9 _ -')
+    raw = request.headers.get('deadline-ms', str(engine.service.deadline_ms))
+    if not (raw.isascii() and raw.isdigit() and 0 < int(raw)):
+        return _invalid('Deadline-Ms', f'must be a positive integer: {raw!r}')
+    if not _is_json_object(request.body):
+        return _invalid('body', 'must be a JSON object')
+    key = read_key(
+        request.headers.get(KEY_FIELD.lower()),
+        wall_time(),
+        engine.service.retention_hours,
+    )
+    caller_delay_ms = engine.document.fleet.caller_delay_ms
+    deadline_ms = min(int(raw), MAX_DEADLINE_MS) - caller_delay_ms
+    deadline = now() + deadline_ms / MS_PER_S
+    return key.map(
+        lambda valid: BookingRequest(
+            request_id, valid, service, request.body, deadline
+        )
+    )
+
+
+def _is_json_object(body: bytes) -> bool:
+    try:
+        return isinstance(json.loads(body), dict)
+    except ValueError:
+        return False
+
+
+def _invalid(
+    field: str, message: str, code: str = 'invalid_request', status: int = 400
+) -> Err[Failure]:
+    return Err(Failure(code, message, Step.ACCEPT, field=field, status=status))
+
+
+def _respond(
+    booking: BookingRequest, answer: BookingAnswer, revision: int
+) -> HttpResponse:
+    headers = {'request-id': booking.request_id}
+    if answer.outcome is None:
+        failure = answer.failure or Failure(
+            'no_outcome', 'no outcome', Step.RESPOND
+        )
+        return json_response(failure.status, failure.as_json(), headers)
+    return json_response(
+        answer.outcome.status,
+        {
+            'request_id': booking.request_id,
+            'key': booking.key,
+            'execution': Execution.RAN.value,
+            'outcome': answer.outcome.content,
+            'repeated': answer.is_repeated,
+            'recorded': answer.is_recorded,
+            'configuration': {'revision': revision},
+        },
+        headers,
+    )
+
+
+def _read_settlement(
+    body: bytes, service: str, key: str
+) -> Result[Settlement, Failure]:
+    try:
+        reader = FieldReader(json.loads(body))
+    except ValueError as error:
+        return _invalid('body', f'invalid JSON: {error}')
+    resolution = reader.text('resolution', choices=RESOLUTIONS)
+    who = reader.text('who')
+    why = reader.text('why')
+    reader.finish()
+    if reader.problems:
+        problem = reader.problems[0]
+        return _invalid(problem.field, problem.message)
+    return Ok(Settlement(service, key, Execution(resolution), who, why))
+
+
+def _claim_json(record: ClaimRecord) -> dict[str, Any]:
+    age_s = round(wall_time() - record.claimed_at, 1)
+    return {**record.as_json(), 'age_s': age_s}
--- a/clementinebank/server/_instance.py
+++ b/clementinebank/server/_instance.py
@@ -5,6 +5,7 @@
 from eliot import log_message
 from result import Err
 
+from clementinebank.booking import BookingEngines
 from clementinebank.document import (
     DOCUMENT_KEY,
     Document,
@@ -40,6 +41,15 @@
     head: HeadRecord = HeadRecord()
     document: Document | None = None
     engines_by_service: dict[str, SearchEngine] = attrs.Factory(dict)
+    bookings: BookingEngines = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the booking engines, which follow the document."""
+        self.bookings = BookingEngines(
+            self.key_value,
+            self.settings.instance_id,
+            self.settings.data_centre,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -84,6 +94,7 @@
         self.head = head
         self.document = parsed.ok_value
         await self._update_engines(parsed.ok_value)
+        await self.bookings.update(parsed.ok_value)
         log_message(message_type='document:activated', revision=head.revision)
 
     async def _update_engines(self, document: Document) -> None:
--- a/clementinebank/upstream/_pool.py
+++ b/clementinebank/upstream/_pool.py
@@ -170,13 +170,15 @@
         self, connection: HttpConnection, call: LeafCall
     ) -> Result[HttpResponse, Failure]:
         if call.is_cancelled or now() >= call.deadline:
-            message = 'cancelled or expired before it was sent'
-            return Err(self._failure('expired', message, Step.DISPATCH, call))
+            return Err(self._expired(call))
         step = Step.DISPATCH
         try:
             async with curio.timeout_after(call.deadline - now()):
                 if not connection.is_reusable:
                     await connection.connect()
+                # Connecting takes time, in which the call can end.
+                if call.is_cancelled or now() >= call.deadline:
+                    return Err(self._expired(call))
                 call.is_sent = True
                 await connection.send(call.request)
             step = Step.READ
@@ -193,6 +195,10 @@
             return Err(self._failure('leaf_mismatch', message, step, call))
         return Ok(response)
 
+    def _expired(self, call: LeafCall) -> Failure:
+        message = 'cancelled or expired before it was sent'
+        return self._failure('expired', message, Step.DISPATCH, call)
+
     def _failure(
         self, code: str, message: str, step: Step, call: LeafCall
     ) -> Failure:
--- a/examples/run.sh
+++ b/examples/run.sh
@@ -42,5 +42,7 @@
 retry sh -c "'$python' -m clementinebank.cli search pickup-desk silk \
     --callers 127.0.0.1:12910 | grep -q complete"
 tool search pickup-desk silk --callers 127.0.0.1:12900 --limit 3
+tool book claim-counter '{"rug": "R-17"}' --callers 127.0.0.1:12900
+tool bookings list --operators 127.0.0.1:12912
 echo "\$ plain HTTP client, second instance"
 "$python" examples/plain_client.py 127.0.0.1:12910 pickup-desk wool
