Cover every step of a booking with every fault

Cause: at-most-once was implemented without evidence under faults. Ruled out: a cluster simulator; the cells run the real engine and leaf pool on the fake clock with fakes of the key-value service and the leaf connections. Change: the matrix registry (rows by path and step, columns by fault, pairs), the booking path, make faults, negative controls (no claim, takeover after a timeout, dispatch on an unconfirmed claim, retry after an unknown reply), unit tests, and process tests with SIGKILL and SIGSTOP. The stand-in leaf can cut the connection after an execution, delay its reply and refuse to execute. The decision reads a version mismatch back whatever execution its failure states. Each negative control is caught by the same checks.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,9 @@
 unit: $(VENV)/.installed
 	$(PYTHON) -m pytest
 
+faults: $(VENV)/.installed
+	$(PYTHON) -m tests.faults
+
 run: $(VENV)/.installed
 	sh examples/run.sh $(PYTHON)
 
--- a/clementinebank/booking/_booking.py
+++ b/clementinebank/booking/_booking.py
@@ -92,7 +92,11 @@
         if isinstance(written, Ok):
             self._confirm(written.ok_value.version)
             return Step.CLAIM_CONFIRM
-        is_unsent = written.err_value.execution is Execution.NOT_RUN
+        failure = written.err_value
+        is_unsent = (
+            failure.execution is Execution.NOT_RUN
+            and failure.code != 'version_mismatch'
+        )
         if is_unsent and self.claim_writes == 1:
             self.may_land = False
             return self.on_read(written)
--- /dev/null
+++ b/clementinebank/booking/tests/test_decisions.py
@@ -0,0 +1,232 @@
+"""Guards against keys, budgets and ledgers that let a second run pass."""
+
+import uuid
+
+import attrs
+import curio
+import pytest
+from result import Err, Ok
+
+from clementinebank.booking import (
+    BOOKING_STEPS,
+    STEP_ORDER,
+    Booking,
+    BookingBudget,
+    BookingLedger,
+    ClaimRecord,
+    ClaimState,
+    Outcome,
+    TokenBucket,
+    created_at,
+    decode_record,
+    new_key,
+    read_key,
+)
+from clementinebank.booking._messages import decode_leaf_reply
+from clementinebank.booking.tests.fakes import (
+    BODY,
+    SERVICE,
+    FakeConnection,
+    FakeLeaf,
+    FakePool,
+    fake_document,
+    new_request,
+)
+from clementinebank.booking.tests.world import run_world
+from clementinebank.clock import FakeClockKernel, now
+from clementinebank.errors import Execution, Failure, Step
+from clementinebank.http import HttpRequest, HttpResponse
+from clementinebank.invariants import INVARIANTS, VIOLATIONS_BY_NAME
+from clementinebank.platform import Entry
+from clementinebank.upstream import LeafCall
+
+WALL_S = 1_800_000_000.0
+HOUR_S = 3600
+
+
+def test_steps_are_registered_in_their_order():
+    assert tuple(BOOKING_STEPS) == STEP_ORDER
+
+
+def test_new_key_carries_its_time():
+    key = new_key(WALL_S)
+    assert uuid.UUID(key).version == 7
+    assert created_at(key) == pytest.approx(WALL_S, abs=1e-3)
+    assert read_key(key.upper(), WALL_S, 24) == Ok(key)
+
+
+@pytest.mark.parametrize(
+    ('raw', 'code'),
+    [
+        (None, 'key_missing'),
+        ('', 'key_invalid'),
+        ('7', 'key_invalid'),
+        (str(uuid.UUID(int=0)), 'key_invalid'),
+        ('6fa459ea-ee8a-4ca4-894e-db77e160355e', 'key_invalid'),
+        ('{' + new_key(WALL_S) + '}', 'key_invalid'),
+        (new_key(WALL_S - 24 * HOUR_S - 1), 'key_too_old'),
+        (new_key(WALL_S + 301), 'key_from_future'),
+    ],
+)
+def test_refused_key_names_its_field(raw, code):
+    failure = read_key(raw, WALL_S, 24).unwrap_err()
+    assert failure.code == code
+    assert failure.field == 'Idempotency-Key'
+    assert failure.execution is Execution.NOT_RUN
+
+
+@pytest.mark.parametrize('age_s', [24 * HOUR_S - 1, -299])
+def test_key_within_its_bounds_is_accepted(age_s):
+    assert read_key(new_key(WALL_S - age_s), WALL_S, 24).is_ok()
+
+
+def test_bucket_keeps_its_rate_and_its_reserve():
+    bucket = TokenBucket(10, 10)
+    taken = sum(bucket.take(1, 100 + step / 100) for step in range(1001))
+    assert 109 <= taken <= 111
+    bucket = TokenBucket(10, 10)
+    assert not bucket.take(6, 0, reserve=5)
+    assert bucket.take(5, 0, reserve=5)
+    bucket.charge(15, 0)
+    assert not bucket.take(1, 1)
+    assert bucket.take(1, 1.2)
+
+
+def test_budget_states_the_highest_booking_rate():
+    document = fake_document(writes=200)
+    budget = BookingBudget(1)
+    budget.update(document.fleet)
+    assert budget.writes_per_second == 25
+    assert budget.bookings_per_second == 12.5
+
+
+def test_ledger_refuses_a_dispatch_without_claim_and_a_second_one():
+    ledger = BookingLedger()
+    before = dict(VIOLATIONS_BY_NAME)
+    try:
+        ledger.open('key', 'attempt')
+        assert not ledger.permit_dispatch('key', 'attempt')
+        ledger.confirm('key', 'attempt')
+        assert ledger.permit_dispatch('key', 'attempt')
+        assert not ledger.permit_dispatch('key', 'attempt')
+        ledger.refute_dispatch('key', 'attempt')
+        assert ledger.permit_dispatch('key', 'attempt')
+        assert not ledger.permit_dispatch('key', 'unknown attempt')
+        for name in ('booking_single_dispatch', 'booking_confirmed_claim'):
+            assert INVARIANTS[name].requirement == 'R5'
+            assert VIOLATIONS_BY_NAME[name] > before.get(name, 0)
+    finally:
+        VIOLATIONS_BY_NAME.clear()
+        VIOLATIONS_BY_NAME.update(before)
+
+
+def test_record_survives_its_stored_form():
+    claim = ClaimRecord('key', 'service', 'digest', 'attempt', 'entry-1', 1.5)
+    recorded = attrs.evolve(
+        claim, state=ClaimState.RECORDED, outcome=Outcome(200, {'seat': [1]})
+    )
+    for record in (claim, recorded):
+        assert decode_record(record.encode()) == Ok(record)
+    assert decode_record(b'7').is_err()
+    problems = decode_record(b'{"state": "open"}').unwrap_err()
+    assert 'state' in {problem.field for problem in problems}
+
+
+@pytest.mark.parametrize(
+    ('body', 'execution'),
+    [
+        (b'{"ran": false, "code": "shed"}', Execution.NOT_RUN),
+        (b'{"ran": "false"}', Execution.UNKNOWN),
+        (b'{"ran": 0}', Execution.UNKNOWN),
+        (b'{}', Execution.UNKNOWN),
+        (b'[]', Execution.UNKNOWN),
+        (b'{"ran": fal', Execution.UNKNOWN),
+    ],
+)
+def test_only_a_stated_false_is_not_run(body, execution):
+    reply = decode_leaf_reply(HttpResponse(503, {}, body), 'leaf')
+    assert reply.unwrap_err().execution is execution
+
+
+def test_version_mismatch_is_read_back_whatever_its_execution():
+    request = attrs.evolve(_request(), deadline=1e9)
+    booking = Booking(request, _claim(request), 24)
+    booking.on_claim_send()
+    failure = Failure('version_mismatch', 'changed', Step.SWAP)
+    assert booking.on_claim_written(Err(failure)) is Step.CLAIM_CONFIRM
+
+
+def test_expired_key_is_not_dispatched_on_a_confirmed_claim():
+    request = _request(new_key(WALL_S))
+    booking = Booking(request, _claim(request), 24)
+    booking.on_claim_send()
+    booking.on_claim_written(Ok(Entry(b'', 1)))
+    assert booking.may_dispatch(0, WALL_S)
+    assert not booking.may_dispatch(0, WALL_S + 25 * HOUR_S)
+    assert not booking.may_dispatch(request.deadline, WALL_S)
+
+
+def test_call_cancelled_while_connecting_is_not_sent():
+    async def run():
+        calls = curio.Queue()
+        leaf = FakeLeaf()
+        settings = fake_document().services_by_name[SERVICE]
+        pool = FakePool(
+            settings.leafs_by_id['leaf-0'],
+            1,
+            fake_leaf=leaf,
+            instance=_Alive(),
+        )
+        request = HttpRequest('POST', '/v1/execute', {'request-id': 'c'})
+        call = LeafCall('c', request, now() + 1, calls.put)
+        await pool.submit(call)
+        await curio.sleep(0.001)
+        await pool.cancel('c')
+        reply = await curio.timeout_after(5, calls.get)
+        return call.is_sent, reply.outcome.unwrap_err().execution, leaf.runs
+
+    with FakeClockKernel() as kernel:
+        is_sent, execution, runs = kernel.run(run)
+    assert not is_sent
+    assert execution is Execution.NOT_RUN
+    assert runs == []
+
+
+def test_withdrawn_call_is_answered_as_not_run():
+    answers = []
+
+    async def scenario(world):
+        # Ten calls hold every connection of both leafs beyond the deadline.
+        world.leaf.reply_faults.extend(['slow'] * 24)
+        tasks = [
+            await curio.spawn(world.book, 'a', new_request()) for _ in range(30)
+        ]
+        answers.extend([await task.join() for task in tasks])
+        await curio.sleep(60)
+        assert await world.problems() == []
+
+    run_world(scenario)
+    codes = {answer.execution for answer in answers}
+    assert codes == {Execution.NOT_RUN, Execution.UNKNOWN}
+
+
+class _Alive:
+    is_killed = False
+
+    def __init__(self):
+        self.connections = []
+
+
+def _request(key=None):
+    with FakeClockKernel():
+        return new_request(key or new_key(WALL_S), BODY)
+
+
+def _claim(request):
+    return ClaimRecord(
+        request.key, request.service, request.digest, 'attempt', 'a', 0
+    )
+
+
+def test_fake_connection_is_not_reusable_before_connect():
+    assert not FakeConnection(FakeLeaf(), _Alive()).is_reusable
--- /dev/null
+++ b/clementinebank/booking/tests/test_engine.py
@@ -0,0 +1,298 @@
+"""Guards against repeats, limits and settlements that break at-most-once."""
+
+import attrs
+import curio
+import pytest
+from result import Err
+
+from clementinebank.booking import (
+    BookingBudget,
+    BookingEngines,
+    ClaimState,
+    Settlement,
+    decode_record,
+    find_claim,
+    list_claims,
+    new_key,
+    settle,
+    storage_key,
+)
+from clementinebank.booking.tests.fakes import (
+    SERVICE,
+    fake_document,
+    new_request,
+)
+from clementinebank.booking.tests.world import run_world
+from clementinebank.clock import now, wall_time
+from clementinebank.errors import Execution
+
+DAY_S = 86_400
+
+
+def play(scenario, **variant):
+    async def checked(world):
+        await scenario(world)
+        await curio.sleep(60)
+        assert await world.problems() == []
+
+    run_world(checked, **variant)
+
+
+def test_repeat_gets_the_recorded_outcome_without_a_write():
+    async def scenario(world):
+        request = new_request()
+        first = await world.book('a', request)
+        writes = world.key_value.writes
+        again = await world.book('b', new_request(request.key))
+        assert first.is_recorded
+        assert not first.is_repeated
+        assert again.is_repeated
+        assert again.outcome == first.outcome
+        assert (writes, world.key_value.writes) == (2, 2)
+
+    play(scenario)
+
+
+def test_key_with_another_body_is_refused():
+    async def scenario(world):
+        request = new_request()
+        await world.book('a', request)
+        other = await world.book('b', new_request(request.key, b'{}'))
+        assert other.failure.code == 'key_reused'
+        assert other.failure.status == 422
+        assert other.failure.field == 'Idempotency-Key'
+        assert other.execution is Execution.NOT_RUN
+
+    play(scenario)
+
+
+def test_unresolved_claim_is_not_repeated():
+    async def scenario(world):
+        world.leaf.reply_faults.append('cut')
+        request = new_request()
+        first = await world.book('a', request)
+        again = await world.book('b', new_request(request.key))
+        assert first.execution is Execution.UNKNOWN
+        assert again.failure.status == 409
+        assert again.failure.message == 'outcome unknown, not repeated'
+        assert again.execution is Execution.UNKNOWN
+
+    play(scenario)
+
+
+def test_another_leaf_is_tried_after_a_refusal():
+    async def scenario(world):
+        world.leaf.reply_faults.extend(['refuse', ''])
+        assert (await world.book('a', new_request())).outcome
+
+    play(scenario)
+
+
+def test_claim_is_released_when_every_leaf_refuses():
+    async def scenario(world):
+        world.leaf.reply_faults.extend(['refuse', 'unreachable'])
+        request = new_request()
+        refused = await world.book('a', request)
+        assert refused.execution is Execution.NOT_RUN
+        again = await world.book('b', new_request(request.key))
+        assert again.outcome
+        assert not again.is_repeated
+
+    play(scenario)
+
+
+def test_outage_before_the_claim_is_not_run():
+    async def scenario(world):
+        world.key_value.down_until = now() + 5
+        answer = await world.book('a', new_request())
+        assert answer.execution is Execution.NOT_RUN
+        assert world.key_value.writes == 0
+
+    play(scenario)
+
+
+def test_outcome_is_told_when_it_cannot_be_recorded():
+    async def scenario(world):
+        async def outage(instance, run, step):
+            if step.value == 'record':
+                world.key_value.down_until = now() + 300
+
+        world.on_step = outage
+        request = new_request()
+        answer = await world.book('a', request)
+        assert answer.outcome
+        assert not answer.is_recorded
+        await curio.sleep(400)
+        listed = await list_claims(world.key_value, unresolved_only=True)
+        keys = [record.key for record in listed.unwrap().records]
+        assert keys == [request.key]
+
+    play(scenario)
+
+
+def test_late_claim_is_released_by_its_holder():
+    async def scenario(world):
+        world.key_value.write_faults.extend(['late'] * 3)
+        request = new_request()
+        answer = await world.book('a', request)
+        assert answer.failure.code == 'claim_unconfirmed'
+        assert answer.execution is Execution.UNKNOWN
+        await curio.sleep(10)
+        again = await world.book('b', new_request(request.key))
+        assert again.outcome
+
+    play(scenario)
+
+
+def test_budget_bounds_the_writes():
+    async def scenario(world):
+        answers = [await world.book('a', new_request()) for _ in range(20)]
+        refused = [answer for answer in answers if answer.failure]
+        assert refused
+        for answer in refused:
+            assert answer.failure.status == 429
+            assert answer.execution is Execution.NOT_RUN
+        assert world.key_value.writes == 2 * (len(answers) - len(refused))
+
+    play(scenario, writes_per_second=10)
+
+
+def _settlement(key, resolution):
+    return Settlement(SERVICE, key, resolution, 'ana', 'asked the counter')
+
+
+@pytest.mark.parametrize('resolution', [Execution.RAN, Execution.NOT_RUN])
+def test_settled_key_is_closed_and_keeps_its_history(resolution):
+    async def scenario(world):
+        world.leaf.reply_faults.append('cut')
+        request = new_request()
+        await world.book('a', request)
+        settlement = _settlement(request.key, resolution)
+        young = await settle(world.key_value, settlement, wall_time())
+        assert young.unwrap_err().code == 'claim_too_young'
+        await curio.sleep(200)
+        settled = await settle(world.key_value, settlement, wall_time())
+        entry = settled.unwrap().history[-1]
+        assert (entry.who, entry.why) == ('ana', 'asked the counter')
+        again = await settle(world.key_value, settlement, wall_time())
+        assert again.unwrap_err().code == 'claim_resolved'
+        told = await world.instances['a'].engine.book(new_request(request.key))
+        assert told.failure.code == 'settled'
+        assert told.execution is resolution
+
+    play(scenario)
+
+
+def test_concurrent_settlement_is_a_conflict():
+    async def scenario(world):
+        world.leaf.reply_faults.append('cut')
+        request = new_request()
+        await world.book('a', request)
+        await curio.sleep(200)
+        tasks = [
+            await curio.spawn(
+                settle,
+                world.key_value,
+                _settlement(request.key, resolution),
+                wall_time(),
+            )
+            for resolution in (Execution.RAN, Execution.NOT_RUN)
+        ]
+        outcomes = [await task.join() for task in tasks]
+        refused = [each for each in outcomes if isinstance(each, Err)]
+        assert len(refused) == 1
+        assert refused[0].err_value.status == 409
+
+    play(scenario)
+
+
+def test_late_outcome_outweighs_a_settlement():
+    settled = []
+
+    async def scenario(world):
+        async def settle_first(instance, run, step):
+            if step.value == 'record' and not settled:
+                key = run.booking.request.key
+                settlement = _settlement(key, Execution.NOT_RUN)
+                later_s = wall_time() + 300
+                settled.append(
+                    await settle(world.key_value, settlement, later_s)
+                )
+
+        world.on_step = settle_first
+        request = new_request()
+        assert (await world.book('a', request)).is_recorded
+        assert settled[0].is_ok()
+        found = await find_claim(world.key_value, SERVICE, request.key)
+        record = found.unwrap()[0]
+        assert record.state is ClaimState.RECORDED
+        assert [entry.who for entry in record.history] == ['ana', 'a']
+
+    play(scenario)
+
+
+def test_expired_claims_are_removed_but_for_unresolved_ones():
+    async def scenario(world):
+        world.leaf.reply_faults.append('cut')
+        unresolved = new_request()
+        await world.book('a', unresolved)
+        for _ in range(30):
+            await world.book('a', new_request())
+        service = fake_document(retention_hours=48).services_by_name[SERVICE]
+        engines = BookingEngines(world.key_value, 'a', 'north')
+        engines.budget = BookingBudget(20)
+        await curio.sleep(DAY_S)
+        assert await engines.remove_expired(service) == 0
+        await curio.sleep(1.5 * DAY_S)
+        recent = new_request()
+        await world.book('a', recent)
+        removed = []
+        for _ in range(60):
+            removed.append(await engines.remove_expired(service))
+            await curio.sleep(10)
+        assert sum(removed) == 30
+        assert max(removed) <= 10
+        kept = set(world.key_value.entries)
+        assert kept == {
+            storage_key(SERVICE, request.key)
+            for request in (unresolved, recent)
+        }
+
+    play(scenario, document=fake_document(retention_hours=48))
+
+
+def test_unreadable_record_is_listed_and_never_run():
+    async def scenario(world):
+        request = new_request()
+        stored = storage_key(SERVICE, request.key)
+        await world.key_value.swap(stored, b'7', 0)
+        answer = await world.book('a', request)
+        assert answer.execution is Execution.UNKNOWN
+        listed = await list_claims(world.key_value, unresolved_only=True)
+        assert listed.unwrap().unreadable == (stored,)
+        assert decode_record(b'7').is_err()
+        await world.key_value.delete(stored, 1)
+        world.told.clear()
+
+    play(scenario)
+
+
+def test_engines_follow_the_document():
+    async def scenario(world):
+        engines = BookingEngines(world.key_value, 'a', 'north')
+        document = fake_document(writes=80)
+        await engines.update(document)
+        assert set(engines.engines_by_service) == {SERVICE}
+        assert engines.budget.writes_per_second == 10
+        engine = engines.engines_by_service[SERVICE]
+        await engines.update(fake_document(leafs=3))
+        assert len(engine.pools_by_leaf) == 3
+        await engines.update(attrs.evolve(document, services_by_name={}))
+        assert engines.engines_by_service == {}
+
+    play(scenario)
+
+
+def test_new_keys_sort_by_their_time():
+    keys = [new_key(1_800_000_000 + number) for number in range(5)]
+    assert keys == sorted(keys)
--- /dev/null
+++ b/clementinebank/booking/tests/world.py
@@ -0,0 +1,207 @@
+"""Instances, callers and the checks that every run must pass."""
+
+import contextlib
+import logging
+
+import attrs
+import curio
+from result import Ok
+
+from clementinebank.booking import (
+    Booking,
+    BookingLedger,
+    BookingRun,
+    ClaimState,
+    decode_record,
+    list_claims,
+)
+from clementinebank.booking.tests.fakes import (
+    FakeInstance,
+    FakeKeyValue,
+    FakeLeaf,
+    fake_document,
+)
+from clementinebank.clock import FakeClockKernel, now
+from clementinebank.errors import Execution
+from clementinebank.invariants import VIOLATIONS_BY_NAME
+
+# These refusals come before the key is read or concern another body, so that
+# ``not_run`` is about the refused request only.
+REQUEST_ONLY_CODES = frozenset(
+    (
+        'key_value_unavailable',
+        'deadline_passed',
+        'booking_rate_exceeded',
+        'key_reused',
+    )
+)
+ANSWER_SLACK_S = 0.05
+ALONE_LIMIT_S = 20
+
+
+async def no_fault(instance, run, step):
+    """Inject nothing."""
+
+
+@attrs.frozen
+class Told:
+    """What a caller was told."""
+
+    request: object
+    answer: object
+    at: float
+    is_late: bool
+
+
+@attrs.define(eq=False)
+class World:
+    """One key-value service, one leaf process and its callers."""
+
+    clock: object
+    create_booking: object = Booking
+    create_ledger: object = BookingLedger
+    writes_per_second: float = 1000
+    on_step: object = no_fault
+    document: object = attrs.Factory(fake_document)
+    key_value: FakeKeyValue = attrs.Factory(FakeKeyValue)
+    leaf: FakeLeaf = attrs.Factory(FakeLeaf)
+    instances: dict = attrs.Factory(dict)
+    attempts: dict = attrs.Factory(dict)
+    told: list = attrs.Factory(list)
+    pauses: int = 0
+    crashes: list = attrs.Factory(list)
+    violations: dict = attrs.Factory(lambda: dict(VIOLATIONS_BY_NAME))
+
+    async def instance(self, name):
+        """Return the instance of this name, replaced if it was killed."""
+        found = self.instances.get(name)
+        if found is None or found.is_killed:
+            found = self.instances[name] = FakeInstance(name, self)
+            await found.start()
+        return found
+
+    def pause(self, seconds):
+        """Let the time pass while no process runs."""
+        self.pauses += 1
+        self.clock.advance(seconds)
+
+    async def book(self, name, request, *, alone=False):
+        """Send a request; a killed instance answers nothing.
+
+        ``alone`` drives the attempt without the task that answers at the
+        deadline, as in a process that was paused as a whole.
+        """
+        instance = await self.instance(name)
+        pauses = self.pauses
+        if alone:
+            answer = await self._book_alone(instance, request)
+        else:
+            answer = await instance.engine.book(request)
+        if instance.is_killed:
+            return None
+        # A process answers nothing while it is paused.
+        is_late = (
+            now() > request.deadline + ANSWER_SLACK_S
+            and not alone
+            and pauses == self.pauses
+        )
+        self.told.append(Told(request, answer, now(), is_late))
+        return answer
+
+    async def problems(self):
+        """Return every broken guarantee of the run."""
+        found = list(self.crashes)
+        for key in {told.request.key for told in self.told} | {
+            run.key for run in self.leaf.runs
+        }:
+            runs = [run for run in self.leaf.runs if run.key == key]
+            if len(runs) > 1:
+                found.append(f'{len(runs)} executions of one key')
+        for told in self.told:
+            found += self._problems_of_answer(told)
+        for entry in self.key_value.entries.values():
+            found += self._problems_of_record(entry)
+        if dict(VIOLATIONS_BY_NAME) != self.violations:
+            found.append(f'invariants violated: {dict(VIOLATIONS_BY_NAME)}')
+        return found + await self._unlisted()
+
+    async def _book_alone(self, instance, request):
+        run = BookingRun(instance.engine._new_booking(request), instance.engine)
+        await curio.spawn(run.run, daemon=True)
+        await curio.ignore_after(ALONE_LIMIT_S, run.answered.wait)
+        return run.answer_now()
+
+    def _problems_of_answer(self, told):
+        runs = [run for run in self.leaf.runs if run.key == told.request.key]
+        attempt = self.attempts.get(told.request.request_id, '-')
+        answer = told.answer
+        found = ['answered late'] if told.is_late else []
+        if answer.execution is Execution.RAN:
+            outcomes = [run.outcome for run in runs]
+            if answer.outcome.content not in outcomes:
+                found.append('the outcome is not what the leaf answered')
+        elif answer.execution is Execution.NOT_RUN:
+            if any(run.call_id.startswith(attempt) for run in runs):
+                found.append(f'false not_run: {answer.failure.code}')
+            ran_before = any(run.at <= told.at for run in runs)
+            if ran_before and answer.failure.code not in REQUEST_ONLY_CODES:
+                found.append(f'not_run after a run: {answer.failure.code}')
+        return found
+
+    def _problems_of_record(self, entry):
+        record = decode_record(entry.value).unwrap()
+        runs = [
+            run
+            for run in self.leaf.runs
+            if run.call_id.startswith(record.attempt_id)
+        ]
+        if record.state is ClaimState.RECORDED:
+            if [run.outcome for run in runs] != [record.outcome.content]:
+                return ['the record is not what the leaf answered']
+        if record.state is ClaimState.RELEASED and runs:
+            return ['released although it ran']
+        return []
+
+    async def _unlisted(self):
+        listed = await list_claims(self.key_value, unresolved_only=True)
+        if not isinstance(listed, Ok):
+            return []
+        found = {record.key for record in listed.ok_value.records}
+        # Any other state lets a repeat get an outcome, a refusal or a run.
+        blocking = {
+            decode_record(entry.value).unwrap().key
+            for entry in self.key_value.entries.values()
+            if decode_record(entry.value).unwrap().is_unresolved
+        }
+        return [f'unresolved but not listed: {key}' for key in blocking - found]
+
+
+class CrashLog(logging.Handler):
+    """Collects the crashes of tasks that nobody joins."""
+
+    def __init__(self, crashes):
+        super().__init__(logging.ERROR)
+        self.crashes = crashes
+
+    def emit(self, record):
+        self.crashes.append(f'task crashed: {record.exc_info}')
+
+
+@contextlib.contextmanager
+def new_world(**variant):
+    """Yield the kernel and a new world on its fake clock."""
+    with FakeClockKernel() as kernel:
+        world = World(kernel.clock, **variant)
+        crash_log = CrashLog(world.crashes)
+        logger = logging.getLogger('curio')
+        logger.addHandler(crash_log)
+        try:
+            yield kernel, world
+        finally:
+            logger.removeHandler(crash_log)
+
+
+def run_world(scenario, **variant):
+    """Run a scenario in a new world."""
+    with new_world(**variant) as (kernel, world):
+        kernel.run(scenario, world)
--- a/standins/leaf.py
+++ b/standins/leaf.py
@@ -43,6 +43,12 @@
         ``good``, ``malformed``, ``crossed`` or ``wrong_snapshot``.
     sequences : list of int
         Snapshots served, by sequence number.
+    execute_reply : str
+        ``good``, or ``cut`` to close the connection after an execution.
+    execute_reply_delay_ms : float
+        Delay between an execution and its reply.
+    refuse_executions : bool
+        Refuse executions with 429 without running them.
     """
 
     delay_ms: float = 1
@@ -51,6 +57,9 @@
     shed: bool = False
     reply: str = 'good'
     sequences: list[int] = attrs.Factory(lambda: [1])
+    execute_reply: str = 'good'
+    execute_reply_delay_ms: float = 0
+    refuse_executions: bool = False
 
 
 @attrs.define(eq=False)
@@ -102,7 +111,7 @@
             if request.path == '/v1/search':
                 return self._search(request)
             if request.path == '/v1/execute':
-                return self._execute(request)
+                return await self._execute(request)
         finally:
             self.in_flight -= 1
         return json_response(404, {'code': 'unknown_path', 'ran': False})
@@ -180,9 +189,15 @@
                 )
         return found
 
-    def _execute(self, request: HttpRequest) -> HttpResponse:
+    async def _execute(self, request: HttpRequest) -> HttpResponse:
+        if self.faults.refuse_executions:
+            return json_response(429, {'code': 'shed', 'ran': False})
         key = request.headers.get('idempotency-key', '')
         self.executions_by_key[key] += 1
+        await pause(self.faults.execute_reply_delay_ms)
+        if self.faults.execute_reply == 'cut':
+            # The server closes a connection whose transport has failed.
+            raise ConnectionResetError('cut by an injected fault')
         return json_response(
             200,
             {'ran': True, 'outcome': {'booked': json.loads(request.body)}},
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fault matrix: every fault at every step, and pairs of faults."""
--- /dev/null
+++ b/tests/faults/__main__.py
@@ -0,0 +1,25 @@
+"""Prints one line per cell and the totals; exits with 1 on a failure."""
+
+import logging
+import sys
+
+from tests.faults.matrix import load_paths, pair_cells, run_cell, single_cells
+
+
+def main():
+    """Run the whole matrix."""
+    # curio warns of every timer that a pause of the clock has passed.
+    logging.getLogger('curio').setLevel(logging.ERROR)
+    results = []
+    for path in load_paths().values():
+        for cell in (*single_cells(path), *pair_cells(path)):
+            results.append(run_cell(cell))
+            print(results[-1], flush=True)
+    failed = sum(bool(result.problems) for result in results)
+    partly = sum(result.is_partly_reached for result in results)
+    print(f'in {partly} of the pairs only one fault was reached')
+    print(f'{len(results) - failed} passed, {failed} failed, 0 skipped')
+    return 1 if failed else 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/tests/faults/path_booking.py
@@ -0,0 +1,123 @@
+"""The booking path of the fault matrix, on fakes at its interfaces."""
+
+import curio
+
+from clementinebank.booking import BOOKING_STEPS
+from clementinebank.booking.tests.fakes import hang, new_request
+from clementinebank.booking.tests.world import run_world
+from clementinebank.clock import now
+from tests.faults.matrix import CellRun, FaultPath, fault, fault_path
+
+PAUSE_S = 3600
+OUTAGE_S = 10
+REPEAT_AFTER_S = (0.5, 45, 300)
+OTHER = {'a': 'b', 'b': 'a'}
+
+fault('kill', 'the process ends at once')
+fault('pause', 'the process stops for longer than every timeout')
+fault('cut_connection', 'connections break after the other side acted')
+fault('write_lost_before', 'the next write is lost before its effect')
+fault('write_lost_after', 'the answer to the next write is lost')
+fault('late_write', 'the next write fails and takes effect later')
+fault('outage', 'the key-value service is down')
+fault('slow_reply', 'the leaf runs and replies after every limit')
+fault('refusal', 'the leaf refuses without running')
+fault('unreachable', 'the leaf accepts no connection')
+fault('repeat', 'the caller repeats at another instance meanwhile')
+
+
+async def _kill(world, instance, run):
+    instance.is_killed = True
+    await hang()
+
+
+async def _pause(world, instance, run):
+    world.pause(PAUSE_S)
+    await _book_elsewhere(world, instance, run)
+
+
+async def _cut_connection(world, instance, run):
+    instance.cut_connections()
+    world.key_value.read_faults += 1
+    world.leaf.reply_faults.append('cut')
+
+
+async def _outage(world, instance, run):
+    world.key_value.down_until = now() + OUTAGE_S
+
+
+async def _repeat(world, instance, run):
+    await curio.spawn(_book_elsewhere, world, instance, run, daemon=True)
+
+
+async def _book_elsewhere(world, instance, run):
+    request = new_request(run.booking.request.key)
+    await world.book(OTHER[instance.name], request)
+
+
+def _write_fault(name):
+    async def inject(world, instance, run):
+        world.key_value.write_faults.append(name)
+
+    return inject
+
+
+def _leaf_fault(name):
+    async def inject(world, instance, run):
+        world.leaf.reply_faults.append(name)
+
+    return inject
+
+
+INJECTORS = {
+    'kill': _kill,
+    'pause': _pause,
+    'cut_connection': _cut_connection,
+    'write_lost_before': _write_fault('lost_before'),
+    'write_lost_after': _write_fault('lost_after'),
+    'late_write': _write_fault('late'),
+    'outage': _outage,
+    'slow_reply': _leaf_fault('slow'),
+    'refusal': _leaf_fault('refuse'),
+    'unreachable': _leaf_fault('unreachable'),
+    'repeat': _repeat,
+}
+
+
+def run_booking(injections, **variant):
+    """Run a booking under faults, then repeat it at both instances."""
+    pending = list(injections)
+    problems = []
+
+    async def on_step(instance, run, step):
+        for each in list(pending):
+            if each.step == step.value and each in pending:
+                pending.remove(each)
+                await INJECTORS[each.fault](world_of[0], instance, run)
+
+    async def scenario(world):
+        world_of.append(world)
+        world.on_step = on_step
+        first = new_request()
+        is_paused = any(each.fault == 'pause' for each in injections)
+        await world.book('a', first, alone=is_paused)
+        for name, wait_s in zip('bab', REPEAT_AFTER_S, strict=True):
+            await curio.sleep(wait_s)
+            await world.book(name, new_request(first.key))
+        await curio.sleep(max(REPEAT_AFTER_S))
+        problems.extend(await world.problems())
+
+    world_of = []
+    run_world(scenario, **variant)
+    reached = frozenset(injections) - frozenset(pending)
+    return CellRun(problems, reached)
+
+
+BOOKING = fault_path(
+    FaultPath(
+        'booking',
+        lambda: [step.value for step in BOOKING_STEPS],
+        INJECTORS,
+        run_booking,
+    )
+)
--- /dev/null
+++ b/tests/faults/test_booking_processes.py
@@ -0,0 +1,202 @@
+"""Guards against a second run when real processes are killed or stopped."""
+
+import signal
+import threading
+import time
+
+import pytest
+
+from clementinebank import cli
+from clementinebank.booking import (
+    ClaimRecord,
+    created_at,
+    decode_record,
+    new_key,
+    storage_key,
+)
+from tests.harness import call, eventually
+
+SERVICE = 'claim-counter'
+BODY = {'rug': 'R-17'}
+# The deadline of the bookings is 2 s.
+LONGER_THAN_DEADLINE_S = 2.5
+LEAFS = ('claim-counter-00', 'claim-counter-01')
+
+
+@pytest.fixture
+def booking_fleet(fleet):
+    for number in range(fleet.instance_count):
+        assert eventually(lambda number=number: _serves(fleet, number))
+    return fleet
+
+
+def _serves(fleet, number):
+    # A key that is refused shows that the service is known and costs nothing.
+    return book(fleet, number, 'not-a-key').status == 400
+
+
+def book(fleet, number, key, body=BODY, deadline_ms=2000):
+    return call(
+        fleet.instances[number].callers,
+        'POST',
+        f'/v1/services/{SERVICE}/requests',
+        body,
+        {'Idempotency-Key': key, 'Deadline-Ms': str(deadline_ms)},
+    )
+
+
+def executions(fleet, key):
+    replies = [
+        call(fleet.leaf_ports[leaf], 'GET', '/executions') for leaf in LEAFS
+    ]
+    return sum(reply.data.get(key, 0) for reply in replies)
+
+
+def control_leafs(fleet, **faults):
+    for leaf in LEAFS:
+        fleet.control(fleet.leaf_ports[leaf], **faults)
+
+
+def stored_claim(fleet, key):
+    target = storage_key(SERVICE, key).replace('/', '%2F')
+    reply = call(fleet.key_value_port, 'GET', f'/v1/keys/{target}')
+    return reply.data if reply.status == 200 else None
+
+
+def in_background(fleet, number, key):
+    """Send a booking from a thread; return it and the list of its replies."""
+    replies = []
+
+    def send():
+        try:
+            replies.append(book(fleet, number, key))
+        except OSError as error:
+            replies.append(error)
+
+    thread = threading.Thread(target=send)
+    thread.start()
+    return thread, replies
+
+
+def fresh_key():
+    return new_key(time.time())
+
+
+def test_repeat_at_another_instance_gets_the_outcome(booking_fleet):
+    key = fresh_key()
+    first = book(booking_fleet, 0, key)
+    again = book(booking_fleet, 1, key)
+    assert (first.status, again.status) == (200, 200)
+    assert first.data['outcome'] == {'booked': BODY}
+    assert (first.data['repeated'], again.data['repeated']) == (False, True)
+    assert again.data['outcome'] == first.data['outcome']
+    reused = book(booking_fleet, 1, key, {'rug': 'R-18'})
+    assert reused.status == 422
+    assert reused.data['error']['code'] == 'key_reused'
+    assert executions(booking_fleet, key) == 1
+
+
+def test_cut_after_the_execution_is_unknown(booking_fleet):
+    control_leafs(booking_fleet, execute_reply='cut')
+    key = fresh_key()
+    first = book(booking_fleet, 0, key)
+    assert first.data['error']['execution'] == 'unknown'
+    control_leafs(booking_fleet, execute_reply='good')
+    again = book(booking_fleet, 1, key)
+    assert again.status == 409
+    assert again.data['error']['execution'] == 'unknown'
+    assert executions(booking_fleet, key) == 1
+
+
+def test_refusal_by_every_leaf_releases_the_key(booking_fleet):
+    control_leafs(booking_fleet, refuse_executions=True)
+    key = fresh_key()
+    refused = book(booking_fleet, 0, key)
+    assert refused.data['error']['execution'] == 'not_run'
+    assert executions(booking_fleet, key) == 0
+    control_leafs(booking_fleet, refuse_executions=False)
+    assert book(booking_fleet, 1, key).status == 200
+    assert executions(booking_fleet, key) == 1
+
+
+def test_killed_holder_leaves_an_unresolved_claim(booking_fleet):
+    control_leafs(booking_fleet, execute_reply_delay_ms=1500)
+    key = fresh_key()
+    thread, replies = in_background(booking_fleet, 0, key)
+    assert eventually(lambda: executions(booking_fleet, key))
+    booking_fleet.signal('entry-0', signal.SIGKILL)
+    thread.join()
+    assert isinstance(replies[0], Exception)
+    again = book(booking_fleet, 1, key)
+    assert again.status == 409
+    assert again.data['error']['message'] == 'outcome unknown, not repeated'
+    operators = booking_fleet.instances[1].operators
+    listed = call(operators, 'GET', '/v1/bookings')
+    assert [each['key'] for each in listed.data['bookings']] == [key]
+    assert executions(booking_fleet, key) == 1
+
+
+def test_paused_holder_sends_nothing_after_its_deadline(booking_fleet):
+    key_value_port = booking_fleet.key_value_port
+    # The read-back of the claim takes so long that the stop comes before it.
+    booking_fleet.control(key_value_port, delay_ms=500, lose_write_answers=1)
+    key = fresh_key()
+    thread, replies = in_background(booking_fleet, 0, key)
+    assert eventually(lambda: _is_claim_written(key_value_port))
+    booking_fleet.signal('entry-0', signal.SIGSTOP)
+    booking_fleet.control(key_value_port, delay_ms=0)
+    again = book(booking_fleet, 1, key)
+    assert again.data['error']['message'] == 'outcome unknown, not repeated'
+    thread.join(LONGER_THAN_DEADLINE_S)
+    assert replies == []
+    booking_fleet.signal('entry-0', signal.SIGCONT)
+    thread.join()
+    assert 'error' in replies[0].data
+    assert eventually(lambda: _is_released(booking_fleet, key))
+    assert executions(booking_fleet, key) == 0
+    assert book(booking_fleet, 1, key).status == 200
+    assert executions(booking_fleet, key) == 1
+
+
+def _is_claim_written(key_value_port):
+    faults = call(key_value_port, 'GET', '/control').data
+    return faults['lose_write_answers'] == 0
+
+
+def _is_released(fleet, key):
+    return stored_claim(fleet, key)['state'] == 'released'
+
+
+def test_operator_lists_shows_and_settles(booking_fleet, capsys):
+    key = new_key(time.time() - 1000)
+    claim = ClaimRecord(
+        key, SERVICE, '0' * 64, 'attempt', 'entry-9', created_at(key)
+    )
+    target = storage_key(SERVICE, key).replace('/', '%2F')
+    assert decode_record(claim.encode()).is_ok()
+    call(
+        booking_fleet.key_value_port,
+        'PUT',
+        f'/v1/keys/{target}?version=0',
+        claim.as_json(),
+    )
+    operators = f'127.0.0.1:{booking_fleet.instances[1].operators}'
+
+    def run(*arguments):
+        status = cli.main([*arguments, '--operators', operators])
+        return status, capsys.readouterr().out
+
+    status, text = run('bookings', 'list')
+    assert status == 0
+    assert key in text
+    assert '1 unresolved' in text
+    settle = ('bookings', 'settle', SERVICE, key, '--as', 'ran')
+    reason = ('--why', 'seen in the ledger', '--who', 'ana')
+    assert run(*settle, *reason)[0] == 0
+    assert run(*settle, *reason)[0] == 3
+    status, text = run('bookings', 'show', SERVICE, key)
+    assert 'ana: settled as ran seen in the ledger' in text
+    status, text = run('bookings', 'list', '--format', 'json')
+    assert '"bookings": []' in text
+    again = book(booking_fleet, 0, key)
+    assert again.status == 422
--- /dev/null
+++ b/tests/faults/test_matrix.py
@@ -0,0 +1,61 @@
+"""Guards against a second run, a false ``not_run`` and a lost outcome.
+
+Also guards against a step or a fault that the matrix does not cover, and
+against checks that would pass a broken booking.
+"""
+
+import pytest
+
+from clementinebank.booking import BOOKING_STEPS, BookingStep
+from clementinebank.booking.tests.variants import VARIANTS
+from clementinebank.errors import Step
+from tests.faults import matrix
+from tests.faults.path_booking import BOOKING, run_booking
+
+SINGLES = matrix.single_cells(BOOKING)
+
+
+@pytest.mark.parametrize('cell', SINGLES, ids=str)
+def test_single_fault(cell):
+    assert matrix.run_cell(cell).problems == []
+
+
+@pytest.mark.parametrize('first', range(len(SINGLES)))
+def test_pairs_of_faults(first):
+    cells = [
+        cell
+        for cell in matrix.pair_cells(BOOKING)
+        if cell.injections[0] == SINGLES[first].injections[0]
+    ]
+    results = [matrix.run_cell(cell) for cell in cells]
+    assert [str(result) for result in results if result.problems] == []
+
+
+@pytest.mark.parametrize('name', VARIANTS)
+def test_broken_variant_is_caught(name):
+    problems = [
+        problem
+        for cell in SINGLES
+        for problem in run_booking(cell.injections, **VARIANTS[name]).problems
+    ]
+    assert any('executions of one key' in problem for problem in problems)
+
+
+def test_step_without_its_faults_fails(monkeypatch):
+    step = BookingStep(Step.CLOSE, None)
+    monkeypatch.setitem(BOOKING_STEPS, Step.CLOSE, step)
+    added = set(matrix.single_cells(BOOKING)) - set(SINGLES)
+    assert len(added) == len(matrix.FAULTS)
+    assert all(matrix.run_cell(cell).problems for cell in added)
+
+
+def test_fault_without_injector_fails(monkeypatch):
+    monkeypatch.setitem(matrix.FAULTS, 'new_fault', 'has no injector')
+    added = set(matrix.single_cells(BOOKING)) - set(SINGLES)
+    assert len(added) == len(BOOKING_STEPS)
+    assert all(matrix.run_cell(cell).problems for cell in added)
+
+
+def test_path_is_registered_once():
+    with pytest.raises(ValueError, match='registered twice'):
+        matrix.fault_path(BOOKING)
