Compute partition maps once per status change

Change: the catalogue keeps the maps until a status differs; a map groups its partitions once. benchmarks/bench_throughput.py measures processor time per call against the bare loop.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, run by hand; figures are ratios within one run."""
--- /dev/null
+++ b/benchmarks/bench_throughput.py
@@ -0,0 +1,225 @@
+"""Processor time per shard call through real sockets.
+
+Runs the search engine of the product in this process against leaf
+stand-ins in other processes and prints one JSON object per line:
+
+- ``bare``: the same HTTP library in a loop over kept connections, without
+  query logic; the base of the ratios;
+- ``task_per_call``: as ``bare``, but with a task spawned for each call;
+- ``engine``: whole queries through ``SearchEngine``.
+
+``cpu_us_per_call`` is the processor time of this process alone, so that it
+does not depend on how many cores the leafs get.
+"""
+
+import argparse
+import contextlib
+import json
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import curio
+import yaml
+
+from clementinebank.clock import now, run_service
+from clementinebank.document import parse_document
+from clementinebank.http import HttpConnection, json_request
+from clementinebank.search import SearchEngine, SearchRequest
+from tests.harness import eventually, free_ports
+
+LEAF_PROCESSES = 5
+DEADLINE_S = 60
+WARM_UP_QUERIES = 3
+
+
+def build_sections(ports):
+    """Return a document with one group of one leaf for each port."""
+    groups = {
+        f'group-{number:03d}': {
+            'yard': 'yard',
+            'leafs': {
+                f'leaf-{number:03d}': {
+                    'address': f'127.0.0.1:{port}',
+                    'data_centre': 'north-a',
+                },
+            },
+        }
+        for number, port in enumerate(ports)
+    }
+    return {
+        'fleet': {
+            'owner': 'bench',
+            'caller_delay_ms': 0,
+            'data_centres': {'north-a': {'region': 'north'}},
+        },
+        'service.catalogue': {
+            'owner': 'bench',
+            'kind': 'search',
+            'slots': 64,
+            'connections': 64,
+            'groups': groups,
+        },
+    }
+
+
+@contextlib.contextmanager
+def leaf_processes(sections):
+    """Run the leafs of a document, spread over a few processes."""
+    leaf_ids = [
+        leaf_id
+        for group in sections['service.catalogue']['groups'].values()
+        for leaf_id in group['leafs']
+    ]
+    with tempfile.NamedTemporaryFile('w', suffix='.yaml') as file:
+        yaml.safe_dump(sections, file, sort_keys=False)
+        file.flush()
+        processes = []
+        for number in range(LEAF_PROCESSES):
+            chosen = leaf_ids[number::LEAF_PROCESSES]
+            if not chosen:
+                continue
+            arguments = ['--document', file.name, '--service', 'catalogue']
+            for leaf_id in chosen:
+                arguments += ['--leaf', leaf_id]
+            processes.append(
+                subprocess.Popen(
+                    [sys.executable, '-m', 'standins.leaf', *arguments],
+                    cwd=Path(__file__).parent.parent,
+                )
+            )
+        try:
+            yield
+        finally:
+            for process in processes:
+                process.kill()
+                process.wait()
+
+
+def _message(call_id, partitions=(0,)):
+    return json_request(
+        'POST',
+        '/v1/search',
+        {'query': 'none', 'limit': 10, 'partitions': list(partitions)},
+        {'request-id': call_id, 'deadline-ms': '100', 'snapshot': 's-1'},
+    )
+
+
+async def _connect_all(ports):
+    connections = [HttpConnection('127.0.0.1', port) for port in ports]
+    for connection in connections:
+        await connection.connect()
+    return connections
+
+
+async def _bare_loop(connection, count):
+    for number in range(count):
+        await connection.request(_message(str(number)))
+
+
+async def _run_bare(ports, queries):
+    connections = await _connect_all(ports)
+    started = time.process_time()
+    async with curio.TaskGroup() as group:
+        for connection in connections:
+            await group.spawn(_bare_loop, connection, queries)
+    return time.process_time() - started
+
+
+async def _run_task_per_call(ports, queries):
+    connections = await _connect_all(ports)
+    started = time.process_time()
+    for number in range(queries):
+        async with curio.TaskGroup() as group:
+            for connection in connections:
+                await group.spawn(connection.request, _message(str(number)))
+    return time.process_time() - started
+
+
+async def _search(engine, number):
+    request = SearchRequest(f'r{number}', 'none', 10, now() + DEADLINE_S)
+    answer = await engine.search(request)
+    answer = answer.unwrap() if hasattr(answer, 'unwrap') else answer
+    if not answer.coverage.is_complete:
+        raise RuntimeError(f'incomplete: {answer.coverage.as_json()}')
+
+
+async def _run_engine(document, queries, concurrency):
+    service = document.services_by_name['catalogue']
+    engine = SearchEngine(service, document, 'north-a')
+    await engine.start()
+    while engine.catalogue.newest() is None or (
+        not engine.catalogue.newest().is_complete
+    ):
+        await curio.sleep(0.1)
+    for number in range(WARM_UP_QUERIES):
+        await _search(engine, number)
+    started = time.process_time()
+
+    async def worker(first):
+        for number in range(first, queries, concurrency):
+            await _search(engine, WARM_UP_QUERIES + number)
+
+    async with curio.TaskGroup() as group:
+        for first in range(concurrency):
+            await group.spawn(worker, first)
+    elapsed = time.process_time() - started
+    await engine.stop()
+    return elapsed
+
+
+def _line(variant, shards, queries, cpu_s, bare_s):
+    calls = queries * shards
+    return {
+        'variant': variant,
+        'shards': shards,
+        'queries': queries,
+        'cpu_us_per_call': round(cpu_s / calls * 1e6, 1),
+        'cpu_ms_per_query': round(cpu_s / queries * 1e3, 2),
+        'calls_per_core_second': round(calls / cpu_s),
+        'ratio_to_bare': round(cpu_s / bare_s, 2),
+    }
+
+
+def measure(shards, calls):
+    """Yield the lines of all variants for one number of shards."""
+    queries = max(4, calls // shards)
+    ports = free_ports(shards)
+    sections = build_sections(ports)
+    texts = {name: yaml.safe_dump(part) for name, part in sections.items()}
+    document = parse_document(texts, 1).unwrap()
+    with leaf_processes(sections):
+        if not eventually(lambda: _all_listen(ports)):
+            raise RuntimeError('the leafs did not start')
+        bare_s = run_service(_run_bare, ports, queries)
+        yield _line('bare', shards, queries, bare_s, bare_s)
+        cpu_s = run_service(_run_task_per_call, ports, queries)
+        yield _line('task_per_call', shards, queries, cpu_s, bare_s)
+        cpu_s = run_service(_run_engine, document, queries, 4)
+        yield _line('engine', shards, queries, cpu_s, bare_s)
+
+
+def _all_listen(ports):
+    async def connect():
+        for connection in await _connect_all(ports):
+            await connection.close()
+        return True
+
+    return curio.run(connect)
+
+
+def main():
+    """Print one JSON object for each variant and number of shards."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--shards', type=int, nargs='+', default=[10, 45, 190])
+    parser.add_argument('--calls', type=int, default=6000)
+    options = parser.parse_args()
+    for shards in options.shards:
+        for line in measure(shards, options.calls):
+            print(json.dumps(line), flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- a/clementinebank/search/_snapshots.py
+++ b/clementinebank/search/_snapshots.py
@@ -19,12 +19,22 @@
         Partitions of the whole index.
     group_by_partition : dict of int to str
         Owner of each partition that any group holds.
+    partitions_by_group : dict of str to tuple of int
+        The same by owner, in order; computed once per map.
     """
 
     snapshot: str
     sequence: int
     partition_count: int
     group_by_partition: dict[int, str]
+    partitions_by_group: dict[str, tuple[int, ...]] = attrs.field(init=False)
+
+    @partitions_by_group.default
+    def _group_partitions(self) -> dict[str, tuple[int, ...]]:
+        found: dict[str, list[int]] = {}
+        for partition, owner in sorted(self.group_by_partition.items()):
+            found.setdefault(owner, []).append(partition)
+        return {group: tuple(found[group]) for group in sorted(found)}
 
     @property
     def is_complete(self) -> bool:
@@ -33,16 +43,12 @@
 
     def partitions_of(self, group_id: str) -> tuple[int, ...]:
         """Return the partitions that a group owns, in order."""
-        return tuple(
-            partition
-            for partition, owner in sorted(self.group_by_partition.items())
-            if owner == group_id
-        )
+        return self.partitions_by_group.get(group_id, ())
 
     @property
     def group_ids(self) -> tuple[str, ...]:
         """Return the groups that own partitions, in order."""
-        return tuple(sorted(set(self.group_by_partition.values())))
+        return tuple(self.partitions_by_group)
 
 
 @attrs.define
@@ -55,6 +61,7 @@
     _served_by_leaf: dict[str, tuple[str, tuple[ServedSnapshot, ...]]] = (
         attrs.Factory(dict)
     )
+    _maps: list[PartitionMap] | None = None
 
     def learn(
         self,
@@ -63,14 +70,28 @@
         snapshots: tuple[ServedSnapshot, ...],
     ) -> None:
         """Replace what is known of one leaf."""
-        self._served_by_leaf[leaf_id] = (group_id, snapshots)
+        if self._served_by_leaf.get(leaf_id) != (group_id, snapshots):
+            self._served_by_leaf[leaf_id] = (group_id, snapshots)
+            self._maps = None
 
     def forget(self, leaf_id: str) -> None:
         """Remove a leaf."""
         self._served_by_leaf.pop(leaf_id, None)
+        self._maps = None
 
     def maps(self) -> list[PartitionMap]:
         """Return the partition maps of all snapshots, newest first."""
+        if self._maps is None:
+            self._maps = self._build_maps()
+        return self._maps
+
+    def newest(self) -> PartitionMap | None:
+        """Return the newest complete map, else the newest known one."""
+        maps = self.maps()
+        complete = [each for each in maps if each.is_complete]
+        return next(iter(complete or maps), None)
+
+    def _build_maps(self) -> list[PartitionMap]:
         served: dict[str, list[tuple[str, ServedSnapshot]]] = {}
         for group_id, snapshots in self._served_by_leaf.values():
             for snapshot in snapshots:
@@ -80,12 +101,6 @@
         found = [_map_of(holders) for holders in served.values()]
         return sorted(found, key=lambda each: each.sequence, reverse=True)
 
-    def newest(self) -> PartitionMap | None:
-        """Return the newest complete map, else the newest known one."""
-        maps = self.maps()
-        complete = [each for each in maps if each.is_complete]
-        return next(iter(complete or maps), None)
-
 
 def _map_of(holders: list[tuple[str, ServedSnapshot]]) -> PartitionMap:
     """Give each partition to the first of its holders by name.
