Give the head record its change history and strict decoding

Cause: the record kept no history, so a lost answer could not be settled by its change id, and a record of another tool was decoded without a check. Ruled out: tombstones for deleted sections; the newest history entry that names an absent section is its deletion.

--- a/clementinebank/document/__init__.py
+++ b/clementinebank/document/__init__.py
@@ -1,10 +1,14 @@
 """The operators' document."""
 
+from clementinebank.document._decode import decode_head
 from clementinebank.document._head import (
     DOCUMENT_KEY,
+    MAX_HEAD_BYTES,
+    AcceptedChange,
     HeadRecord,
+    HeadTooLargeError,
     Section,
-    decode_head,
+    fit_head,
 )
 from clementinebank.document._model import (
     Document,
@@ -18,14 +22,18 @@
 
 __all__ = (
     'DOCUMENT_KEY',
+    'MAX_HEAD_BYTES',
+    'AcceptedChange',
     'Document',
     'FleetSettings',
     'GroupSettings',
     'HeadRecord',
+    'HeadTooLargeError',
     'LeafSettings',
     'Objectives',
     'Section',
     'ServiceSettings',
     'decode_head',
+    'fit_head',
     'parse_document',
 )
--- a/clementinebank/server/_document_routes.py
+++ b/clementinebank/server/_document_routes.py
@@ -68,7 +68,7 @@
     revision = head.revision + 1
     change_id = uuid.uuid4().hex
     changed = {
-        name: Section(text, revision, change_id, '')
+        name: Section(text, revision, change_id, 'unnamed')
         for name, text in texts.items()
     }
     return attrs.evolve(
