Add a fake of the key-value service with faults per call

Cause: decision tests of the document, bookings and distribution need lost answers, late writes, outages and restores without a process. Ruled out: reuse of versions after a restore; a service that repeats versions breaks every compare-and-swap, so the fake never repeats one. Conclusion: other packages can use it.

--- /dev/null
+++ b/clementinebank/platform/tests/fakes.py
@@ -0,0 +1,144 @@
+"""In-memory fake of the key-value service with faults per call."""
+
+import enum
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import curio
+from result import Err, Ok, Result
+
+from clementinebank.clock import now
+from clementinebank.errors import Execution, Failure, Step
+from clementinebank.platform import Entry
+
+ABSENT = Entry(b'', 0)
+Hook = Callable[[], Awaitable[None]]
+
+
+class Fault(enum.Enum):
+    """Fault of one call.
+
+    A lost answer leaves the caller with a time-out. ``LATE`` lets a write
+    take effect only when ``land_late_writes`` runs.
+    """
+
+    DOWN = 'down'
+    LOST_AFTER_EFFECT = 'lost_after_effect'
+    LOST_BEFORE_EFFECT = 'lost_before_effect'
+    LATE = 'late'
+
+
+@attrs.define(eq=False)
+class FakeKeyValueService:
+    """Fake of the ``KeyValueService`` port.
+
+    Every write gets a version that was never used before, also after a
+    restore, as the platform's service does.
+
+    Parameters
+    ----------
+    is_down : bool
+        Every call fails until it is cleared.
+    faults : deque of Fault or None
+        Faults of the next calls of ``read`` and ``swap``, in order; ``None``
+        lets a call pass.
+    hooks_by_call : dict of int to callable
+        Coroutine functions that run before the call with this number takes
+        effect, counted from 1 over ``read`` and ``swap``; for example another
+        operator's write or a restore.
+    """
+
+    is_down: bool = False
+    faults: deque[Fault | None] = attrs.Factory(deque)
+    hooks_by_call: dict[int, Hook] = attrs.Factory(dict)
+    entries_by_key: dict[str, Entry] = attrs.Factory(dict)
+    history_by_key: dict[str, list[Entry]] = attrs.Factory(dict)
+    late_writes: list[tuple[str, bytes, int]] = attrs.Factory(list)
+    calls: list[str] = attrs.Factory(list)
+    last_version: int = 0
+
+    async def read(self, key: str) -> Result[Entry, Failure]:
+        """Return the entry, with version 0 if the key is absent."""
+        fault = await self._begin('read')
+        if fault is not None:
+            return Err(_failure(fault, Step.READ_HEAD))
+        return Ok(self.entries_by_key.get(key, ABSENT))
+
+    async def swap(
+        self, key: str, value: bytes, version: int
+    ) -> Result[Entry, Failure]:
+        """Write the value if the version is still the given one."""
+        fault = await self._begin('swap')
+        if fault is Fault.LATE:
+            self.late_writes.append((key, value, version))
+        if fault in {None, Fault.LOST_AFTER_EFFECT}:
+            written = self._write(key, value, version)
+            if fault is None:
+                return written
+        return Err(_failure(fault, Step.SWAP))
+
+    async def watch(
+        self, key: str, version: int, wait_ms: int
+    ) -> Result[Entry | None, Failure]:
+        """Wait until the version differs; ``None`` after the time."""
+        limit = now() + wait_ms / 1000
+        while not self.is_down:
+            entry = self.entries_by_key.get(key, ABSENT)
+            if entry.version != version:
+                return Ok(entry)
+            if now() >= limit:
+                return Ok(None)
+            await curio.sleep(0.01)
+        return Err(_failure(Fault.DOWN, Step.READ_HEAD))
+
+    def land_late_writes(self) -> None:
+        """Let the late writes take effect, if their version still holds."""
+        late, self.late_writes = self.late_writes, []
+        for key, value, version in late:
+            self._write(key, value, version)
+
+    def put(self, key: str, value: bytes) -> Entry:
+        """Write unconditionally, as another tool would."""
+        self.last_version += 1
+        entry = Entry(value, self.last_version)
+        self.entries_by_key[key] = entry
+        self.history_by_key.setdefault(key, []).append(entry)
+        return entry
+
+    def restore(self, key: str, writes_back: int = 1) -> None:
+        """Return to the value before the given number of writes."""
+        history = self.history_by_key.get(key, [])
+        earlier = history[: max(len(history) - writes_back, 0)]
+        if earlier:
+            self.put(key, earlier[-1].value)
+        else:
+            self.entries_by_key.pop(key, None)
+
+    def _write(
+        self, key: str, value: bytes, version: int
+    ) -> Result[Entry, Failure]:
+        if self.entries_by_key.get(key, ABSENT).version != version:
+            return Err(
+                Failure('version_mismatch', 'the version changed', Step.SWAP)
+            )
+        return Ok(self.put(key, value))
+
+    async def _begin(self, name: str) -> Fault | None:
+        self.calls.append(name)
+        hook = self.hooks_by_call.pop(len(self.calls), None)
+        if hook is not None:
+            await hook()
+        if self.is_down:
+            return Fault.DOWN
+        return self.faults.popleft() if self.faults else None
+
+
+def _failure(fault: Any, step: Step) -> Failure:
+    code = 'key_value_timeout'
+    if fault is Fault.DOWN:
+        code = 'key_value_unreachable'
+    return Failure(
+        code, f'fault {fault.value}', step, execution=Execution.UNKNOWN
+    )
