--- a/clementinebank/document/_decode.py
+++ b/clementinebank/document/_decode.py
@@ -74,6 +74,7 @@
             for name in _list(fields['sections'], f'{path}.sections')
         ),
         _time(fields['accepted_at'], f'{path}.accepted_at'),
+        _text(fields['digest'], f'{path}.digest', allow_empty=True),
     )
 
 
--- a/clementinebank/document/_head.py
+++ b/clementinebank/document/_head.py
@@ -60,6 +60,9 @@
         Names of the sections whose text it changed or deleted.
     accepted_at : float
         Unix time of the acceptance in seconds.
+    digest : str
+        Digest of the section texts of the change, so that another change
+        under the same id is not taken for a repetition.
     """
 
     change_id: str
@@ -67,6 +70,7 @@
     editor: str
     sections: tuple[str, ...]
     accepted_at: float = 0
+    digest: str = ''
 
 
 @attrs.frozen
