--- a/clementinebank/document/_change.py
+++ b/clementinebank/document/_change.py
@@ -124,8 +124,8 @@
     for name, text in change.texts_by_section.items():
         if not _is_plain_name(name):
             sections.report(ascii(name), 'not a name of a section')
-        if text is not None and not _is_text(text):
-            sections.report(ascii(name), 'must be a text or null')
+        elif text is not None and not _is_text(text):
+            sections.report(name, 'must be a text or null')
     return Err(reader.problems) if reader.problems else Ok(change)
 
 
--- a/clementinebank/validation/_reader.py
+++ b/clementinebank/validation/_reader.py
@@ -1,5 +1,6 @@
 """Typed reading of untrusted mappings; every problem names its field."""
 
+import difflib
 from collections.abc import Iterator, Sequence
 from typing import Any
 
@@ -8,6 +9,31 @@
 from clementinebank.errors import FieldProblem
 
 MAX_PORT = 65_535
+UNITS_BY_SUFFIX = {
+    'ms': 'milliseconds',
+    'hours': 'hours',
+    'ratio': 'a share of 1',
+    'load': 'a share of 1',
+    'per_second': 'per second',
+}
+# Suffixes of units that no field uses; they are recognised to name the
+# field that was meant.
+OTHER_SUFFIXES = (
+    's',
+    'sec',
+    'secs',
+    'seconds',
+    'milliseconds',
+    'us',
+    'minutes',
+    'min',
+    'days',
+    'h',
+    'percent',
+    'pct',
+    'per_minute',
+    'per_hour',
+)
 
 
 @attrs.frozen
@@ -92,12 +118,15 @@
         if found is None:
             return minimum
         if isinstance(found, bool) or not isinstance(found, int):
-            self._report(name, f'must be an integer, got {found!r}')
+            self._report(
+                name, f'must be an integer{_unit_of(name)}, got {found!r}'
+            )
             return minimum
         if not minimum <= found <= maximum:
             self._report(
                 name,
-                f'must be between {minimum} and {maximum}, got {found!r}',
+                f'must be between {minimum} and {maximum}'
+                f'{_unit_of(name)}, got {found!r}',
             )
         return found
 
@@ -114,12 +143,15 @@
         if found is None:
             return minimum
         if isinstance(found, bool) or not isinstance(found, int | float):
-            self._report(name, f'must be a number, got {found!r}')
+            self._report(
+                name, f'must be a number{_unit_of(name)}, got {found!r}'
+            )
             return minimum
         if not minimum <= found <= maximum:
             self._report(
                 name,
-                f'must be between {minimum} and {maximum}, got {found!r}',
+                f'must be between {minimum} and {maximum}'
+                f'{_unit_of(name)}, got {found!r}',
             )
         return float(found)
 
@@ -129,9 +161,9 @@
         host, _, port = found.rpartition(':')
         numbers = host.split('.')
         is_ip = len(numbers) == 4 and all(
-            number.isdigit() and int(number) < 256 for number in numbers
+            _is_number(number, 255) for number in numbers
         )
-        if is_ip and port.isdigit() and int(port) <= MAX_PORT:
+        if is_ip and _is_number(port, MAX_PORT):
             return Address(host, int(port))
         if found:
             self._report(name, f'must be IP:PORT, got {found!r}')
@@ -167,13 +199,25 @@
         """Report every field that was not read as unknown."""
         for name in self.data:
             if name not in self._read:
-                self._report(str(name), 'unknown field')
+                self._report(str(name), f'unknown field{self._hint(str(name))}')
+
+    def _hint(self, name: str) -> str:
+        known = sorted(each for each in self._read if isinstance(each, str))
+        stem = _stem(name)
+        for other in known:
+            if _stem(other) == stem:
+                return f'; write it as {other}{_unit_of(other)}'
+        close = difflib.get_close_matches(name, known, 1)
+        return f'; did you mean {close[0]}?' if close else ''
 
     def _take(self, name: str, fallback: Any) -> Any:
         self._read.add(name)
+        found = self.data.get(name)
+        if found is not None:
+            return found
         if name in self.data:
-            return self.data[name]
-        if fallback is None:
+            self._report(name, 'must have a value')
+        elif fallback is None:
             self._report(name, 'missing field')
         return fallback
 
@@ -189,3 +233,23 @@
         path = self._path_of(name)
         line = self.lines_by_path.get(path, self.lines_by_path.get(self.path))
         self.problems.append(FieldProblem(path or '$', message, line))
+
+
+def _is_number(text: str, maximum: int) -> bool:
+    # Leading zeros are refused, as some resolvers read them as octal.
+    is_plain = text.isascii() and text.isdecimal() and len(text) <= 5
+    return is_plain and str(int(text)) == text and int(text) <= maximum
+
+
+def _unit_of(name: str) -> str:
+    for suffix, unit in UNITS_BY_SUFFIX.items():
+        if name.endswith(f'_{suffix}'):
+            return f' ({unit})'
+    return ''
+
+
+def _stem(name: str) -> str:
+    for suffix in (*UNITS_BY_SUFFIX, *OTHER_SUFFIXES):
+        if name.endswith(f'_{suffix}'):
+            return name.removesuffix(f'_{suffix}')
+    return name
--- a/clementinebank/validation/_yaml.py
+++ b/clementinebank/validation/_yaml.py
@@ -34,9 +34,9 @@
     try:
         node = yaml.compose(text, Loader=yaml.SafeLoader)
     except yaml.YAMLError as error:
-        mark = getattr(error, 'problem_mark', None)
-        line = None if mark is None else mark.line + 1
-        return Err(FieldProblem('$', f'invalid YAML: {error}', line))
+        return Err(_yaml_problem(text, error))
+    except RecursionError:
+        return Err(FieldProblem('$', 'invalid YAML: nested too deeply'))
     if node is None:
         return Ok(ParsedYaml(None, {}))
     lines_by_path: dict[str, int] = {}
@@ -47,10 +47,22 @@
     try:
         data = loader.construct_document(node)
     except (yaml.YAMLError, ValueError) as error:
-        return Err(FieldProblem('$', f'invalid YAML value: {error}'))
+        return Err(_yaml_problem(text, error))
     return Ok(ParsedYaml(data, lines_by_path))
 
 
+def _yaml_problem(text: str, error: Exception) -> FieldProblem:
+    # The text of the error itself repeats line numbers, which are wrong for
+    # the whole file if the text is one section of it.
+    mark = getattr(error, 'problem_mark', None)
+    reason = getattr(error, 'problem', None) or error
+    line = None if mark is None else mark.line + 1
+    if isinstance(error, yaml.reader.ReaderError):
+        reason = f'character {error.character:#x} is not allowed'
+        line = len(text[: error.position].splitlines()) or 1
+    return FieldProblem('$', f'invalid YAML: {reason}', line)
+
+
 def _collect_lines(
     node: yaml.Node,
     path: str,
