Split document files into sections with the lines of the whole file

Cause: problems of `document check` named lines of a section, comments above a section went to the previous team's text, and a value on the line of the section's name was lost. Ruled out: recording whole base texts in the file; a digest per section in its first line tells which sections were edited. Change: parse_file and render_file; problems carry their section; impossible sizes (slots above connections, budgets below one write per instance, deadlines within the caller's round trip, shared addresses) are reported.

--- a/clementinebank/document/__init__.py
+++ b/clementinebank/document/__init__.py
@@ -1,11 +1,6 @@
 """The operators' document."""
 
-from clementinebank.document._accept import (
-    ACCEPT_STEPS,
-    AcceptChange,
-    ChangeResult,
-    Outcome,
-)
+from clementinebank.document._accept import ACCEPT_STEPS, AcceptChange
 from clementinebank.document._change import (
     Change,
     SectionConflict,
@@ -14,6 +9,13 @@
     text_digest,
 )
 from clementinebank.document._decode import decode_head
+from clementinebank.document._file import (
+    DocumentFile,
+    FileBase,
+    FileSection,
+    parse_file,
+    render_file,
+)
 from clementinebank.document._head import (
     DOCUMENT_KEY,
     MAX_HEAD_BYTES,
@@ -33,6 +35,7 @@
 )
 from clementinebank.document._parse import parse_document
 from clementinebank.document._restore import merge_restored
+from clementinebank.document._result import ChangeResult, Outcome
 
 __all__ = (
     'ACCEPT_STEPS',
@@ -43,6 +46,9 @@
     'Change',
     'ChangeResult',
     'Document',
+    'DocumentFile',
+    'FileBase',
+    'FileSection',
     'FleetSettings',
     'GroupSettings',
     'HeadRecord',
@@ -58,6 +64,8 @@
     'merge_change',
     'merge_restored',
     'parse_document',
+    'parse_file',
     'read_change',
+    'render_file',
     'text_digest',
 )
--- a/clementinebank/document/_accept.py
+++ b/clementinebank/document/_accept.py
@@ -1,6 +1,5 @@
 """Acceptance of a change by one compare-and-swap."""
 
-import enum
 from collections.abc import Callable
 
 import attrs
@@ -20,6 +19,7 @@
     HeadTooLargeError,
 )
 from clementinebank.document._parse import parse_document
+from clementinebank.document._result import ChangeResult, Outcome
 from clementinebank.errors import Execution, Failure, FieldProblem, Step
 from clementinebank.invariants import check, invariant
 from clementinebank.platform import Entry, KeyValueService
@@ -38,51 +38,6 @@
 ACCEPT_STEPS = (Step.READ_HEAD, Step.MERGE, Step.SWAP, Step.CONFIRM)
 
 
-class Outcome(enum.Enum):
-    """Result of a change.
-
-    ``CONFLICT``, ``INVALID`` and ``REFUSED`` state that the change is not
-    accepted by this request and will not be accepted late.
-    """
-
-    ACCEPTED = 'accepted'
-    CONFLICT = 'conflict'
-    INVALID = 'invalid'
-    REFUSED = 'refused'
-    UNKNOWN = 'unknown'
-
-
-@attrs.frozen
-class ChangeResult:
-    """Result of a change with its reasons.
-
-    Parameters
-    ----------
-    outcome : Outcome
-        Result.
-    change_id : str
-        Id of the change.
-    head : HeadRecord or None
-        Record that contains an accepted change.
-    revision : int or None
-        Revision that accepted the change.
-    conflicts : tuple of SectionConflict
-        Sections that another editor changed.
-    problems : tuple of FieldProblem
-        Invalid fields of the document that the change would give.
-    failure : Failure or None
-        Reason of ``REFUSED`` and ``UNKNOWN``.
-    """
-
-    outcome: Outcome
-    change_id: str
-    head: HeadRecord | None = None
-    revision: int | None = None
-    conflicts: tuple[SectionConflict, ...] = ()
-    problems: tuple[FieldProblem, ...] = ()
-    failure: Failure | None = None
-
-
 @attrs.frozen
 class SwapHead:
     """Action: swap the head record at a version.
--- a/clementinebank/document/_parse.py
+++ b/clementinebank/document/_parse.py
@@ -1,8 +1,10 @@
 """Strict reading of the document's sections."""
 
+import re
 from collections import Counter
 from collections.abc import Mapping
 
+import attrs
 from result import Err, Ok, Result
 
 from clementinebank.document._model import (
@@ -27,6 +29,11 @@
 ISOLATION_CHOICES = ('refuse', 'serve')
 ANSWER_POLICY_NAMES = ('latency_first', 'coverage_first')
 MAX_DEADLINE_MS = 60_000
+# The key-value service supports several hundred writes a second; 50 of them
+# are reserved for the document.
+MAX_BOOKING_WRITES_PER_SECOND = 450
+# These would end or damage a file that holds all sections.
+FILE_MARKER = re.compile(r'^(?:---|\.\.\.)(?:\s|$)|^%|\ufeff', re.MULTILINE)
 
 Parsed = Result[Document, list[FieldProblem]]
 
@@ -48,39 +55,60 @@
     Result
         The document, or every problem found.
     """
-    problems: list[FieldProblem] = []
-    readers: dict[str, FieldReader] = {}
-    for name, text in texts_by_section.items():
-        parsed = parse_yaml(text)
-        if isinstance(parsed, Err):
-            problem = parsed.err_value
-            path = f'{name}.{problem.field}'
-            problems.append(FieldProblem(path, problem.message, problem.line))
-            continue
-        lines = {
-            f'{name}.{path}': line
-            for path, line in parsed.ok_value.lines_by_path.items()
-        }
-        readers[name] = FieldReader(parsed.ok_value.data, name, lines, problems)
-    if FLEET_SECTION not in texts_by_section:
-        problems.append(FieldProblem(FLEET_SECTION, 'missing section'))
-    if problems:
-        return Err(problems)
+    readers = {
+        name: _section_reader(name, text)
+        for name, text in texts_by_section.items()
+    }
+    if FLEET_SECTION not in readers:
+        problem = FieldProblem('$', 'missing section', None, FLEET_SECTION)
+        return Err([problem, *_problems_of(readers)])
     document = _read_document(readers, revision)
+    problems = _problems_of(readers)
     return Err(problems) if problems else Ok(document)
 
 
+def _section_reader(name: str, text: str) -> FieldReader:
+    marker = FILE_MARKER.search(text)
+    if marker is not None:
+        line = len(text[: marker.start()].splitlines()) + 1
+        message = 'document markers are not allowed in a section'
+        return _unreadable(FieldProblem('$', message, line))
+    parsed = parse_yaml(text)
+    if isinstance(parsed, Err):
+        return _unreadable(parsed.err_value)
+    return FieldReader(
+        parsed.ok_value.data, lines_by_path=parsed.ok_value.lines_by_path
+    )
+
+
+def _unreadable(problem: FieldProblem) -> FieldReader:
+    return FieldReader({}, problems=[problem])
+
+
+def _problems_of(readers: Mapping[str, FieldReader]) -> list[FieldProblem]:
+    return [
+        attrs.evolve(problem, section=name)
+        for name, reader in readers.items()
+        for problem in _root_problems(reader)
+    ]
+
+
+def _root_problems(reader: FieldReader) -> list[FieldProblem]:
+    # Of a section that is no YAML mapping, the missing fields are no news.
+    if reader.data:
+        return reader.problems
+    return reader.problems[:1]
+
+
 def _read_document(readers: dict[str, FieldReader], revision: int) -> Document:
     fleet = _read_fleet(readers[FLEET_SECTION])
     services: dict[str, ServiceSettings] = {}
     for section, reader in readers.items():
-        if section == FLEET_SECTION:
-            continue
-        if not section.startswith(SERVICE_PREFIX):
-            reader.report('', 'unknown section')
-            continue
         name = section.removeprefix(SERVICE_PREFIX)
-        services[name] = _read_service(name, reader, fleet)
+        if section.startswith(SERVICE_PREFIX) and name:
+            services[name] = _read_service(name, reader, fleet)
+        elif section != FLEET_SECTION:
+            reader.report('', 'unknown section')
     return Document(revision, fleet, services)
 
 
@@ -89,6 +117,8 @@
     for name, data_centre in reader.children('data_centres'):
         regions[name] = data_centre.text('region')
         data_centre.finish()
+    if not regions:
+        reader.report('data_centres', 'must name at least one data centre')
     fleet = FleetSettings(
         owner=reader.text('owner'),
         regions_by_data_centre=regions,
@@ -100,9 +130,18 @@
         region_delay_ms=reader.number('region_delay_ms', 8),
         caller_delay_ms=reader.number('caller_delay_ms', 3),
         booking_writes_per_second=reader.integer(
-            'booking_writes_per_second', 200, minimum=1
+            'booking_writes_per_second',
+            200,
+            minimum=1,
+            maximum=MAX_BOOKING_WRITES_PER_SECOND,
         ),
     )
+    if fleet.booking_writes_per_second < fleet.max_instances:
+        reader.report(
+            'booking_writes_per_second',
+            f'{fleet.booking_writes_per_second} gives an instance less than '
+            f'one write a second (max_instances: {fleet.max_instances})',
+        )
     reader.finish()
     return fleet
 
@@ -139,14 +178,35 @@
         ),
         objectives=_read_objectives(reader),
     )
+    _report_sizes(reader, service, fleet)
+    _report_shared_addresses(reader, groups)
+    reader.finish()
+    return service
+
+
+def _report_sizes(
+    reader: FieldReader, service: ServiceSettings, fleet: FleetSettings
+) -> None:
     if service.connections < fleet.max_instances:
         reader.report(
             'connections',
             f'{service.connections} cannot be divided among '
-            f'{fleet.max_instances} instances (fleet.max_instances)',
+            f'{fleet.max_instances} instances (fleet.max_instances); the '
+            'shares would exceed the limit of the leaf',
+        )
+    if service.slots > service.connections:
+        reader.report(
+            'slots',
+            f'{service.slots} slots cannot be used over '
+            f'{service.connections} connections, which carry one request each',
+        )
+    round_trip_ms = 2 * fleet.caller_delay_ms
+    if service.deadline_ms <= round_trip_ms:
+        reader.report(
+            'deadline_ms',
+            f'{service.deadline_ms} ms is not longer than the round trip to '
+            f'the caller of {round_trip_ms} ms (fleet.caller_delay_ms)',
         )
-    reader.finish()
-    return service
 
 
 def _read_objectives(reader: FieldReader) -> Objectives:
@@ -186,6 +246,21 @@
             reader.report('groups', f'leaf {leaf_id} is in {count} groups')
 
 
+def _report_shared_addresses(
+    reader: FieldReader, groups: dict[str, GroupSettings]
+) -> None:
+    leaf_ids_by_address: dict[str, str] = {}
+    for group in groups.values():
+        for leaf in group.leafs_by_id.values():
+            address = str(leaf.address)
+            other = leaf_ids_by_address.setdefault(address, leaf.leaf_id)
+            if other != leaf.leaf_id and leaf.address.port:
+                path = f'leafs.{leaf.leaf_id}.address'
+                if group.group_id != SINGLE_GROUP:
+                    path = f'groups.{group.group_id}.{path}'
+                reader.report(path, f'{address} is also leaf {other}')
+
+
 def _read_single_group(
     reader: FieldReader, fleet: FleetSettings
 ) -> dict[str, GroupSettings]:
@@ -199,13 +274,17 @@
     leafs: dict[str, LeafSettings] = {}
     for leaf_id, leaf in reader.children('leafs'):
         data_centre = leaf.text('data_centre')
-        if data_centre not in fleet.regions_by_data_centre:
+        regions = fleet.regions_by_data_centre
+        # Without any data centre the fault is in the fleet section.
+        if regions and data_centre not in regions:
             leaf.report(
                 'data_centre', f'not in fleet.data_centres: {data_centre!r}'
             )
         leafs[leaf_id] = LeafSettings(
             leaf_id, leaf.address('address'), data_centre
         )
+        if not leafs[leaf_id].address.port and leaf.has('address'):
+            leaf.report('address', 'must have a port above 0')
         leaf.finish()
     if not leafs:
         reader.report('leafs', 'must name at least one leaf')
--- a/clementinebank/errors/_failures.py
+++ b/clementinebank/errors/_failures.py
@@ -53,16 +53,20 @@
         What is wrong, with the value received.
     line : int or None
         One-based line in the source text, where it is known.
+    section : str or None
+        Section of the operators' document that has the field.
     """
 
     field: str
     message: str
     line: int | None = None
+    section: str | None = None
 
     def __str__(self) -> str:
         """Return the problem as one line of text."""
-        place = '' if self.line is None else f'line {self.line}: '
-        return f'{place}{self.field}: {self.message}'
+        line = '' if self.line is None else f'line {self.line}: '
+        section = '' if self.section is None else f'section {self.section}: '
+        return f'{line}{section}{self.field}: {self.message}'
 
 
 @attrs.define(auto_exc=True, eq=False)
