Rework the document commands and routes around changes

Cause: `document apply` sent every section without a base and reported any failure as unreachable; the route generated the change id itself, so an operator could not repeat a lost apply. Ruled out: a change without id, base revision or editor; the route refuses it (the harness of the process tests now sends them). Change: commands check, show, diff, apply, history and status; apply sends the edited sections only, tries several instances with one id, waits for confirmations; each failure names the next step; exit codes of the design.

--- a/clementinebank/cli/_client.py
+++ b/clementinebank/cli/_client.py
@@ -1,6 +1,7 @@
 """Calls of the tool to an instance."""
 
 import json
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -42,7 +43,7 @@
     timeout_s: float = CALL_TIMEOUT_S,
     headers: dict[str, str] | None = None,
 ) -> Result[Reply, Failure]:
-    """Call one instance.
+    """Call one instance and wait for its reply.
 
     Parameters
     ----------
@@ -64,28 +65,74 @@
             Failure('invalid_address', message, Step.ACCEPT, field='address')
         )
     request = json_request(method, target, body, headers)
-    return curio.run(_fetch_json, host, int(port), request, timeout_s)
+    return curio.run(fetch_json, host, int(port), request, timeout_s)
 
 
-async def _fetch_json(
+async def call_each(
+    addresses: Iterable[str], target: str, timeout_s: float
+) -> dict[str, Result[Reply, Failure]]:
+    """Read one target from several instances at the same time.
+
+    Parameters
+    ----------
+    addresses : iterable of str
+        Valid ``IP:PORT`` of listeners.
+    target : str
+        HTTP target.
+    timeout_s : float
+        Longest time of each call in seconds.
+
+    Returns
+    -------
+    dict of str to Result
+        Reply or failure by address.
+    """
+    request = json_request('GET', target)
+    tasks = {}
+    for address in addresses:
+        host, _, port = address.rpartition(':')
+        tasks[address] = await curio.spawn(
+            fetch_json, host, int(port), request, timeout_s
+        )
+    return {peer: await task.join() for peer, task in tasks.items()}
+
+
+async def fetch_json(
     host: str, port: int, request: HttpRequest, timeout_s: float
 ) -> Result[Reply, Failure]:
+    """Send a request and decode the JSON of its response.
+
+    A refused connection is the one failure after which the request is known
+    not to have been run.
+    """
     peer = f'{host}:{port}'
     try:
         response = await fetch(host, port, request, timeout_s)
+    except ConnectionRefusedError as error:
+        return Err(_unreachable(str(error), peer, Execution.NOT_RUN))
     except (OSError, HttpProtocolError, curio.TaskTimeout) as error:
         message = str(error) or 'no answer in time'
+        return Err(_unreachable(message, peer, Execution.UNKNOWN))
+    try:
+        return Ok(Reply(response.status, json.loads(response.body)))
+    except ValueError:
+        message = f'status {response.status} without a JSON body'
         return Err(
             Failure(
-                'instance_unreachable',
+                'invalid_reply',
                 message,
-                Step.DISPATCH,
+                Step.READ,
                 peer=peer,
                 execution=Execution.UNKNOWN,
             )
         )
-    try:
-        return Ok(Reply(response.status, json.loads(response.body)))
-    except ValueError:
-        message = f'status {response.status} without a JSON body'
-        return Err(Failure('invalid_reply', message, Step.READ, peer=peer))
+
+
+def _unreachable(message: str, peer: str, execution: Execution) -> Failure:
+    return Failure(
+        'instance_unreachable',
+        message,
+        Step.DISPATCH,
+        peer=peer,
+        execution=execution,
+    )
--- a/clementinebank/cli/_commands.py
+++ b/clementinebank/cli/_commands.py
@@ -12,7 +12,12 @@
 
 
 class ExitStatus(enum.IntEnum):
-    """Exit status of the tool."""
+    """Exit status of the tool.
+
+    ``REFUSED`` and ``CONFLICT`` state that nothing was changed. ``UNKNOWN``
+    states that the outcome is not known, or that an accepted change is not
+    confirmed by every instance.
+    """
 
     DONE = 0
     REFUSED = 1
@@ -22,6 +27,14 @@
     UNREACHABLE = 5
 
 
+STATUS_BY_CODE = {
+    'invalid_address': ExitStatus.USAGE,
+    'invalid_argument': ExitStatus.USAGE,
+    'instance_unreachable': ExitStatus.UNREACHABLE,
+    'invalid_reply': ExitStatus.UNKNOWN,
+}
+
+
 @attrs.frozen
 class Report:
     """What a command prints.
@@ -41,6 +54,11 @@
     status: ExitStatus = ExitStatus.DONE
 
 
+def status_of(failure: Failure) -> ExitStatus:
+    """Return the exit status of a failure."""
+    return STATUS_BY_CODE.get(failure.code, ExitStatus.REFUSED)
+
+
 Run = Callable[[argparse.Namespace], Result[Report, Failure]]
 Configure = Callable[[argparse.ArgumentParser], None]
 
--- a/clementinebank/cli/_document_commands.py
+++ b/clementinebank/cli/_document_commands.py
@@ -1,35 +1,50 @@
-"""The ``document`` commands."""
+"""The ``document`` commands that change nothing."""
 
 import argparse
+import difflib
+from collections.abc import Iterator
+from datetime import UTC, datetime
 from pathlib import Path
+from typing import Any
 
-import yaml
+import attrs
 from result import Err, Ok, Result
 
-from clementinebank.cli._client import Reply, call
 from clementinebank.cli._commands import ExitStatus, Report, command
-from clementinebank.document import parse_document
-from clementinebank.errors import Failure
-
-
-def split_sections(text: str) -> dict[str, str]:
-    """Split a document file into the texts of its top-level sections.
-
-    Raises
-    ------
-    ValueError
-        If the text is no YAML mapping.
-    """
-    node = yaml.compose(text, Loader=yaml.SafeLoader)
-    if not isinstance(node, yaml.MappingNode):
-        raise ValueError('the document must be a mapping of sections')
-    lines = text.splitlines(keepends=True)
-    starts = [key.start_mark.line for key, _ in node.value]
-    ends = [*starts[1:], len(lines)]
-    return {
-        key.value: ''.join(lines[start + 1 : end])
-        for (key, _), start, end in zip(node.value, starts, ends, strict=True)
-    }
+from clementinebank.cli._edits import DOCUMENT_FIELDS, Edits, find_edits
+from clementinebank.cli._operators import (
+    add_operators,
+    operators_of,
+    read_first,
+    read_text,
+)
+from clementinebank.document import DocumentFile, parse_file, render_file
+from clementinebank.errors import Failure, FieldProblem, Step
+
+DOCUMENT_TARGET = '/v1/document'
+CHANGES_TARGET = '/v1/document/changes'
+HISTORY_FIELDS = ('revision', 'history_start', 'changes')
+FIRST_ANSWER = 'the first that answers is used'
+
+
+def problems_report(problems: list[FieldProblem]) -> Report:
+    """Return the report of an invalid file."""
+    return Report(
+        '\n'.join(str(problem) for problem in problems),
+        {'problems': [attrs.asdict(problem) for problem in problems]},
+        ExitStatus.REFUSED,
+    )
+
+
+def read_file(path: Path) -> Result[DocumentFile | Report, Failure]:
+    """Read and validate a file; a report states why it is invalid."""
+    text = read_text(path)
+    if isinstance(text, Err):
+        return text
+    parsed = parse_file(text.ok_value)
+    if isinstance(parsed, Err):
+        return Ok(problems_report(parsed.err_value))
+    return Ok(parsed.ok_value)
 
 
 def _configure_check(parser: argparse.ArgumentParser) -> None:
@@ -44,49 +59,147 @@
 )
 def check(options: argparse.Namespace) -> Result[Report, Failure]:
     """Validate a document file."""
-    sections = split_sections(options.file.read_text())
-    parsed = parse_document(sections, 0)
-    if isinstance(parsed, Err):
-        problems = [str(problem) for problem in parsed.err_value]
-        return Ok(
-            Report(
-                '\n'.join(problems),
-                {'problems': problems},
-                ExitStatus.REFUSED,
-            )
-        )
-    return Ok(Report(f'{len(sections)} sections are valid', {'problems': []}))
+    return read_file(options.file).map(_report_check)
 
 
-def _configure_apply(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument('file', type=Path, help='document file')
+def _report_check(found: DocumentFile | Report) -> Report:
+    if isinstance(found, Report):
+        return found
+    problems = found.check()
+    if problems:
+        return problems_report(problems)
+    count = len(found.sections_by_name)
+    return Report(f'{count} sections are valid', {'problems': []})
+
+
+def _configure_show(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
-        '--operators',
-        default='127.0.0.1:9002',
-        help='operators listener of an instance',
+        '--output',
+        type=Path,
+        metavar='FILE',
+        help='write a file that records its base revision, for apply',
     )
+    parser.add_argument(
+        '--overwrite', action='store_true', help='replace an existing file'
+    )
+    add_operators(parser, FIRST_ANSWER)
+
+
+@command(
+    'document show',
+    'show the document in effect',
+    'clementinebank document show --output document.yaml',
+    _configure_show,
+)
+def show(options: argparse.Namespace) -> Result[Report, Failure]:
+    """Show the document in effect."""
+    path = options.output
+    if path is not None and path.exists() and not options.overwrite:
+        message = f'{path} exists; add --overwrite or name another file'
+        return Err(Failure('invalid_argument', message, Step.ACCEPT))
+    found = read_first(operators_of(options), DOCUMENT_TARGET, DOCUMENT_FIELDS)
+    if isinstance(found, Err):
+        return found
+    body = found.ok_value
+    text = render_file(body['sections'], body['revision'])
+    if path is None:
+        return Ok(Report(text.rstrip('\n'), body))
+    try:
+        path.write_bytes(text.encode())
+    except OSError as error:
+        message = f'cannot write {path}: {error}'
+        return Err(Failure('invalid_argument', message, Step.ACCEPT))
+    message = f'revision {body["revision"]} written to {path}'
+    return Ok(Report(message, {**body, 'output': str(path)}))
+
+
+def _configure_diff(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('file', type=Path, help='document file')
+    parser.add_argument('--base', type=int, help='base revision of the file')
+    add_operators(parser, FIRST_ANSWER)
 
 
 @command(
-    'document apply',
-    'send the sections of a file as one change',
-    'clementinebank document apply examples/kumagawa.yaml',
-    _configure_apply,
+    'document diff',
+    'show what apply would change',
+    'clementinebank document diff document.yaml',
+    _configure_diff,
 )
-def apply(options: argparse.Namespace) -> Result[Report, Failure]:
-    """Send all sections of a file."""
-    sections = split_sections(options.file.read_text())
-    reply = call(
-        options.operators,
-        'POST',
-        '/v1/document/changes',
-        {'sections': sections},
+def diff(options: argparse.Namespace) -> Result[Report, Failure]:
+    """Show the sections that apply would send, and stale ones."""
+    parsed = read_file(options.file)
+    if isinstance(parsed, Err):
+        return parsed
+    if isinstance(parsed.ok_value, Report):
+        return Ok(parsed.ok_value)
+    file = parsed.ok_value
+    found = read_first(operators_of(options), DOCUMENT_TARGET, DOCUMENT_FIELDS)
+    return found.map(
+        lambda body: _report_diff(find_edits(file, options.base, body), body)
+    )
+
+
+def _report_diff(edits: Edits, body: dict[str, Any]) -> Report:
+    lines = list(_diff_lines(edits, body))
+    lines.extend(
+        f'{name}: changed by {origin["editor"]} in revision '
+        f'{origin["revision"]}, after base revision {edits.base_revision}'
+        + (
+            '; apply reports a conflict'
+            if name in edits.texts_by_section
+            else '; apply leaves it as it is'
+        )
+        for name, origin in sorted(body['origins'].items())
+        if origin['revision'] > edits.base_revision
+        and name in edits.stale_sections
+    )
+    return Report(
+        '\n'.join(lines) or 'apply would change nothing',
+        {
+            'base_revision': edits.base_revision,
+            'sections': edits.texts_by_section,
+            'stale_sections': sorted(edits.stale_sections),
+        },
     )
-    return reply.map(_report_apply)
 
 
-def _report_apply(reply: Reply) -> Report:
-    if reply.status != 200:
-        return Report(str(reply.data), reply.data, ExitStatus.REFUSED)
-    revision = reply.data['revision']
-    return Report(f'accepted as revision {revision}', reply.data)
+def _diff_lines(edits: Edits, body: dict[str, Any]) -> Iterator[str]:
+    for name, text in sorted(edits.texts_by_section.items()):
+        before = edits.shown_texts.get(name, '')
+        lines = difflib.unified_diff(
+            before.splitlines(),
+            (text or '').splitlines(),
+            f'{name} (revision {body["revision"]})',
+            f'{name} (deleted)' if text is None else f'{name} (file)',
+            lineterm='',
+        )
+        yield from lines
+
+
+def _configure_history(parser: argparse.ArgumentParser) -> None:
+    add_operators(parser, FIRST_ANSWER)
+
+
+@command(
+    'document history',
+    'list the recent accepted changes',
+    'clementinebank document history --operators 127.0.0.1:9002',
+    _configure_history,
+)
+def history(options: argparse.Namespace) -> Result[Report, Failure]:
+    """List the recent accepted changes, newest first."""
+    found = read_first(operators_of(options), CHANGES_TARGET, HISTORY_FIELDS)
+    return found.map(lambda body: Report('\n'.join(_history_lines(body)), body))
+
+
+def _history_lines(body: dict[str, Any]) -> Iterator[str]:
+    for entry in reversed(body['changes']):
+        time = datetime.fromtimestamp(entry['accepted_at'], UTC)
+        sections = ', '.join(entry['sections']) or 'no section'
+        yield (
+            f'revision {entry["revision"]}  '
+            f'{time:%Y-%m-%d %H:%M:%S} UTC  {entry["editor"]}  '
+            f'{entry["change_id"]}  {sections}'
+        )
+    if body['history_start']:
+        yield f'older than revision {body["history_start"]}: not kept'
--- a/clementinebank/cli/_main.py
+++ b/clementinebank/cli/_main.py
@@ -7,11 +7,28 @@
 
 from result import Err
 
-from clementinebank.cli import _document_commands, _search_command
-from clementinebank.cli._commands import COMMANDS, Command, ExitStatus
+from clementinebank.cli import (
+    _apply_command,
+    _document_commands,
+    _search_command,
+    _status_command,
+)
+from clementinebank.cli._advice import advice_for
+from clementinebank.cli._commands import COMMANDS, Command, status_of
+from clementinebank.errors import Failure
 
 # Importing these modules registers their commands.
-COMMAND_MODULES = (_document_commands, _search_command)
+COMMAND_MODULES = (
+    _apply_command,
+    _document_commands,
+    _search_command,
+    _status_command,
+)
+
+EXIT_STATUS_HELP = (
+    '0 done, 1 refused or invalid, 2 usage, 3 conflict, 4 unknown outcome or '
+    'not confirmed by every instance, 5 unreachable'
+)
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -30,8 +47,7 @@
     options = _build_parser().parse_args(arguments)
     outcome = options.command.run(options)
     if isinstance(outcome, Err):
-        sys.stderr.write(f'error: {outcome.err_value}\n')
-        return int(ExitStatus.UNREACHABLE)
+        return _print_failure(outcome.err_value, options.format)
     report = outcome.ok_value
     if options.format == 'json':
         sys.stdout.write(f'{json.dumps(report.data, indent=2)}\n')
@@ -40,6 +56,16 @@
     return int(report.status)
 
 
+def _print_failure(failure: Failure, output_format: str) -> int:
+    next_step = advice_for(failure.code)
+    if output_format == 'json':
+        body = {**failure.as_json(), 'next': next_step}
+        sys.stdout.write(f'{json.dumps(body, indent=2)}\n')
+    else:
+        sys.stderr.write(f'error: {failure}\nnext: {next_step}\n')
+    return int(status_of(failure))
+
+
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog='clementinebank', description='Operate the query tier.'
@@ -62,7 +88,7 @@
         each.name.rpartition(' ')[2],
         help=each.summary,
         description=each.summary,
-        epilog=f'example: {each.example}',
+        epilog=f'example: {each.example}; exit status: {EXIT_STATUS_HELP}',
     )
     parser.add_argument('--format', choices=('text', 'json'), default='text')
     each.configure(parser)
--- /dev/null
+++ b/clementinebank/cli/_status_command.py
@@ -0,0 +1,85 @@
+"""The ``status`` command."""
+
+import argparse
+from typing import Any
+
+import curio
+from result import Err, Ok, Result
+
+from clementinebank.cli._client import Reply, call_each
+from clementinebank.cli._commands import ExitStatus, Report, command
+from clementinebank.cli._operators import add_operators, operators_of
+from clementinebank.errors import Failure
+
+STATUS_TIMEOUT_S = 3.0
+STATUS_TARGET = '/v1/status'
+
+
+def _configure(parser: argparse.ArgumentParser) -> None:
+    add_operators(parser, 'repeat it to ask several instances')
+
+
+@command(
+    'status',
+    'show the state and the revision of instances',
+    'clementinebank status --operators 127.0.0.1:9002',
+    _configure,
+)
+def status(options: argparse.Namespace) -> Result[Report, Failure]:
+    """Ask every instance for its state."""
+    replies = curio.run(
+        call_each, operators_of(options), STATUS_TARGET, STATUS_TIMEOUT_S
+    )
+    lines = [_line(address, reply) for address, reply in replies.items()]
+    instances = [_entry(address, reply) for address, reply in replies.items()]
+    revisions = {
+        entry['revision'] for entry in instances if entry.get('revision')
+    }
+    if len(revisions) > 1:
+        listed = ', '.join(str(revision) for revision in sorted(revisions))
+        lines.append(f'instances differ in their revision: {listed}')
+    silent = sum(isinstance(reply, Err) for reply in replies.values())
+    if silent:
+        lines.append(f'{silent} of {len(replies)} instances did not answer')
+    return Ok(
+        Report(
+            '\n'.join(lines),
+            {'instances': instances},
+            ExitStatus.UNREACHABLE if silent else ExitStatus.DONE,
+        )
+    )
+
+
+def revision_of(reply: Result[Reply, Failure]) -> int | None:
+    """Return the revision in force that a status reply states."""
+    if isinstance(reply, Err) or not isinstance(reply.ok_value.data, dict):
+        return None
+    revision = reply.ok_value.data.get('revision')
+    return revision if isinstance(revision, int) else None
+
+
+def _entry(address: str, reply: Result[Reply, Failure]) -> dict[str, Any]:
+    if isinstance(reply, Err):
+        return {'address': address, **reply.err_value.as_json()}
+    body = reply.ok_value.data
+    return {'address': address, **(body if isinstance(body, dict) else {})}
+
+
+def _line(address: str, reply: Result[Reply, Failure]) -> str:
+    if isinstance(reply, Err):
+        return f'{address}: {reply.err_value}'
+    entry = _entry(address, reply)
+    parts = [
+        f'{name} {_plain(entry[name])}'
+        for name in sorted(entry)
+        if name not in {'address', 'ready', 'revision'}
+    ]
+    ready = 'ready' if entry.get('ready') else 'NOT READY'
+    revision = f'revision {entry.get("revision", "unknown")}'
+    return f'{address}: {", ".join([ready, revision, *parts])}'
+
+
+def _plain(value: Any) -> str:
+    if isinstance(value, list):
+        return '/'.join(str(each) for each in value) or 'none'
+    return str(value)
--- a/clementinebank/document/_accept.py
+++ b/clementinebank/document/_accept.py
@@ -301,6 +301,15 @@
     key_value: KeyValueService
     head_in_force: Callable[[], HeadRecord]
 
+    async def preview(self, change: Change) -> ChangeResult | None:
+        """Return why the change would not be accepted now, else ``None``."""
+        decision = ChangeDecision(change)
+        action = None
+        while action is None:
+            reply = await self.key_value.read(DOCUMENT_KEY)
+            action = decision.on_read(reply, self.head_in_force(), wall_time())
+        return action if isinstance(action, ChangeResult) else None
+
     async def run(self, change: Change) -> ChangeResult:
         """Accept the change or state why not.
 
--- a/clementinebank/document/_file.py
+++ b/clementinebank/document/_file.py
@@ -116,7 +116,7 @@
         return Err([FieldProblem('$', 'must be a mapping of sections', 1)])
     problems = [
         FieldProblem(
-            key.value,
+            str(key.value),
             'a section starts with its name and a colon, at the start of a '
             'line',
             key.start_mark.line + 1,
@@ -163,7 +163,7 @@
 
 
 def _section_at(lines: list[str], line: int | None) -> str | None:
-    for text in reversed(lines[:line]):
+    for text in reversed(lines[: line or 0]):
         found = SECTION_KEY.match(text)
         if found is not None:
             return found[1].strip('\'"')
@@ -182,19 +182,22 @@
             *_on_key_line(lines[key_line], key_line),
             *_below_key(lines, key_line + 1, end, is_last=is_last),
         ]
-        while numbered and not numbered[-1][1].strip():
-            numbered.pop()
-        yield (
-            name,
-            FileSection(
-                ''.join(text for _, text in numbered),
-                tuple(line + 1 for line, _ in numbered),
-                key_line + 1,
-            ),
-        )
+        yield name, _section_of(numbered, key_line)
         start = end
 
 
+def _section_of(numbered: NumberedLines, key_line: int) -> FileSection:
+    while numbered and not numbered[-1][1].strip():
+        numbered.pop()
+    text = ''.join(line for _, line in numbered)
+    # Editors differ in whether they end a file with a line break.
+    if text and not text.endswith(('\n', '\r')):
+        text = f'{text}\n'
+    return FileSection(
+        text, tuple(number + 1 for number, _ in numbered), key_line + 1
+    )
+
+
 def _comments_start(lines: list[str], key: tuple[str, int]) -> int:
     start = key[1]
     while _is_outer(lines[start - 1]):
@@ -221,16 +224,22 @@
 def _below_key(
     lines: list[str], start: int, end: int, *, is_last: bool
 ) -> NumberedLines:
-    body = [(line, lines[line]) for line in range(start, end)]
-    # Comments at the end of the file belong to the last section. Indented,
-    # they stay with it when another section follows.
+    body = lines[start:end]
+    if is_last:
+        body = _with_inner_comments(body)
+    return list(enumerate(body, start))
+
+
+def _with_inner_comments(body: list[str]) -> list[str]:
+    # Comments at the end of a section stay with it, indented, when another
+    # section follows.
     index = len(body)
-    while is_last and index and _is_outer(body[index - 1][1]):
+    while index and _is_outer(body[index - 1]):
         index -= 1
-        line, text = body[index]
-        if text.strip():
-            body[index] = (line, f'{INDENT}{text}')
-    return body
+    return [
+        *body[:index],
+        *(f'{INDENT}{line}' if line.strip() else line for line in body[index:]),
+    ]
 
 
 def _rendered(name: str, text: str) -> str:
@@ -241,5 +250,6 @@
     below = lines[above:]
     if any(not (line[0].isspace() or _is_outer(line)) for line in below):
         below = [f'{INDENT}{line}' if line.strip() else line for line in below]
+    below = _with_inner_comments(below)
     end = '' if not lines or lines[-1].endswith('\n') else '\n'
     return f'{"".join(lines[:above])}{name}:\n{"".join(below)}{end}'
--- a/clementinebank/document/_parse.py
+++ b/clementinebank/document/_parse.py
@@ -25,6 +25,7 @@
 
 SERVICE_PREFIX = 'service.'
 FLEET_SECTION = 'fleet'
+SERVICE_SECTION = re.compile(r'service\.[A-Za-z0-9][A-Za-z0-9_.-]*')
 KINDS = ('search', 'booking')
 ISOLATION_CHOICES = ('refuse', 'serve')
 ANSWER_POLICY_NAMES = ('latency_first', 'coverage_first')
@@ -105,10 +106,12 @@
     services: dict[str, ServiceSettings] = {}
     for section, reader in readers.items():
         name = section.removeprefix(SERVICE_PREFIX)
-        if section.startswith(SERVICE_PREFIX) and name:
+        if SERVICE_SECTION.fullmatch(section):
             services[name] = _read_service(name, reader, fleet)
         elif section != FLEET_SECTION:
-            reader.report('', 'unknown section')
+            reader.report(
+                '', 'unknown section; sections are fleet and service.<name>'
+            )
     return Document(revision, fleet, services)
 
 
--- a/standins/leaf.py
+++ b/standins/leaf.py
@@ -9,13 +9,13 @@
 import attrs
 import curio
 
-from clementinebank.cli._document_commands import split_sections
 from clementinebank.clock import run_service
 from clementinebank.document import (
     GroupSettings,
     LeafSettings,
     ServiceSettings,
     parse_document,
+    parse_file,
 )
 from clementinebank.http import HttpRequest, HttpResponse, json_response
 from standins._control import pause, serve_with_control
@@ -210,7 +210,8 @@
     parser.add_argument('--service', required=True)
     parser.add_argument('--leaf', action='append', help='default: all')
     options = parser.parse_args()
-    sections = split_sections(options.document.read_text())
+    text = options.document.read_text()
+    sections = parse_file(text).unwrap().texts_by_section
     document = parse_document(sections, 1).unwrap()
     service = document.services_by_name[options.service]
     run_service(
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+import uuid
 from pathlib import Path
 
 import attrs
@@ -97,6 +98,7 @@
     key_value_port: int = 0
     list_port: int = 0
     leaf_ports: dict = attrs.Factory(dict)
+    change_id: str = attrs.Factory(lambda: str(uuid.uuid4()))
 
     def start(self):
         """Start everything and apply the document."""
@@ -236,7 +238,12 @@
             self.instances[0].operators,
             'POST',
             '/v1/document/changes',
-            {'sections': sections},
+            {
+                'change_id': self.change_id,
+                'base_revision': 0,
+                'editor': 'harness',
+                'sections': sections,
+            },
         )
         return reply.status == 200
 
