--- a/clementinebank/booking/_answers.py
+++ b/clementinebank/booking/_answers.py
@@ -73,7 +73,7 @@
 def over_budget(bookings_per_second: float) -> BookingAnswer:
     """Return the answer above the budget of the instance."""
     return refusal(
-        'booking_rate_exceeded',
+        'write_budget_exhausted',
         f'this instance accepts {bookings_per_second:g} bookings a second; '
         f'{REPEAT_HINT}',
         Step.ACCEPT,
--- a/clementinebank/booking/_record.py
+++ b/clementinebank/booking/_record.py
@@ -10,7 +10,7 @@
 from clementinebank.errors import Execution, FieldProblem
 from clementinebank.validation import FieldReader
 
-KEY_PREFIX = 'clementinebank/bookings/'
+KEY_PREFIX = 'clementinebank/claims/'
 # A key that is claimed and released again and again must not outgrow a value.
 MAX_HISTORY = 50
 
--- a/clementinebank/platform/_key_value.py
+++ b/clementinebank/platform/_key_value.py
@@ -64,7 +64,7 @@
     listed : tuple of ListedEntry
         Entries of this page.
     is_last : bool
-        Whether no entry follows.
+        Whether no entry follows; a full page does not tell.
     """
 
     listed: tuple[ListedEntry, ...]
@@ -146,13 +146,15 @@
         self, prefix: str, after: str = '', limit: int = PAGE_LIMIT
     ) -> Result[Page, Failure]:
         """Return at most ``limit`` entries whose keys follow ``after``."""
-        query = urlencode({'prefix': prefix, 'after': after, 'limit': limit})
+        query = urlencode(
+            {'prefix': prefix, 'after_key': after, 'limit': limit}
+        )
         reply = await self._call(
             HttpRequest('GET', f'/v1/keys?{query}'),
             Step.READ_HEAD,
             self.timeout_s,
         )
-        return reply.and_then(self._page_of)
+        return reply.and_then(lambda response: self._page_of(response, limit))
 
     async def watch(
         self, key: str, version: int, wait_ms: int
@@ -188,7 +190,9 @@
             )
         return Ok(Entry(value, _version_of(response)))
 
-    def _page_of(self, response: HttpResponse) -> Result[Page, Failure]:
+    def _page_of(
+        self, response: HttpResponse, limit: int
+    ) -> Result[Page, Failure]:
         try:
             body = json.loads(response.body)
             listed = tuple(
@@ -203,7 +207,7 @@
             return Err(
                 self._failure('key_value_malformed', message, Step.READ_HEAD)
             )
-        return Ok(Page(listed, is_last=body.get('more') is not True))
+        return Ok(Page(listed, is_last=len(listed) < limit))
 
     async def _call(
         self, request: HttpRequest, step: Step, timeout_s: float
