--- a/clementinebank/booking/tests/test_decisions.py
+++ b/clementinebank/booking/tests/test_decisions.py
@@ -156,6 +156,22 @@
     assert booking.on_claim_written(Err(failure)) is Step.CLAIM_CONFIRM
 
 
+def test_claim_that_was_never_sent_is_not_run():
+    request = _request()
+    booking = Booking(request, _claim(request), 24)
+    booking.on_claim_send()
+    failure = Failure('key_value_unreachable', 'refused', Step.SWAP)
+    assert booking.on_claim_written(Err(failure)) is Step.RESPOND
+    assert booking.answer.execution is Execution.NOT_RUN
+    # After a write that may take effect, an unsent one proves nothing.
+    booking = Booking(request, _claim(request), 24)
+    booking.on_claim_send()
+    lost = attrs.evolve(failure, execution=Execution.UNKNOWN)
+    assert booking.on_claim_written(Err(lost)) is Step.CLAIM_CONFIRM
+    booking.on_claim_send()
+    assert booking.on_claim_written(Err(failure)) is Step.CLAIM_CONFIRM
+
+
 def test_expired_key_is_not_dispatched_on_a_confirmed_claim():
     request = _request(new_key(WALL_S))
     booking = Booking(request, _claim(request), 24)
--- a/clementinebank/booking/tests/test_randomised.py
+++ b/clementinebank/booking/tests/test_randomised.py
@@ -36,6 +36,8 @@
 STEPS_PER_EXAMPLE = 40
 KEYS = 2
 RENEW_AFTER_S = 86_000
+# Longer than every attempt and outage of a run.
+END_S = 200
 NAMES = strategies.sampled_from('abc')
 STEPS = strategies.sampled_from(STEP_ORDER)
 
@@ -55,7 +57,11 @@
         self.keys = [new_key(wall_s) for _ in range(KEYS)]
 
     def teardown(self):
-        self.context.__exit__(None, None, None)
+        try:
+            self._run(curio.sleep, END_S)
+            assert self._run(self.world.problems) == []
+        finally:
+            self.context.__exit__(None, None, None)
 
     async def _on_step(self, instance, run, step):
         for each in list(self.faults):
