--- a/clementinebank/document/_accept.py
+++ b/clementinebank/document/_accept.py
@@ -130,7 +130,7 @@
             return settled
         for newest in (in_force, self._newest):
             if not head.extends(newest):
-                return self._refuse_restored(head, newest)
+                return self._reject(_restored_failure(head, newest))
         self._newest = head
         # A swap whose version has passed can no longer take effect.
         self._unsettled_versions &= {entry.version}
@@ -157,7 +157,7 @@
     def _find_accepted(
         self, head: HeadRecord, in_force: HeadRecord
     ) -> ChangeResult | None:
-        for record in (head, in_force):
+        for record in (in_force, head):
             entry = record.find_change(self.change.change_id)
             if entry is None:
                 continue
@@ -167,7 +167,11 @@
                     f'revision {entry.revision} accepted this id with other '
                     'section texts; use a new id',
                 )
-            return self._accepted(record)
+            if record.extends(in_force):
+                return self._accepted(record)
+            # Until it is merged with the record in force, another restore
+            # would lose the change.
+            return self._unknown(_restored_failure(head, in_force))
         return None
 
     def _accepted(self, head: HeadRecord) -> ChangeResult:
@@ -232,20 +236,12 @@
             return None
         return self._unknown(failure)
 
-    def _refuse_restored(
-        self, head: HeadRecord, newest: HeadRecord
-    ) -> ChangeResult:
-        return self._refuse(
-            'head_restored',
-            f'the key-value service returned revision {head.revision}, which '
-            f'does not contain revision {newest.revision}; it was restored '
-            'to an older state',
-        )
-
     def _refuse(
         self, code: str, message: str, step: Step = Step.READ_HEAD
     ) -> ChangeResult:
-        failure = Failure(code, message, step)
+        return self._reject(Failure(code, message, step))
+
+    def _reject(self, failure: Failure) -> ChangeResult:
         if self._unsettled_versions:
             return self._unknown(failure)
         return ChangeResult(
@@ -286,6 +282,16 @@
         )
 
 
+def _restored_failure(head: HeadRecord, newest: HeadRecord) -> Failure:
+    return Failure(
+        'head_restored',
+        f'the key-value service returned revision {head.revision}, which does '
+        f'not contain revision {newest.revision}; it was restored to an older '
+        'state',
+        Step.READ_HEAD,
+    )
+
+
 @attrs.frozen
 class AcceptChange:
     """Use case: accept a change through the key-value service.
--- a/clementinebank/document/_change.py
+++ b/clementinebank/document/_change.py
@@ -174,7 +174,7 @@
         change.change_id,
         head.revision + 1,
         change.editor,
-        tuple(sorted(changed)),
+        tuple(sorted(change.texts_by_section)),
         time,
         change.digest,
     )
@@ -184,6 +184,7 @@
                 entry.revision,
                 _changed_sections(head, changed, entry),
                 (*head.changes, entry),
+                head.history_start,
             )
         )
     )
--- a/clementinebank/document/_decode.py
+++ b/clementinebank/document/_decode.py
@@ -14,6 +14,7 @@
     Section,
 )
 
+FIELDS = ('revision', 'history_start', 'sections', 'changes')
 # Year 9999.
 MAX_TIME_S = 253_402_300_799
 
@@ -33,7 +34,7 @@
         raw = json.loads(payload, object_pairs_hook=_unique_fields)
     except (ValueError, RecursionError) as error:
         raise ValueError(f'not a head record: {error}') from error
-    fields = _fields(raw, 'head', ('revision', 'sections', 'changes'))
+    fields = _fields(raw, 'head', FIELDS)
     sections = _mapping(fields['sections'], 'sections')
     head = HeadRecord(
         _integer(fields['revision'], 'revision'),
@@ -45,6 +46,7 @@
             _change(entry, f'changes.{index}')
             for index, entry in enumerate(_list(fields['changes'], 'changes'))
         ),
+        _integer(fields['history_start'], 'history_start'),
     )
     _check_consistency(head)
     return head
@@ -85,6 +87,8 @@
                 f'sections.{name}.revision',
                 f'{section.revision} is not in 1 to {head.revision}',
             )
+    if head.history_start > head.revision:
+        _refuse('history_start', 'above the revision')
     revisions = [entry.revision for entry in head.changes]
     if revisions != sorted(revisions):
         _refuse('changes', 'not in the order of their revisions')
--- a/clementinebank/document/_head.py
+++ b/clementinebank/document/_head.py
@@ -57,7 +57,8 @@
     editor : str
         Who sent the change.
     sections : tuple of str
-        Names of the sections whose text it changed or deleted.
+        Names of the sections that it set or deleted, also of those that
+        had the same text before.
     accepted_at : float
         Unix time of the acceptance in seconds.
     digest : str
@@ -85,11 +86,15 @@
         All sections.
     changes : tuple of AcceptedChange
         Most recent changes, oldest first.
+    history_start : int
+        Highest revision whose changes were trimmed; all later changes are in
+        ``changes``.
     """
 
     revision: int = 0
     sections_by_name: dict[str, Section] = attrs.Factory(dict)
     changes: tuple[AcceptedChange, ...] = ()
+    history_start: int = 0
 
     @property
     def texts_by_section(self) -> dict[str, str]:
@@ -99,14 +104,6 @@
             for name, section in self.sections_by_name.items()
         }
 
-    @property
-    def history_start(self) -> int:
-        """Return the revision after which the history is complete."""
-        if not self.changes:
-            return self.revision
-        oldest = self.changes[0].revision
-        return 0 if oldest == 1 else oldest
-
     def find_change(self, change_id: str) -> AcceptedChange | None:
         """Return the history entry of a change, or ``None``."""
         for entry in reversed(self.changes):
@@ -127,6 +124,17 @@
                 return entry
         return None
 
+    def named_at(self, name: str) -> float:
+        """Return the Unix time at which a change last named a section."""
+        times = [
+            entry.accepted_at
+            for entry in self.changes
+            if name in entry.sections
+        ]
+        if name in self.sections_by_name:
+            times.append(self.sections_by_name[name].accepted_at)
+        return max(times, default=0)
+
     def extends(self, earlier: 'HeadRecord') -> bool:
         """Return whether this record contains every change of an earlier one.
 
@@ -136,9 +144,13 @@
         """
         if earlier.revision > self.revision:
             return False
-        if not earlier.changes or earlier.revision <= self.history_start:
-            return True
-        return self.find_change(earlier.changes[-1].change_id) is not None
+        # The newest change alone does not decide: a merge of two lines ends
+        # with a change that one of them also has.
+        known = {entry.change_id for entry in self.changes}
+        return all(
+            entry.change_id in known or entry.revision <= self.history_start
+            for entry in earlier.changes
+        )
 
     def encode(self) -> bytes:
         """Return the record as JSON."""
@@ -168,7 +180,14 @@
         if kept and size > TRIM_ABOVE_BYTES:
             break
         kept += 1
-    return attrs.evolve(head, changes=changes[len(changes) - kept :])
+    trimmed = head.changes[: len(head.changes) - kept]
+    return attrs.evolve(
+        head,
+        changes=head.changes[len(trimmed) :],
+        history_start=max(
+            [head.history_start, *(each.revision for each in trimmed)]
+        ),
+    )
 
 
 def _encode(head: HeadRecord, encoded_changes: Iterable[bytes]) -> bytes:
@@ -176,10 +195,14 @@
         name: attrs.asdict(section)
         for name, section in sorted(head.sections_by_name.items())
     }
-    return b'{"revision":%d,"sections":%b,"changes":[%b]}' % (
-        head.revision,
-        _json_bytes(sections),
-        b','.join(encoded_changes),
+    return (
+        b'{"revision":%d,"history_start":%d,"sections":%b,"changes":[%b]}'
+        % (
+            head.revision,
+            head.history_start,
+            _json_bytes(sections),
+            b','.join(encoded_changes),
+        )
     )
 
 
--- a/clementinebank/document/_restore.py
+++ b/clementinebank/document/_restore.py
@@ -14,10 +14,11 @@
     """Merge a restored head record with the record in force.
 
     It is needed while ``restored.extends(in_force)`` is false. The record in
-    force is kept. A section, or a deletion, that was accepted on top of the
-    restored state is taken if it is newer than the same section of the record
-    in force; its change is not in the history of that record. The clocks of
-    the instances must agree to within the time that a restore takes.
+    force is kept. A section, or its absence, is taken from the restored record
+    if a change that was accepted on top of the restored state, which is not in
+    the history of the record in force, named the section later than any change
+    of that record did. The clocks of the instances must agree to within the
+    time that a restore takes.
 
     The caller validates the result as a document: two valid records can be
     invalid together.
@@ -44,20 +45,21 @@
     if not added:
         return attrs.evolve(in_force, revision=revision)
     sections = dict(in_force.sections_by_name)
-    names = {name for entry in added for name in entry.sections}
-    for name in names:
-        edit = restored.last_edit(name)
-        kept = in_force.last_edit(name)
-        if edit is None or (kept and edit.accepted_at <= kept.accepted_at):
+    times = {
+        name: entry.accepted_at for entry in added for name in entry.sections
+    }
+    for name, time in times.items():
+        if time <= in_force.named_at(name):
             continue
         sections.pop(name, None)
-        if isinstance(edit, Section):
-            sections[name] = edit
+        if name in restored.sections_by_name:
+            sections[name] = restored.sections_by_name[name]
     return fit_head(
         HeadRecord(
             revision,
             _raised_sections(sections, restored, in_force, revision),
             _merged_changes(added, restored, in_force, revision),
+            in_force.history_start,
         )
     )
 
@@ -102,17 +104,18 @@
     revision: int,
 ) -> tuple[AcceptedChange, ...]:
     restored_ids = {entry.change_id for entry in restored.changes}
-    shared_count = max(
-        (
-            index + 1
-            for index, entry in enumerate(in_force.changes)
-            if entry.change_id in restored_ids
-        ),
-        default=0,
-    )
+    lost = [
+        entry
+        for entry in in_force.changes
+        if entry.change_id not in restored_ids
+    ]
+    # The part before the lines differ is kept. The rest is ordered by time,
+    # as the newest entry that names a section states what became of it.
+    start = min(entry.accepted_at for entry in (*lost, *added))
+    kept = [entry for entry in in_force.changes if entry.accepted_at < start]
     raised = [
         attrs.evolve(entry, revision=revision)
-        for entry in (*in_force.changes[shared_count:], *added)
+        for entry in (*in_force.changes[len(kept) :], *added)
     ]
     raised.sort(key=lambda entry: entry.accepted_at)
-    return (*in_force.changes[:shared_count], *raised)
+    return (*kept, *raised)
--- a/clementinebank/document/tests/test_accept.py
+++ b/clementinebank/document/tests/test_accept.py
@@ -313,7 +313,9 @@
     operators.apply(_applied())
     operators.put(next_head(operators.stored, 8, 'bo', desk=desk(9)))
     head = operators.stored
-    operators.in_force = attrs.evolve(head, changes=head.changes[-1:])
+    operators.in_force = attrs.evolve(
+        head, changes=head.changes[-1:], history_start=3
+    )
     operators.put(operators.in_force)
     settled = operators.apply(_applied())
     assert settled.outcome is UNKNOWN
--- a/clementinebank/document/tests/test_head.py
+++ b/clementinebank/document/tests/test_head.py
@@ -12,6 +12,7 @@
     decode_head,
     fit_head,
     merge_change,
+    merge_restored,
 )
 from clementinebank.document._head import (
     MAX_HISTORY_CHANGES,
@@ -88,6 +89,7 @@
         (_set(['revision'], 1), 'sections.service.desk.revision'),
         (_set(['colour'], 'red'), 'colour'),
         (_set(['changes'], None), 'changes'),
+        (_set(['history_start'], 3), 'history_start'),
         (_set(['changes'], {}), 'changes'),
         (_set(['changes', 0, 'revision'], 9), 'changes'),
         (_set(['changes', 0, 'change_id'], change_id(2)), 'changes'),
@@ -113,8 +115,9 @@
         b'[]',
         b'\xff',
         b'[' * 100_000,
-        b'{"revision":1,"revision":2,"sections":{},"changes":[]}',
-        b'{"revision":NaN,"sections":{},"changes":[]}',
+        b'{"revision":1,"revision":2,"history_start":0,"sections":{},'
+        b'"changes":[]}',
+        b'{"revision":NaN,"history_start":0,"sections":{},"changes":[]}',
         b'{"revision":' + b'9' * 5000 + b',"sections":{},"changes":[]}',
     ],
 )
@@ -135,8 +138,20 @@
     assert not overtaking.extends(lost)
 
 
+def test_record_extends_a_merged_one_only_with_all_its_changes():
+    # A merge ends with a change that one of its two lines also has.
+    ancestor = first_head()
+    lost = next_head(ancestor, 2, desk=desk(3))
+    other = next_head(ancestor, 3, orders=orders(5))
+    merged = merge_restored(other, lost)
+    assert merged.extends(other) and merged.extends(lost)
+    overtaking = next_head(next_head(other, 4, orders=orders(6)), 5)
+    assert overtaking.revision >= merged.revision
+    assert not overtaking.extends(merged)
+
+
 def test_trimmed_history_is_not_taken_for_a_restore():
     earlier = first_head()
     head = next_head(next_head(earlier, 2, desk=desk(3)), 3, desk=desk(4))
-    trimmed = attrs.evolve(head, changes=head.changes[-1:])
+    trimmed = attrs.evolve(head, changes=head.changes[-1:], history_start=2)
     assert trimmed.extends(earlier)
--- a/clementinebank/document/tests/test_merge.py
+++ b/clementinebank/document/tests/test_merge.py
@@ -135,7 +135,7 @@
 def test_section_absent_beyond_the_history_is_a_conflict():
     head = next_head(first_head(), 2, 'bo', orders=None)
     head = next_head(next_head(head, 3, desk=desk(3)), 4, desk=desk(4))
-    trimmed = attrs.evolve(head, changes=head.changes[-1:])
+    trimmed = attrs.evolve(head, changes=head.changes[-1:], history_start=3)
     merged = merge_change(trimmed, change(5, 1, orders=orders(5)), 500)
     assert merged.unwrap_err()[0].other_editor is None
     fresh = change(5, 4, orders=orders(5))
@@ -233,7 +233,7 @@
 def test_section_older_than_the_trimmed_history_is_not_brought_back():
     head = next_head(first_head(), 2, 'bo', orders=None)
     head = next_head(next_head(head, 3, desk=desk(3)), 4, desk=desk(4))
-    trimmed = attrs.evolve(head, changes=head.changes[-1:])
+    trimmed = attrs.evolve(head, changes=head.changes[-1:], history_start=3)
     merged = merge_restored(first_head(), trimmed)
     assert 'service.orders' not in merged.sections_by_name
 
