Bound and answer every connection of the HTTP server

Cause: the server read headers and bodies without a time limit, accepted any number of connections and requests, closed without an answer on some faults, and an exception of a handler ended the connection task unanswered. The client reused a connection that held unread bytes and took a reply without a length as whole.

Ruled out: a second task per connection that reads while the handler runs (cost per request); shutting down the reading side to wake an idle reader (Linux then reports every later read as ready, so that the half-closed side can't wait); curio's plain cancellation of idle tasks, because curio delivers it in the middle of the next request if the bytes arrived in the same pass.

Change: limits as one value (HttpLimits); a request reader whose refusals name code, field and step; 503 not_run beyond the limits of connections and requests in flight; 500 unknown for an unexpected exception; every closing connection is half-closed and read for linger_s, so that a reset can't destroy its last response. An idle connection that is closed gets one last read and then an unsolicited 408 with execution not_run. Duplicate Request-Id, Deadline-Ms and Idempotency-Key headers are refused.

Before: no tests of the package.

--- a/clementinebank/http/__init__.py
+++ b/clementinebank/http/__init__.py
@@ -5,21 +5,30 @@
     HttpProtocolError,
     fetch,
 )
+from clementinebank.http._limits import HttpLimits
 from clementinebank.http._messages import (
     HttpRequest,
     HttpResponse,
     json_request,
     json_response,
 )
-from clementinebank.http._server import Handler, HttpServer
+from clementinebank.http._server import HttpServer
+from clementinebank.http._server_connection import (
+    Handler,
+    ServerConnection,
+    ServerState,
+)
 
 __all__ = (
     'Handler',
     'HttpConnection',
+    'HttpLimits',
     'HttpProtocolError',
     'HttpRequest',
     'HttpResponse',
     'HttpServer',
+    'ServerConnection',
+    'ServerState',
     'fetch',
     'json_request',
     'json_response',
--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client connection on curio with h11."""
 
+import contextlib
 from typing import Any
 
 import attrs
@@ -7,9 +8,12 @@
 import h11
 
 from clementinebank.http._messages import HttpRequest, HttpResponse
+from clementinebank.http._sockets import READ_SIZE_BYTES, has_input
 
-READ_SIZE_BYTES = 65_536
 MAX_REPLY_BYTES = 8 * 1024 * 1024
+MAX_REPLY_HEADER_BYTES = 64 * 1024
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
+LENGTH_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 
 
 class HttpProtocolError(Exception):
@@ -45,13 +49,25 @@
         OSError
             If the other side does not accept it.
         """
+        await self.close()
         self._sock = await curio.open_connection(self.host, self.port)
-        self._http = h11.Connection(h11.CLIENT)
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_REPLY_HEADER_BYTES
+        )
 
     @property
     def is_reusable(self) -> bool:
-        """Return whether another request may be sent."""
-        return self._sock is not None and self._http.our_state is h11.IDLE
+        """Return whether another request may be sent.
+
+        Bytes that nobody asked for would be taken for the next response,
+        so a connection with any of them is not used again.
+        """
+        return (
+            self._sock is not None
+            and self._http.our_state is h11.IDLE
+            and not self._http.trailing_data[0]
+            and not has_input(self._sock)
+        )
 
     async def request(self, message: HttpRequest) -> HttpResponse:
         """Send one request and read its response.
@@ -90,6 +106,7 @@
         head = await self._next_event()
         while isinstance(head, h11.InformationalResponse):
             head = await self._next_event()
+        self._check_length(head)
         body = await self._read_body()
         self._start_next_cycle()
         headers = {
@@ -103,7 +120,17 @@
         if self._sock is not None:
             sock = self._sock
             self._sock = None
-            await sock.close()
+            with contextlib.suppress(OSError):
+                await sock.close()
+
+    def _check_length(self, head: Any) -> None:
+        """Refuse a body that is too large or whose end cannot be told."""
+        lengths = [each for each in head.headers if each[0] in LENGTH_HEADERS]
+        if not lengths and head.status_code not in STATUSES_WITHOUT_BODY:
+            raise HttpProtocolError('the response states no length')
+        for name, length in lengths:
+            if name == b'content-length' and int(length) > self.max_body_bytes:
+                raise HttpProtocolError('the response body is too large')
 
     async def _read_body(self) -> bytes:
         body = bytearray()
@@ -126,7 +153,7 @@
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 raise HttpProtocolError(str(error)) from error
-            if isinstance(event, h11.ConnectionClosed):
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 raise HttpProtocolError('the connection was closed')
             if event is not h11.NEED_DATA:
                 return event
--- /dev/null
+++ b/clementinebank/http/_request_reader.py
@@ -0,0 +1,141 @@
+"""Reading of one request within the limits of a server."""
+
+from typing import Any
+
+import attrs
+import curio
+import h11
+
+from clementinebank.errors import Failure, Step
+from clementinebank.http._limits import HttpLimits
+from clementinebank.http._messages import HttpRequest
+from clementinebank.http._sockets import READ_SIZE_BYTES
+
+BAD_REQUEST = 400
+TIMEOUT = 408
+TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+# A second value of one of these would make the request ambiguous.
+SINGLE_HEADERS = frozenset(('request-id', 'deadline-ms', 'idempotency-key'))
+
+
+@attrs.define(eq=False)
+class RequestReader:
+    """Reads one request; each refusal names the limit that was exceeded.
+
+    Parameters
+    ----------
+    sock : object
+        Connected curio socket.
+    http : h11.Connection
+        State of the protocol.
+    limits : HttpLimits
+        What the server accepts.
+    """
+
+    sock: Any
+    http: Any
+    limits: HttpLimits
+
+    async def read(self) -> HttpRequest | None:
+        """Return the request, or ``None`` if the other side closed.
+
+        Raises
+        ------
+        Failure
+            If the request is malformed, too large or too slow.
+        """
+        try:
+            head = await self._read_in_time(
+                self._read_head, self.limits.header_timeout_s, 'headers'
+            )
+            if head is None:
+                return None
+            headers = _headers_of(head)
+            body = await self._read_in_time(
+                self._read_body, self.limits.body_timeout_s, 'body'
+            )
+        except h11.RemoteProtocolError as error:
+            raise self._malformed(error) from error
+        return HttpRequest(
+            head.method.decode('ascii'),
+            head.target.decode('latin-1'),
+            headers,
+            body,
+        )
+
+    async def _read_in_time(
+        self, read: Any, timeout_s: float, field: str
+    ) -> Any:
+        try:
+            async with curio.timeout_after(timeout_s):
+                return await read()
+        except curio.TaskTimeout:
+            message = f'the {field} did not arrive within {timeout_s} s'
+            raise _refusal('request_timeout', message, field, TIMEOUT) from None
+
+    async def _read_head(self) -> Any:
+        head = await self._next_event()
+        if not isinstance(head, h11.Request):
+            return None
+        for name, length in head.headers:
+            if name == b'content-length':
+                self._check_body(int(length))
+        return head
+
+    async def _read_body(self) -> bytes:
+        body = bytearray()
+        event = await self._next_event()
+        while isinstance(event, h11.Data):
+            body += event.data
+            self._check_body(len(body))
+            event = await self._next_event()
+        return bytes(body)
+
+    def _check_body(self, length: int) -> None:
+        limit = self.limits.max_body_bytes
+        if length > limit:
+            message = f'the body is larger than {limit} bytes'
+            raise _refusal('body_too_large', message, 'body', TOO_LARGE)
+
+    async def _next_event(self) -> Any:
+        event = self.http.next_event()
+        while event is h11.NEED_DATA:
+            await self._fill()
+            event = self.http.next_event()
+        return event
+
+    async def _fill(self) -> None:
+        if self.http.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            await self.sock.sendall(self.http.send(interim))
+        self.http.receive_data(await self.sock.recv(READ_SIZE_BYTES))
+
+    def _malformed(self, error: h11.RemoteProtocolError) -> Failure:
+        if error.error_status_hint == HEADERS_TOO_LARGE:
+            limit = self.limits.max_header_bytes
+            message = f'the headers are larger than {limit} bytes'
+            return _refusal(
+                'headers_too_large', message, 'headers', HEADERS_TOO_LARGE
+            )
+        return _refusal('malformed_request', str(error), None, BAD_REQUEST)
+
+
+def _headers_of(head: Any) -> dict[str, str]:
+    headers: dict[str, str] = {}
+    for raw_name, raw_text in head.headers:
+        name, text = raw_name.decode('latin-1'), raw_text.decode('latin-1')
+        if name not in headers:
+            headers[name] = text
+        elif name in SINGLE_HEADERS:
+            message = f'the header {name} is given more than once'
+            raise _refusal('duplicate_header', message, name, BAD_REQUEST)
+        else:
+            headers[name] = f'{headers[name]}, {text}'
+    return headers
+
+
+def _refusal(
+    code: str, message: str, field: str | None, status: int
+) -> Failure:
+    return Failure(code, message, Step.ACCEPT, field=field, status=status)
--- a/clementinebank/http/_server.py
+++ b/clementinebank/http/_server.py
@@ -1,27 +1,29 @@
-"""HTTP/1.1 server on curio with h11."""
+"""HTTP/1.1 listener on curio."""
 
-from collections.abc import Awaitable, Callable
+import errno
 from typing import Any
 
 import attrs
 import curio
-import h11
-
-from clementinebank.errors import Failure, Step
-from clementinebank.http._messages import (
-    HttpRequest,
-    HttpResponse,
-    json_response,
+from eliot import log_message
+
+from clementinebank.errors import Execution, Failure, Step
+from clementinebank.http._limits import HttpLimits
+from clementinebank.http._server_connection import (
+    Handler,
+    ServerConnection,
+    ServerState,
 )
+from clementinebank.http._sockets import WaitInterrupt, has_input
 
-READ_SIZE_BYTES = 65_536
-MAX_BODY_BYTES = 2 * 1024 * 1024
 BACKLOG = 512
-
-Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+ACCEPT_RETRY_S = 0.1
+BIND_RETRY_S = 0.1
+# Refused connections get an answer up to this number, then only a close.
+MAX_REFUSED_CONNECTIONS = 64
 
 
-@attrs.define
+@attrs.define(eq=False)
 class HttpServer:
     """Listener that passes complete requests to a handler.
 
@@ -33,128 +35,145 @@
         TCP port to listen on.
     handler : callable
         Coroutine function from request to response.
-    max_body_bytes : int
-        Largest accepted body of a request.
+    limits : HttpLimits
+        What the server accepts.
+    on_failure : callable
+        Receives each failure that the server itself answered.
+    bind_timeout_s : float
+        Time in which the address may still be held by a predecessor that
+        drains, in seconds.
     """
 
     host: str
     port: int
     handler: Handler
-    max_body_bytes: int = MAX_BODY_BYTES
-    in_flight: int = 0
-    closing: bool = False
+    limits: HttpLimits = HttpLimits()
+    on_failure: Any = None
+    bind_timeout_s: float = 0
+    is_listening: bool = False
+    state: ServerState = attrs.field(init=False)
+    _accept_task: Any = None
+    _refused: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Create the state shared by the connections."""
+        self.state = ServerState(self.handler, self.limits, self.on_failure)
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests in the handler."""
+        return self.state.in_flight
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self.state.connections)
 
     async def serve(self) -> None:
-        """Accept connections until the task is cancelled."""
-        await curio.tcp_server(
-            self.host, self.port, self._serve_connection, backlog=BACKLOG
-        )
-
-    async def _serve_connection(self, sock: Any, peer: Any) -> None:
-        connection = _ServerConnection(sock, self)
+        """Accept connections until cancelled or ``stop_accepting``.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound.
+        """
+        listening = await self._bind()
+        self._accept_task = await curio.current_task()
+        self.is_listening = True
         try:
-            while await connection.serve_one():
-                connection.start_next()
-        except (OSError, h11.LocalProtocolError):
-            # The caller closed the connection; nothing is left to answer.
-            return
-
-
-@attrs.define
-class _ServerConnection:
-    sock: Any
-    server: HttpServer
-    http: Any = attrs.field(factory=lambda: h11.Connection(h11.SERVER))
-
-    async def serve_one(self) -> bool:
-        """Serve one request; return whether the connection is reusable."""
-        try:
-            request = await self._read_request()
-        except h11.RemoteProtocolError as error:
-            await self._refuse('malformed_request', str(error), 400)
-            return False
-        except _BodyTooLargeError:
-            limit = self.server.max_body_bytes
-            message = f'the body is larger than {limit} bytes'
-            await self._refuse('body_too_large', message, 413, 'body')
-            return False
-        if request is None:
-            return False
-        self.server.in_flight += 1
-        try:
-            await self._send(await self.server.handler(request))
+            await self._accept_all(listening)
+        except WaitInterrupt:
+            await self._accept_backlog(listening)
+        except curio.CancelledError:
+            await self.abort()
+            raise
         finally:
-            self.server.in_flight -= 1
-        return bool(
-            self.http.our_state is h11.DONE
-            and self.http.their_state is h11.DONE
-        )
-
-    def start_next(self) -> None:
-        """Prepare for the next request on this connection."""
-        self.http.start_next_cycle()
-
-    async def _read_request(self) -> HttpRequest | None:
-        head = await self._next_event()
-        if not isinstance(head, h11.Request):
-            return None
-        body = bytearray()
-        event = await self._next_event()
-        while isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > self.server.max_body_bytes:
-                raise _BodyTooLargeError
-            event = await self._next_event()
-        is_whole = isinstance(event, h11.EndOfMessage)
-        return _request_of(head, bytes(body)) if is_whole else None
-
-    async def _next_event(self) -> Any:
-        event = self.http.next_event()
-        while event is h11.NEED_DATA:
-            await self._fill()
-            event = self.http.next_event()
-        return event
-
-    async def _fill(self) -> None:
-        if self.http.they_are_waiting_for_100_continue:
-            interim = h11.InformationalResponse(status_code=100, headers=[])
-            await self.sock.sendall(self.http.send(interim))
-        self.http.receive_data(await self.sock.recv(READ_SIZE_BYTES))
-
-    async def _refuse(
-        self, code: str, message: str, status: int, field: str | None = None
-    ) -> None:
-        failure = Failure(code, message, Step.ACCEPT, field=field)
-        headers = {'connection': 'close'}
-        await self._send(json_response(status, failure.as_json(), headers))
-
-    async def _send(self, response: HttpResponse) -> None:
-        headers = dict(response.headers)
-        headers['content-length'] = str(len(response.body))
-        if self.server.closing:
-            headers['connection'] = 'close'
-        payload = self.http.send(
-            h11.Response(
-                status_code=response.status, headers=list(headers.items())
-            )
+            self.is_listening = False
+            await listening.close()
+
+    def announce_close(self) -> None:
+        """Send ``Connection: close`` with every further response."""
+        self.state.is_closing = True
+
+    async def stop_accepting(self) -> None:
+        """Close the listener after the connections that wait in it."""
+        self.announce_close()
+        if self.is_listening:
+            await self._accept_task.cancel(exc=WaitInterrupt)
+
+    async def drain(self, timeout_s: float) -> int:
+        """Close idle connections and finish what is in flight.
+
+        Returns
+        -------
+        int
+            Requests that were still in flight after the time.
+        """
+        self.announce_close()
+        self.state.is_draining = True
+        for connection in list(self.state.connections):
+            await connection.interrupt()
+        async with curio.ignore_after(timeout_s):
+            await self.state.wait_until_empty()
+        return self.state.in_flight
+
+    async def abort(self) -> None:
+        """Cancel every connection."""
+        for connection in list(self.state.connections):
+            await connection.task.cancel()
+
+    async def _bind(self) -> Any:
+        remaining_s = self.bind_timeout_s
+        while True:
+            try:
+                return curio.tcp_server_socket(
+                    self.host, self.port, backlog=BACKLOG
+                )
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or remaining_s <= 0:
+                    raise
+            await curio.sleep(BIND_RETRY_S)
+            remaining_s -= BIND_RETRY_S
+
+    async def _accept_all(self, listening: Any) -> None:
+        while True:
+            try:
+                sock, _ = await listening.accept()
+            except OSError as error:
+                # Without free file descriptors accept fails until some are
+                # closed; the open connections go on.
+                log_message(
+                    message_type='http:accept_failed', reason=str(error)
+                )
+                await curio.sleep(ACCEPT_RETRY_S)
+                continue
+            await self._open(sock)
+
+    async def _accept_backlog(self, listening: Any) -> None:
+        while has_input(listening):
+            sock, _ = await listening.accept()
+            await self._open(sock)
+
+    async def _open(self, sock: Any) -> None:
+        connection = ServerConnection(sock, self.state)
+        if self.open_connections < self.limits.max_connections:
+            self.state.add(connection)
+            connection.task = await curio.spawn(connection.run, daemon=True)
+        elif self._refused < MAX_REFUSED_CONNECTIONS:
+            self._refused += 1
+            await curio.spawn(self._refuse, connection, daemon=True)
+        else:
+            await sock.close()
+
+    async def _refuse(self, connection: ServerConnection) -> None:
+        limit = self.limits.max_connections
+        failure = Failure(
+            'too_many_connections',
+            f'the limit of {limit} connections is reached',
+            Step.ACCEPT,
+            execution=Execution.NOT_RUN,
         )
-        payload += self.http.send(h11.Data(data=response.body))
-        payload += self.http.send(h11.EndOfMessage())
-        await self.sock.sendall(payload)
-
-
-class _BodyTooLargeError(Exception):
-    """The body of a request exceeds the limit of the server."""
-
-
-def _request_of(head: Any, body: bytes) -> HttpRequest:
-    headers = {
-        name.decode('latin-1'): value.decode('latin-1')
-        for name, value in head.headers
-    }
-    return HttpRequest(
-        head.method.decode('ascii'),
-        head.target.decode('latin-1'),
-        headers,
-        body,
-    )
+        try:
+            await connection.refuse_and_close(failure)
+        finally:
+            self._refused -= 1
--- /dev/null
+++ b/clementinebank/http/_server_connection.py
@@ -0,0 +1,248 @@
+"""One connection of an HTTP server."""
+
+import enum
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import curio
+import h11
+from eliot import write_traceback
+
+from clementinebank.errors import Execution, Failure, Step
+from clementinebank.http._limits import HttpLimits
+from clementinebank.http._messages import (
+    HttpRequest,
+    HttpResponse,
+    json_response,
+)
+from clementinebank.http._request_reader import RequestReader
+from clementinebank.http._sockets import (
+    WaitInterrupt,
+    has_input,
+    linger,
+    wait_for_input,
+)
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+REQUEST_TIMEOUT_STATUS = 408
+
+
+class Next(enum.Enum):
+    """What happens to a connection after an exchange."""
+
+    REUSE = 'reuse'
+    LINGER = 'linger'
+    CLOSE = 'close'
+
+
+@attrs.define(eq=False)
+class ServerState:
+    """What the connections of one server share.
+
+    Parameters
+    ----------
+    handler : callable
+        Coroutine function from request to response.
+    limits : HttpLimits
+        What the server accepts.
+    on_failure : callable or None
+        Receives each failure that the server itself answered.
+    """
+
+    handler: Handler
+    limits: HttpLimits
+    on_failure: Callable[[Failure], None] | None = None
+    in_flight: int = 0
+    is_closing: bool = False
+    is_draining: bool = False
+    connections: set['ServerConnection'] = attrs.Factory(set)
+    _is_empty: Any = attrs.field(factory=curio.Event)
+
+    def add(self, connection: 'ServerConnection') -> None:
+        """Register an open connection."""
+        self._is_empty.clear()
+        self.connections.add(connection)
+
+    async def remove(self, connection: 'ServerConnection') -> None:
+        """Forget a closed connection."""
+        self.connections.discard(connection)
+        if not self.connections:
+            await self._is_empty.set()
+
+    async def wait_until_empty(self) -> None:
+        """Wait until no connection is open."""
+        if self.connections:
+            await self._is_empty.wait()
+
+    def report(self, failure: Failure) -> None:
+        """Pass a failure to the observer."""
+        if self.on_failure is not None:
+            self.on_failure(failure)
+
+
+@attrs.define(eq=False)
+class ServerConnection:
+    """Reads requests, passes them to the handler and sends the responses.
+
+    Parameters
+    ----------
+    sock : object
+        Connected curio socket.
+    state : ServerState
+        Shared by all connections of the server.
+    """
+
+    sock: Any
+    state: ServerState
+    http: Any = attrs.field(init=False)
+    task: Any = None
+    is_idle: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Create the state of the protocol."""
+        self.http = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self.state.limits.max_header_bytes,
+        )
+
+    async def run(self) -> None:
+        """Serve requests until the connection is closed."""
+        following = Next.REUSE
+        try:
+            while following is Next.REUSE:
+                following = await self._serve_next()
+            if following is Next.LINGER:
+                await linger(self.sock, self.state.limits.linger_s)
+        except OSError:
+            # The other side has vanished; nothing is left to answer.
+            following = Next.CLOSE
+        finally:
+            await self.sock.close()
+            await self.state.remove(self)
+
+    async def interrupt(self) -> None:
+        """End the wait of an idle connection for its next request."""
+        if self.is_idle:
+            await self.task.cancel(exc=WaitInterrupt, blocking=False)
+
+    async def refuse_and_close(self, failure: Failure) -> None:
+        """Send a refusal without a request and close the connection."""
+        try:
+            await self._answer_failure(failure)
+            await linger(self.sock, self.state.limits.linger_s)
+        except OSError:
+            return
+        finally:
+            await self.sock.close()
+
+    async def _serve_next(self) -> Next:
+        if not self.http.trailing_data[0] and not await self._wait_idle():
+            return await self._close_idle()
+        reader = RequestReader(self.sock, self.http, self.state.limits)
+        try:
+            request = await reader.read()
+        except Failure as failure:
+            await self._answer_failure(failure)
+            return Next.LINGER
+        if request is None:
+            return Next.CLOSE
+        await self._send(await self._respond(request), request.method)
+        states = {self.http.our_state, self.http.their_state}
+        if states != {h11.DONE}:
+            return Next.LINGER
+        self.http.start_next_cycle()
+        return Next.REUSE
+
+    async def _wait_idle(self) -> bool:
+        if self.state.is_draining:
+            return has_input(self.sock)
+        self.is_idle = True
+        try:
+            return await wait_for_input(
+                self.sock, self.state.limits.idle_timeout_s
+            )
+        finally:
+            self.is_idle = False
+
+    async def _close_idle(self) -> Next:
+        """Close without a request, and say so to a request on its way."""
+        if self.state.is_draining:
+            code, message = 'draining', 'the instance shuts down'
+        else:
+            code, message = 'idle_timeout', 'no request came in time'
+        failure = Failure(
+            code,
+            message,
+            Step.CLOSE,
+            execution=Execution.NOT_RUN,
+            status=REQUEST_TIMEOUT_STATUS,
+        )
+        await self._answer_failure(failure)
+        return Next.LINGER
+
+    async def _respond(self, request: HttpRequest) -> HttpResponse:
+        limit = self.state.limits.max_in_flight
+        if self.state.in_flight >= limit:
+            return self._response_of(
+                Failure(
+                    'overloaded',
+                    f'the limit of {limit} requests in flight is reached',
+                    Step.ADMIT,
+                    execution=Execution.NOT_RUN,
+                )
+            )
+        self.state.in_flight += 1
+        try:
+            return await self.state.handler(request)
+        except (Exception, curio.TaskTimeout) as error:
+            return self._response_of_error(error)
+        finally:
+            self.state.in_flight -= 1
+
+    def _response_of_error(self, error: BaseException) -> HttpResponse:
+        write_traceback()
+        return self._response_of(
+            Failure(
+                'internal_error',
+                f'unexpected {type(error).__name__}',
+                Step.RESPOND,
+                execution=Execution.UNKNOWN,
+                status=500,
+            )
+        )
+
+    def _response_of(self, failure: Failure) -> HttpResponse:
+        self.state.report(failure)
+        return json_response(failure.status, failure.as_json())
+
+    async def _answer_failure(self, failure: Failure) -> None:
+        response = self._response_of(failure)
+        response.headers['connection'] = 'close'
+        await self._send(response, 'GET')
+
+    async def _send(self, response: HttpResponse, method: str) -> None:
+        try:
+            payload = self._encode(response, method)
+        except h11.LocalProtocolError as error:
+            fallback = self._response_of_error(error)
+            payload = self._encode(fallback, method)
+        limit_s = self.state.limits.send_timeout_s
+        try:
+            await curio.timeout_after(limit_s, self.sock.sendall, payload)
+        except curio.TaskTimeout:
+            message = 'the other side does not read its response'
+            raise TimeoutError(message) from None
+
+    def _encode(self, response: HttpResponse, method: str) -> bytes:
+        headers = dict(response.headers)
+        headers['content-length'] = str(len(response.body))
+        if self.state.is_closing:
+            headers['connection'] = 'close'
+        head = h11.Response(
+            status_code=response.status, headers=list(headers.items())
+        )
+        payload = self.http.send(head) or b''
+        if method != 'HEAD':
+            payload += self.http.send(h11.Data(data=response.body)) or b''
+        return payload + (self.http.send(h11.EndOfMessage()) or b'')
--- /dev/null
+++ b/clementinebank/http/tests/test_client.py
@@ -0,0 +1,96 @@
+"""Guards against a reply that is cut, too large or of another request."""
+
+import attrs
+import curio
+import h11
+import pytest
+
+from clementinebank.http import HttpConnection, HttpProtocolError, HttpRequest
+from clementinebank.http.tests.wire import run_on_fake_clock
+
+GOOD = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
+ANOTHER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n[]'
+TRUNCATED = b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}'
+WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\n\r\n{}'
+OVERSIZED = b'HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n'
+OVERSIZED_CHUNKS = (
+    b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n65\r\n'
+    + b'z' * 101
+    + b'\r\n0\r\n\r\n'
+)
+LONG_HEADERS = b'HTTP/1.1 200 OK\r\nx: ' + b'y' * 70_000
+
+
+def _connect(connection_type=HttpConnection):
+    ours, theirs = curio.socket.socketpair()
+    connection = connection_type('127.0.0.1', 1, max_body_bytes=100)
+    connection._sock = ours
+    connection._http = h11.Connection(h11.CLIENT, 65_536)
+    return connection, theirs
+
+
+async def _receive(payload):
+    connection, leaf = _connect()
+    await connection.send(HttpRequest('GET', '/'))
+    await leaf.recv(65_536)
+    await leaf.sendall(payload)
+    await leaf.close()
+    try:
+        return await connection.receive()
+    except HttpProtocolError as error:
+        return str(error)
+
+
+@pytest.mark.parametrize(
+    'payload',
+    [
+        b'',
+        b'garbage\r\n\r\n',
+        TRUNCATED,
+        WITHOUT_LENGTH,
+        OVERSIZED,
+        OVERSIZED_CHUNKS,
+        LONG_HEADERS,
+    ],
+)
+def test_bad_reply_is_refused(payload):
+    assert isinstance(run_on_fake_clock(_receive, payload), str)
+
+
+def test_good_reply_is_accepted():
+    assert run_on_fake_clock(_receive, GOOD).body == b'{}'
+
+
+async def _unread(connection_type, moment):
+    connection, leaf = _connect(connection_type)
+    await connection.send(HttpRequest('GET', '/'))
+    await leaf.sendall(GOOD + ANOTHER if moment == 'with' else GOOD)
+    await connection.receive()
+    if moment == 'after':
+        await leaf.sendall(ANOTHER)
+    if moment == 'closed':
+        await leaf.close()
+    return connection.is_reusable
+
+
+@pytest.mark.parametrize('moment', ['with', 'after', 'closed'])
+def test_connection_with_unread_bytes_is_not_reused(moment):
+    assert not run_on_fake_clock(_unread, HttpConnection, moment)
+
+
+def test_clean_connection_is_reused():
+    assert run_on_fake_clock(_unread, HttpConnection, 'none')
+
+
+@attrs.define
+class _TrustsTheState(HttpConnection):
+    """Negative control: looks only at the state of the protocol."""
+
+    @property
+    def is_reusable(self):
+        return self._http.our_state is h11.IDLE
+
+
+@pytest.mark.parametrize('moment', ['with', 'after', 'closed'])
+def test_check_catches_reuse(moment):
+    assert run_on_fake_clock(_unread, _TrustsTheState, moment)
