Shut down without cutting a request, and detect process pauses

Cause: SIGTERM ended the process at once, with every request in flight; a pause of the process went unnoticed; a slow log file stopped the loop.

Change: LifeCycle (leaving, drain delay, close, exit status), StopSignal, LoopMonitor with callbacks for pauses above 2 s, LogSink (writer thread, drops and counts beyond 10,000 lines), Observer with the traces of the last 1,000 requests, the package metrics, the listeners in a module of their own, and settings for the bounds. New exit statuses of the daemon: 2 if a listener failed, 3 if the shutdown limit cut requests. The leaf stand-in can answer with the reply of the search before.

Process tests: SIGTERM and SIGINT under load from 6 callers on keep-alive connections, SIGKILL and SIGSTOP of one instance, crossed, previous and late leaf replies under 12 callers. Controls that the same checks catch: a daemon that exits at once, one that closes idle connections silently, one that trusts reply ids.

--- a/clementinebank/http/_server.py
+++ b/clementinebank/http/_server.py
@@ -78,6 +78,9 @@
             If the address cannot be bound.
         """
         listening = await self._bind()
+        if self.state.is_draining:
+            await listening.close()
+            return
         self._accept_task = await curio.current_task()
         self.is_listening = True
         try:
@@ -107,7 +110,7 @@
         Returns
         -------
         int
-            Requests that were still in flight after the time.
+            Requests that were still without a complete response then.
         """
         self.announce_close()
         self.state.is_draining = True
@@ -115,7 +118,7 @@
             await connection.interrupt()
         async with curio.ignore_after(timeout_s):
             await self.state.wait_until_empty()
-        return self.state.in_flight
+        return sum(each.is_responding for each in self.state.connections)
 
     async def abort(self) -> None:
         """Cancel every connection."""
--- a/clementinebank/http/_server_connection.py
+++ b/clementinebank/http/_server_connection.py
@@ -98,6 +98,7 @@
     http: Any = attrs.field(init=False)
     task: Any = None
     is_idle: bool = False
+    is_responding: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Create the state of the protocol."""
@@ -147,7 +148,9 @@
             return Next.LINGER
         if request is None:
             return Next.CLOSE
+        self.is_responding = True
         await self._send(await self._respond(request), request.method)
+        self.is_responding = False
         states = {self.http.our_state, self.http.their_state}
         if states != {h11.DONE}:
             return Next.LINGER
--- a/clementinebank/server/__init__.py
+++ b/clementinebank/server/__init__.py
@@ -4,6 +4,7 @@
     _caller_routes,
     _document_routes,
     _operator_routes,
+    _telemetry_routes,
 )
 from clementinebank.server._instance import Instance, create_instance
 from clementinebank.server._main import main
@@ -20,4 +21,9 @@
 )
 
 # Importing these modules registers their routes.
-ROUTE_MODULES = (_caller_routes, _document_routes, _operator_routes)
+ROUTE_MODULES = (
+    _caller_routes,
+    _document_routes,
+    _operator_routes,
+    _telemetry_routes,
+)
--- a/clementinebank/server/_caller_routes.py
+++ b/clementinebank/server/_caller_routes.py
@@ -9,15 +9,26 @@
 
 from clementinebank.clock import now
 from clementinebank.document import ServiceSettings
-from clementinebank.errors import Failure, Step
+from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpRequest, HttpResponse, json_response
+from clementinebank.invariants import check, invariant
 from clementinebank.search import Answer, SearchRequest, read_search_body
 from clementinebank.server._instance import Instance
+from clementinebank.server._observer import Observation
 from clementinebank.server._routes import Listener, refuse, route
 
 MS_PER_S = 1000
 MAX_DEADLINE_MS = 60_000
 REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
+DEADLINE_PATTERN = re.compile(r'0*[1-9][0-9]{0,9}')
+
+
+@invariant('answer-to-own-request', 'R3')
+def _is_own_answer(request: SearchRequest, answer: Answer) -> bool:
+    return (
+        answer.request_id == request.request_id
+        and len(answer.records) <= request.limit
+    )
 
 
 @route(Listener.CALLERS, 'POST', '/v1/services/{service}/search')
@@ -25,21 +36,48 @@
     instance: Instance, request: HttpRequest, service: str
 ) -> HttpResponse:
     """Answer one search."""
-    accepted = _accept(instance, request, service)
+    request_id = _request_id(request)
+    settings = instance.service(service)
+    objectives = settings.objectives if settings else None
+    with (
+        instance.observer.observe(request_id, service, objectives) as seen,
+        start_action(
+            action_type='request:search',
+            request_id=request_id,
+            service=service,
+        ) as action,
+    ):
+        response = seen.respond(await _search(instance, request, seen))
+        action.add_success_fields(outcome=seen.outcome, status=seen.status)
+    return response
+
+
+async def _search(
+    instance: Instance, request: HttpRequest, seen: Observation
+) -> HttpResponse:
+    accepted = _accept(instance, request, seen)
+    revision = instance.document_revision
     if isinstance(accepted, Err):
-        return refuse(accepted.err_value)
+        seen.failure = accepted.err_value
+        return refuse(seen.failure)
     search_request = accepted.ok_value
-    engine = instance.engines_by_service[service]
-    revision = instance.document_revision
-    with start_action(
-        action_type='request:search',
-        request_id=search_request.request_id,
-        service=service,
-    ) as action:
-        answer = await engine.search(search_request)
-        action.add_success_fields(
-            snapshot=answer.snapshot, complete=answer.coverage.is_complete
+    engine = instance.engines_by_service[seen.service]
+    answer = await engine.search(search_request)
+    if not check(
+        'answer-to-own-request',
+        search_request.request_id,
+        request=search_request,
+        answer=answer,
+    ):
+        seen.failure = Failure(
+            'answer_withheld',
+            'the answer does not belong to this request',
+            Step.RESPOND,
+            execution=Execution.UNKNOWN,
+            status=500,
         )
+        return refuse(seen.failure)
+    seen.answer = answer
     return json_response(
         200,
         _answer_json(answer, revision),
@@ -47,9 +85,16 @@
     )
 
 
+def _request_id(request: HttpRequest) -> str:
+    """Return the caller's id, or a new one if it has none that is valid."""
+    found = request.headers.get('request-id', '')
+    return found if REQUEST_ID_PATTERN.fullmatch(found) else uuid.uuid4().hex
+
+
 def _accept(
-    instance: Instance, request: HttpRequest, service: str
+    instance: Instance, request: HttpRequest, seen: Observation
 ) -> Result[SearchRequest, Failure]:
+    service = seen.service
     settings = instance.service(service)
     if settings is None or service not in instance.engines_by_service:
         return Err(
@@ -61,19 +106,21 @@
                 status=404,
             )
         )
-    request_id = request.headers.get('request-id') or uuid.uuid4().hex
-    if not REQUEST_ID_PATTERN.fullmatch(request_id):
+    if request.headers.get('request-id', seen.request_id) != seen.request_id:
         return _invalid('Request-Id', 'must be 1 to 64 of A-Z a-z 0-9 _ -')
     deadline_ms = _deadline_ms(instance, request, settings)
     if isinstance(deadline_ms, Err):
         return deadline_ms
-    body = read_search_body(request.body)
+    try:
+        body = read_search_body(request.body)
+    except RecursionError:
+        return _invalid('$', 'the JSON is nested too deeply')
     if isinstance(body, Err):
         problem = body.err_value[0]
         return _invalid(problem.field, problem.message)
     query, limit = body.ok_value
     deadline = now() + deadline_ms.ok_value / MS_PER_S
-    return Ok(SearchRequest(request_id, query, limit, deadline))
+    return Ok(SearchRequest(seen.request_id, query, limit, deadline))
 
 
 def _deadline_ms(
@@ -81,9 +128,9 @@
 ) -> Result[float, Failure]:
     """Return the time for the answer, less the delay back to the caller."""
     raw = request.headers.get('deadline-ms', str(settings.deadline_ms))
-    if not (raw.isascii() and raw.isdigit() and 0 < int(raw)):
+    if not DEADLINE_PATTERN.fullmatch(raw):
         return _invalid(
-            'Deadline-Ms', f'must be a positive integer, got {raw!r}'
+            'Deadline-Ms', f'must be a positive integer, got {raw[:80]!r}'
         )
     deadline_ms = min(int(raw), MAX_DEADLINE_MS)
     document = instance.document
--- a/clementinebank/server/_instance.py
+++ b/clementinebank/server/_instance.py
@@ -13,10 +13,15 @@
     decode_head,
     parse_document,
 )
-from clementinebank.http import HttpRequest, HttpResponse, HttpServer
+from clementinebank.http import HttpServer
 from clementinebank.platform import Entry, HttpKeyValueService, KeyValueService
 from clementinebank.search import SearchEngine
-from clementinebank.server._routes import Listener, dispatch
+from clementinebank.server._life_cycle import LifeCycle
+from clementinebank.server._listeners import create_listeners
+from clementinebank.server._loop_monitor import LoopMonitor
+from clementinebank.server._observer import Observer
+from clementinebank.server._routes import Listener
+from clementinebank.server._telemetry import add_sources, on_loop_delay
 from clementinebank.settings import InstanceSettings
 
 WATCH_WAIT_MS = 5000
@@ -40,11 +45,26 @@
     head: HeadRecord = HeadRecord()
     document: Document | None = None
     engines_by_service: dict[str, SearchEngine] = attrs.Factory(dict)
+    observer: Observer = attrs.Factory(Observer)
+    life_cycle: LifeCycle = attrs.field(init=False)
+    loop_monitor: LoopMonitor = attrs.field(init=False)
+    listeners: dict[Listener, HttpServer] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the parts that depend on the settings."""
+        self.life_cycle = LifeCycle(self.settings)
+        self.loop_monitor = LoopMonitor(on_loop_delay(self.observer.metrics))
+        self.listeners = create_listeners(self)
+        add_sources(self)
 
     @property
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this instance."""
-        return self.document is not None
+        return (
+            self.life_cycle.is_serving
+            and self.listeners[Listener.CALLERS].is_listening
+            and self.document is not None
+        )
 
     @property
     def document_revision(self) -> int:
@@ -57,17 +77,23 @@
             return None
         return self.document.services_by_name.get(name)
 
-    async def run(self) -> None:
-        """Serve until the task is cancelled."""
-        async with curio.TaskGroup() as group:
+    async def run(self) -> int:
+        """Serve until a signal and return the exit status.
+
+        The group ends with the shutdown or with the first failure.
+        """
+        group = curio.TaskGroup(wait=object)
+        async with group:
             await group.spawn(self._follow_document)
-            for listener, server in self._servers().items():
+            await group.spawn(self.loop_monitor.run)
+            for server in self.listeners.values():
                 await group.spawn(server.serve)
-                log_message(
-                    message_type='listener:started',
-                    listener=listener.value,
-                    address=f'{server.host}:{server.port}',
-                )
+            await group.spawn(
+                self.life_cycle.run,
+                self.listeners[Listener.CALLERS],
+                self.listeners[Listener.OPERATORS],
+            )
+        return int(group.result)
 
     async def activate(self, head: HeadRecord) -> None:
         """Put a head record in force if its revision is higher."""
@@ -129,24 +155,6 @@
             return
         await self.activate(head)
 
-    def _servers(self) -> dict[Listener, HttpServer]:
-        callers = self.settings.callers
-        operators = self.settings.operators
-        return {
-            Listener.CALLERS: HttpServer(
-                callers.host, callers.port, self._handle_caller
-            ),
-            Listener.OPERATORS: HttpServer(
-                operators.host, operators.port, self._handle_operator
-            ),
-        }
-
-    async def _handle_caller(self, request: HttpRequest) -> HttpResponse:
-        return await dispatch(self, Listener.CALLERS, request)
-
-    async def _handle_operator(self, request: HttpRequest) -> HttpResponse:
-        return await dispatch(self, Listener.OPERATORS, request)
-
 
 def create_instance(settings: InstanceSettings) -> Instance:
     """Return an instance with the adapters of its settings."""
--- a/clementinebank/server/_main.py
+++ b/clementinebank/server/_main.py
@@ -4,15 +4,18 @@
 import sys
 from pathlib import Path
 
-import curio
 import eliot
 from result import Err
 
 from clementinebank.clock import run_service
 from clementinebank.server._instance import create_instance
+from clementinebank.server._log_sink import LogSink
+from clementinebank.server._telemetry import add_log_source
 from clementinebank.settings import load_settings
 
 EXIT_INVALID_SETTINGS = 1
+EXIT_FAILED = 2
+LOG_CLOSE_TIMEOUT_S = 1.0
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -26,7 +29,8 @@
     Returns
     -------
     int
-        Exit status.
+        0 after a shutdown that cut no request, 1 for invalid settings, 2
+        if a listener failed, 3 if the shutdown limit cut requests.
     """
     parser = argparse.ArgumentParser(
         prog='clementinebankd', description='Entry instance of the query tier.'
@@ -40,16 +44,20 @@
         for problem in loaded.err_value:
             sys.stderr.write(f'{options.settings}: {problem}\n')
         return EXIT_INVALID_SETTINGS
-    _open_log(loaded.ok_value.log_path)
+    sink = _open_log(loaded.ok_value.log_path)
     instance = create_instance(loaded.ok_value)
+    add_log_source(instance.observer.metrics, sink)
+    instance.life_cycle.stop_signal.install()
     try:
-        run_service(instance.run)
-    except (KeyboardInterrupt, curio.TaskCancelled):
-        return 0
-    return 0
-
-
-def _open_log(path: str) -> None:
-    # Line buffering keeps the log whole up to a kill.
-    stream = sys.stderr if path == '-' else Path(path).open('a', buffering=1)
-    eliot.to_file(stream)
+        return int(run_service(instance.run))
+    except OSError as error:
+        sys.stderr.write(f'{options.settings}: {error}\n')
+        return EXIT_FAILED
+    finally:
+        sink.close(LOG_CLOSE_TIMEOUT_S)
+
+
+def _open_log(path: str) -> LogSink:
+    sink = LogSink(sys.stderr if path == '-' else Path(path).open('a'))
+    eliot.add_destinations(sink)
+    return sink
--- a/clementinebank/server/_operator_routes.py
+++ b/clementinebank/server/_operator_routes.py
@@ -27,6 +27,7 @@
             'instance_id': instance.settings.instance_id,
             'data_centre': instance.settings.data_centre,
             'ready': instance.is_ready,
+            'phase': instance.life_cycle.phase.value,
             'revision': instance.document_revision,
             'services': sorted(instance.engines_by_service),
         },
--- a/clementinebank/settings/_instance.py
+++ b/clementinebank/settings/_instance.py
@@ -8,6 +8,10 @@
 from clementinebank.errors import FieldProblem
 from clementinebank.validation import Address, FieldReader, parse_yaml
 
+MAX_LIMIT = 100_000
+# Time that a shutdown needs after the drain delay to finish its requests.
+MIN_CLOSE_MS = 2000
+
 
 @attrs.frozen
 class InstanceSettings:
@@ -29,6 +33,10 @@
         Time to keep serving after SIGTERM, in milliseconds.
     shutdown_limit_ms : int
         Longest shutdown, in milliseconds.
+    max_caller_connections : int
+        Open connections of callers.
+    max_requests_in_flight : int
+        Requests of callers handled at the same time.
     """
 
     instance_id: str
@@ -41,6 +49,8 @@
     log_path: str = '-'
     drain_delay_ms: int = 3000
     shutdown_limit_ms: int = 15_000
+    max_caller_connections: int = 2048
+    max_requests_in_flight: int = 512
 
 
 def load_settings(path: Path) -> Result[InstanceSettings, list[FieldProblem]]:
@@ -84,7 +94,19 @@
         log_path=reader.text('log_path', '-'),
         drain_delay_ms=reader.integer('drain_delay_ms', 3000),
         shutdown_limit_ms=reader.integer('shutdown_limit_ms', 15_000),
+        max_caller_connections=reader.integer(
+            'max_caller_connections', 2048, minimum=1, maximum=MAX_LIMIT
+        ),
+        max_requests_in_flight=reader.integer(
+            'max_requests_in_flight', 512, minimum=1, maximum=MAX_LIMIT
+        ),
     )
+    if settings.shutdown_limit_ms < settings.drain_delay_ms + MIN_CLOSE_MS:
+        reader.report(
+            'shutdown_limit_ms',
+            f'must be at least {MIN_CLOSE_MS} above drain_delay_ms '
+            f'({settings.drain_delay_ms}), got {settings.shutdown_limit_ms}',
+        )
     for part in (reader, listen, platform):
         part.finish()
     return settings
--- a/standins/leaf.py
+++ b/standins/leaf.py
@@ -40,7 +40,9 @@
     shed : bool
         Refuse work with 429.
     reply : str
-        ``good``, ``malformed``, ``crossed`` or ``wrong_snapshot``.
+        ``good``, ``malformed``, ``crossed`` (id of no request),
+        ``previous`` (id and body of the search before) or
+        ``wrong_snapshot``.
     sequences : list of int
         Snapshots served, by sequence number.
     """
@@ -74,6 +76,7 @@
     executions_by_key: Counter[str] = attrs.Factory(Counter)
     cancelled: set[str] = attrs.Factory(set)
     in_flight: int = 0
+    previous: HttpResponse | None = None
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one call, echoing its id."""
@@ -81,9 +84,16 @@
         request_id = request.headers.get('request-id', '')
         if self.faults.reply == 'crossed' and request.method == 'POST':
             request_id = 'another-request'
-        return attrs.evolve(
+        response = attrs.evolve(
             response, headers={**response.headers, 'request-id': request_id}
         )
+        if request.path != '/v1/search':
+            return response
+        previous = self.previous
+        self.previous = response
+        if self.faults.reply == 'previous' and previous is not None:
+            return previous
+        return response
 
     async def _route(self, request: HttpRequest) -> HttpResponse:
         if request.method == 'DELETE':
--- /dev/null
+++ b/tests/broken_instance.py
@@ -0,0 +1,70 @@
+"""Daemon with one rule broken, as a negative control of process tests."""
+
+import os
+import sys
+
+from clementinebank.http import HttpConnection, HttpServer, ServerConnection
+from clementinebank.http._server_connection import Next
+from clementinebank.server import main
+from clementinebank.server._life_cycle import LifeCycle
+
+VARIANTS = {}
+
+
+def _variant(function):
+    VARIANTS[function.__name__] = function
+    return function
+
+
+@_variant
+def exits_at_once():
+    """End the process at the signal."""
+
+    async def run(self, callers, operators):
+        await self.stop_signal.wait()
+        return 0
+
+    LifeCycle.run = run
+
+
+@_variant
+def closes_idle_silently():
+    """Close idle connections without the last read and the 408."""
+
+    async def close_idle(self):
+        return Next.CLOSE
+
+    async def drain(self, timeout_s):
+        self.state.is_draining = True
+        for connection in list(self.state.connections):
+            if connection.is_idle:
+                await connection.task.cancel()
+        return 0
+
+    ServerConnection._close_idle = close_idle
+    HttpServer.drain = drain
+
+
+@_variant
+def trusts_reply_ids():
+    """Take every reply of a leaf for the one that is awaited."""
+    send, receive = HttpConnection.send, HttpConnection.receive
+
+    async def send_and_note(self, message):
+        await send(self, message)
+        SENT_IDS[id(self)] = message.headers.get('request-id', '')
+
+    async def receive_as_own(self):
+        response = await receive(self)
+        response.headers['request-id'] = SENT_IDS[id(self)]
+        return response
+
+    HttpConnection.send = send_and_note
+    HttpConnection.receive = receive_as_own
+
+
+SENT_IDS = {}
+
+if __name__ == '__main__':
+    VARIANTS[os.environ['BROKEN_VARIANT']]()
+    sys.exit(main())
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -92,6 +92,7 @@
     directory: Path
     document: dict
     instance_count: int = 2
+    drain_delay_ms: int = 300
     processes: dict = attrs.Factory(dict)
     instances: list = attrs.Factory(list)
     key_value_port: int = 0
@@ -141,8 +142,8 @@
             for number, ports in enumerate(self.instances)
         ]
 
-    def start_instance(self, number):
-        """Start, or start again, one instance."""
+    def start_instance(self, number, module='clementinebank.server', name=''):
+        """Start, or start again, one instance under its or another name."""
         ports = self.instances[number]
         settings = {
             'instance_id': f'entry-{number}',
@@ -157,13 +158,13 @@
                 'instance_list': f'127.0.0.1:{self.list_port}',
             },
             'log_path': str(self.directory / f'entry-{number}.log'),
-            'drain_delay_ms': 300,
+            'drain_delay_ms': self.drain_delay_ms,
         }
         path = self.directory / f'entry-{number}.yaml'
         path.write_text(yaml.safe_dump(settings))
         self._spawn(
-            f'entry-{number}',
-            'clementinebank.server',
+            name or f'entry-{number}',
+            module,
             '--settings',
             str(path),
         )
--- /dev/null
+++ b/tests/test_lost_and_paused_instance.py
@@ -0,0 +1,57 @@
+"""Guards against a lost or paused instance that disturbs the others."""
+
+import signal
+import time
+
+from tests.callers import Callers
+from tests.harness import call, eventually
+
+PAUSES = 'clementinebank_process_pauses_total'
+
+
+def _is_complete(fleet, number):
+    reply = fleet.search(number, 'pickup-desk', **{'Deadline-Ms': '5000'})
+    return reply.status == 200 and reply.data['coverage']['complete']
+
+
+def _wait_until_complete(fleet):
+    for number in range(fleet.instance_count):
+        assert eventually(lambda number=number: _is_complete(fleet, number))
+
+
+def _disturb(fleet, number):
+    """Signal the first instance while callers use the second."""
+    _wait_until_complete(fleet)
+    with Callers([fleet.instances[1].callers], count=4) as callers:
+        callers.wait_for(20)
+        fleet.signal('entry-0', number)
+        callers.wait_for(200)
+    return callers.tally
+
+
+def test_kill_of_one_instance(fleet):
+    tally = _disturb(fleet, signal.SIGKILL)
+    assert not tally.cut
+    assert not tally.foreign
+    assert not tally.refused
+    fleet.start_instance(0)
+    assert eventually(lambda: _is_complete(fleet, 0))
+
+
+def _pauses(fleet):
+    text = call(fleet.instances[0].operators, 'GET', '/metrics').data
+    (line,) = [each for each in text.split('\n') if each.startswith(PAUSES)]
+    return int(line.split()[1])
+
+
+def test_pause_of_one_instance(fleet):
+    _wait_until_complete(fleet)
+    assert _pauses(fleet) == 0
+    tally = _disturb(fleet, signal.SIGSTOP)
+    assert not tally.cut
+    assert not tally.foreign
+    assert not tally.refused
+    time.sleep(2.5)
+    fleet.signal('entry-0', signal.SIGCONT)
+    assert eventually(lambda: _is_complete(fleet, 0))
+    assert _pauses(fleet) == 1
--- /dev/null
+++ b/tests/test_replies_of_others.py
@@ -0,0 +1,53 @@
+"""Guards against an answer with parts of another caller's request."""
+
+import signal
+
+import pytest
+
+from tests.callers import Callers
+from tests.harness import eventually
+
+STOP_LIMIT_S = 15
+DISTURBED_LEAFS = ('pickup-desk-00-a', 'pickup-desk-01-b')
+
+
+def _is_complete(fleet, number=0):
+    reply = fleet.search(number, 'pickup-desk', **{'Deadline-Ms': '5000'})
+    return reply.status == 200 and reply.data['coverage']['complete']
+
+
+def _search_with_faults(fleet, faults, deadline_ms):
+    assert eventually(lambda: _is_complete(fleet))
+    for leaf_id in DISTURBED_LEAFS:
+        fleet.control(fleet.leaf_ports[leaf_id], **faults)
+    port = fleet.instances[0].callers
+    with Callers([port], count=12, think_s=0, deadline_ms=deadline_ms) as each:
+        each.wait_for(300, limit_s=60)
+    return each.tally
+
+
+@pytest.mark.parametrize(
+    ('faults', 'deadline_ms'),
+    [
+        ({'reply': 'crossed'}, 3000),
+        ({'reply': 'previous'}, 3000),
+        ({'delay_ms': 150}, 100),
+    ],
+)
+def test_answers_belong_to_their_requests(fleet, faults, deadline_ms):
+    tally = _search_with_faults(fleet, faults, deadline_ms)
+    assert not tally.foreign
+    assert not tally.cut
+    for leaf_id in DISTURBED_LEAFS:
+        fleet.control(fleet.leaf_ports[leaf_id], reply='good', delay_ms=1)
+    assert eventually(lambda: _is_complete(fleet))
+
+
+def test_check_catches_trusted_ids(fleet, monkeypatch):
+    assert eventually(lambda: _is_complete(fleet))
+    fleet.signal('entry-0', signal.SIGKILL)
+    fleet.processes['entry-0'].wait(STOP_LIMIT_S)
+    monkeypatch.setenv('BROKEN_VARIANT', 'trusts_reply_ids')
+    fleet.start_instance(0, 'tests.broken_instance')
+    tally = _search_with_faults(fleet, {'reply': 'previous'}, 3000)
+    assert tally.foreign
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,88 @@
+"""Guards against requests that a graceful shutdown cuts."""
+
+import signal
+
+import pytest
+
+from tests.callers import Callers
+from tests.harness import call, eventually
+
+LEAF_DELAY_MS = 60
+STOP_LIMIT_S = 15
+
+
+def _is_complete(fleet, number):
+    reply = fleet.search(number, 'pickup-desk', **{'Deadline-Ms': '5000'})
+    return reply.status == 200 and reply.data['coverage']['complete']
+
+
+def _wait_until_complete(fleet):
+    for number in range(fleet.instance_count):
+        assert eventually(lambda number=number: _is_complete(fleet, number))
+
+
+def _terminate_under_load(fleet, number=signal.SIGTERM):
+    """Stop the first instance under load; return the tally and status."""
+    _wait_until_complete(fleet)
+    for leaf_id, port in fleet.leaf_ports.items():
+        if leaf_id.startswith('pickup-desk'):
+            fleet.control(port, delay_ms=LEAF_DELAY_MS)
+    ports = [instance.callers for instance in fleet.instances]
+    with Callers(ports) as callers:
+        callers.wait_for(20)
+        fleet.signal('entry-0', number)
+        status = fleet.processes['entry-0'].wait(STOP_LIMIT_S)
+        callers.wait_for(20)
+    return callers.tally, status
+
+
+def _is_graceful(tally, status):
+    return (
+        status == 0
+        and not tally.cut
+        and not tally.foreign
+        and all(execution == 'not_run' for _, execution in tally.refused)
+    )
+
+
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
+def test_signal_under_load_cuts_no_request(fleet, number):
+    tally, status = _terminate_under_load(fleet, number)
+    assert _is_graceful(tally, status), (tally, status)
+
+
+@pytest.mark.parametrize('variant', ['exits_at_once', 'closes_idle_silently'])
+def test_check_catches_broken_shutdown(fleet, monkeypatch, variant):
+    _wait_until_complete(fleet)
+    fleet.signal('entry-0', signal.SIGKILL)
+    fleet.processes['entry-0'].wait(STOP_LIMIT_S)
+    monkeypatch.setenv('BROKEN_VARIANT', variant)
+    fleet.start_instance(0, 'tests.broken_instance')
+    tally, status = _terminate_under_load(fleet)
+    assert not _is_graceful(tally, status), (tally, status)
+
+
+def test_leaving_instance_is_not_ready_and_announces_close(fleet):
+    fleet.signal('entry-0', signal.SIGKILL)
+    fleet.processes['entry-0'].wait(STOP_LIMIT_S)
+    fleet.drain_delay_ms = 3000
+    fleet.start_instance(0)
+    _wait_until_complete(fleet)
+    operators = fleet.instances[0].operators
+    assert call(operators, 'GET', '/readyz').status == 200
+    assert 'connection' not in fleet.search(0, 'pickup-desk').headers
+    fleet.signal('entry-0', signal.SIGTERM)
+    assert eventually(lambda: call(operators, 'GET', '/readyz').status == 503)
+    reply = fleet.search(0, 'pickup-desk')
+    assert reply.status == 200
+    assert reply.headers['connection'] == 'close'
+    assert fleet.processes['entry-0'].wait(STOP_LIMIT_S) == 0
+
+
+def test_successor_takes_over_the_same_addresses(fleet):
+    _wait_until_complete(fleet)
+    fleet.signal('entry-0', signal.SIGTERM)
+    fleet.start_instance(0, name='successor')
+    assert fleet.processes['entry-0'].wait(STOP_LIMIT_S) == 0
+    assert eventually(lambda: _is_complete(fleet, 0))
+    assert fleet.processes['successor'].poll() is None
