Report how fast services spend their error budgets

Cause: objectives of the document had no report; a request could not be traced from the command line.

Ruled out: state in the key-value service (every write counts towards its rate) and files (instances have no disks); a budget over 30 days, which no instance can cover. The budget is therefore stated over 6 h, and windows that began before an instance did are named with it.

Change: per-minute counts of six hours in a ring per service, the operator route /v1/burn, the decision code of the report on these records, its text, JSON and HTML forms, and the commands "report burn" and "explain". Pairs are 5 min with 1 h at 14.4 and 30 min with 6 h at 6.

--- /dev/null
+++ b/clementinebank/cli/_explain_command.py
@@ -0,0 +1,100 @@
+"""The ``explain`` command."""
+
+import argparse
+import re
+from typing import Any
+
+from result import Err, Ok, Result
+
+from clementinebank.cli._client import Reply, call
+from clementinebank.cli._commands import ExitStatus, Report, command
+from clementinebank.errors import Failure, Step
+
+NOT_FOUND = 404
+REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
+
+
+def _configure(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('request_id', help='id of the request')
+    parser.add_argument(
+        '--operators',
+        nargs='+',
+        required=True,
+        metavar='ADDR',
+        help='operators listeners of the instances to ask',
+    )
+
+
+@command(
+    'explain',
+    'print what became of a request, from the instances that handled it',
+    'clementinebank explain req-17 --operators 127.0.0.1:9002 127.0.0.1:9012',
+    _configure,
+)
+def explain(options: argparse.Namespace) -> Result[Report, Failure]:
+    """Ask each instance for the traces of a request id."""
+    if not REQUEST_ID_PATTERN.fullmatch(options.request_id):
+        message = 'must be 1 to 64 of A-Z a-z 0-9 _ -'
+        return Err(
+            Failure('invalid_request', message, Step.ACCEPT, field='request_id')
+        )
+    target = f'/v1/requests/{options.request_id}'
+    found: list[dict[str, Any]] = []
+    unreachable: list[str] = []
+    for address in options.operators:
+        reply = call(address, 'GET', target)
+        if isinstance(reply, Err):
+            unreachable.append(f'{address}: {reply.err_value.message}')
+        elif reply.ok_value.status != NOT_FOUND:
+            found.extend(_traces(address, reply.ok_value, unreachable))
+    status = _status(found, unreachable)
+    data = {
+        'request_id': options.request_id,
+        'traces': found,
+        'unreachable': unreachable,
+    }
+    return Ok(Report(_text(found, unreachable), data, status))
+
+
+def _traces(
+    address: str, reply: Reply, unreachable: list[str]
+) -> list[dict[str, Any]]:
+    try:
+        return [
+            {'instance_id': reply.data['instance_id'], **trace}
+            for trace in reply.data['traces']
+        ]
+    except (KeyError, TypeError):
+        unreachable.append(f'{address}: status {reply.status} without traces')
+        return []
+
+
+def _status(found: list[dict[str, Any]], unreachable: list[str]) -> ExitStatus:
+    if found:
+        return ExitStatus.DONE
+    return ExitStatus.UNREACHABLE if unreachable else ExitStatus.REFUSED
+
+
+def _text(found: list[dict[str, Any]], unreachable: list[str]) -> str:
+    lines = []
+    for trace in found:
+        lines.append(
+            f'{trace["instance_id"]}: {trace["service"]} {trace["outcome"]} '
+            f'with status {trace["status"]} after '
+            f'{trace["elapsed_ms"]:.1f} ms'
+        )
+        lines.extend(
+            f'  {name}: {fact}' for name, fact in trace['facts'].items()
+        )
+        lines.extend(f'  {_event_text(event)}' for event in trace['events'])
+    if not found:
+        lines.append('no instance that answered knows this request')
+    lines.extend(f'not asked: {each}' for each in unreachable)
+    return '\n'.join(lines)
+
+
+def _event_text(event: dict[str, Any]) -> str:
+    offset_ms = event.get('offset_ms', 0)
+    facts = event.get('facts') or {}
+    details = ' '.join(f'{name}={fact}' for name, fact in facts.items())
+    return f'{offset_ms:9.2f} ms  {event.get("event", "")}  {details}'
--- a/clementinebank/cli/_main.py
+++ b/clementinebank/cli/_main.py
@@ -7,11 +7,21 @@
 
 from result import Err
 
-from clementinebank.cli import _document_commands, _search_command
+from clementinebank.cli import (
+    _document_commands,
+    _explain_command,
+    _report_command,
+    _search_command,
+)
 from clementinebank.cli._commands import COMMANDS, Command, ExitStatus
 
 # Importing these modules registers their commands.
-COMMAND_MODULES = (_document_commands, _search_command)
+COMMAND_MODULES = (
+    _document_commands,
+    _explain_command,
+    _report_command,
+    _search_command,
+)
 
 
 def main(arguments: list[str] | None = None) -> int:
--- /dev/null
+++ b/clementinebank/metrics/_burn_records.py
@@ -0,0 +1,86 @@
+"""What the burn report reads from each instance."""
+
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+
+from clementinebank.document import Objectives
+from clementinebank.errors import FieldProblem
+from clementinebank.metrics._slots import MinuteSlot, read_slot
+from clementinebank.validation import FieldReader
+
+
+@attrs.frozen
+class ServiceRecord:
+    """Counts of one service on one instance.
+
+    Parameters
+    ----------
+    objectives : Objectives
+        From the document of the instance.
+    slots : tuple of MinuteSlot
+        Counts per minute, oldest first.
+    """
+
+    objectives: Objectives
+    slots: tuple[MinuteSlot, ...]
+
+
+@attrs.frozen
+class InstanceRecord:
+    """Counts of one instance.
+
+    Parameters
+    ----------
+    instance_id, data_centre : str
+        The instance.
+    revision : int
+        Revision of its document.
+    recording_since : float
+        Unix time of its start in seconds; nothing earlier is kept.
+    services_by_name : dict of str to ServiceRecord
+        Services.
+    """
+
+    instance_id: str
+    data_centre: str
+    revision: int
+    recording_since: float
+    services_by_name: dict[str, ServiceRecord]
+
+
+def decode_instance_record(
+    data: Any,
+) -> Result[InstanceRecord, list[FieldProblem]]:
+    """Read the reply of the operator route ``/v1/burn``."""
+    reader = FieldReader(data)
+    record = InstanceRecord(
+        reader.text('instance_id'),
+        reader.text('data_centre'),
+        reader.integer('revision'),
+        reader.number('recording_since', maximum=1e12),
+        {
+            name: _read_service(each)
+            for name, each in reader.children('services')
+        },
+    )
+    return Err(reader.problems) if reader.problems else Ok(record)
+
+
+def _read_service(reader: FieldReader) -> ServiceRecord:
+    goals = reader.child('objectives')
+    objectives = Objectives(
+        goals.integer('latency_ms'),
+        goals.number('latency_ratio', maximum=1),
+        goals.number('coverage_ratio', maximum=1),
+    )
+    raw_slots = reader.data.get('slots')
+    if not isinstance(raw_slots, list):
+        reader.report('slots', f'must be a list, got {raw_slots!r}')
+        raw_slots = []
+    slots = tuple(
+        read_slot(FieldReader(raw, problems=reader.problems))
+        for raw in raw_slots
+    )
+    return ServiceRecord(objectives, slots)
--- /dev/null
+++ b/clementinebank/metrics/tests/test_metrics.py
@@ -0,0 +1,83 @@
+"""Guards against metrics that cannot be read, merged or bounded."""
+
+import re
+
+import pytest
+
+from clementinebank.metrics import METRICS_BY_NAME, Metrics, expose, names
+from clementinebank.metrics._metrics import MAX_LABEL_SETS
+
+LINE = re.compile(r'[a-z_]+(\{([a-z]+="([^"\\\n]|\\.)*",?)+\})? [-0-9.e+]+')
+
+
+def _filled():
+    metrics = Metrics()
+    metrics.add(names.LEAF_FAILURES, service='desk', reason='a"b\\c\nd')
+    for milliseconds in range(1, 101):
+        metrics.record_ms(names.LATENCY, milliseconds, service='desk')
+    return metrics
+
+
+def test_every_line_of_the_exposition_is_well_formed():
+    lines = expose(_filled()).splitlines()
+    for line in lines:
+        assert line.startswith('# ') or LINE.fullmatch(line), line
+    assert f'# TYPE {names.LATENCY} summary' in lines
+    assert f'{names.LATENCY}_count{{service="desk"}} 100' in lines
+
+
+def test_merged_distributions_equal_one_of_all_times():
+    merged, whole = Metrics(), Metrics()
+    for part in range(3):
+        metrics = Metrics()
+        for number in range(100):
+            milliseconds = (part + 1) * (number + 1)
+            metrics.record_ms(names.LATENCY, milliseconds, service='desk')
+            whole.record_ms(names.LATENCY, milliseconds, service='desk')
+        merged.merge_distributions(metrics.encode_distributions())
+    assert expose(merged) == expose(whole)
+
+
+def test_merge_check_catches_a_lost_part():
+    """Negative control: the last part replaces the others."""
+    merged = Metrics()
+    for _ in range(2):
+        merged.distributions.clear()
+        merged.merge_distributions(_filled().encode_distributions())
+    assert merged.distributions[_latency_key()].count == 100
+
+
+def _latency_key():
+    return names.LATENCY, (('service', 'desk'),)
+
+
+@pytest.mark.parametrize('text', ['', 'no base64', 'AAAA'])
+def test_invalid_distribution_is_refused(text):
+    encoded = _filled().encode_distributions()
+    encoded[0]['histogram'] = text
+    with pytest.raises(ValueError):
+        Metrics().merge_distributions(encoded)
+
+
+def test_label_texts_from_leafs_do_not_grow_without_bound():
+    metrics = Metrics()
+    for number in range(3 * MAX_LABEL_SETS):
+        metrics.add(names.LEAF_FAILURES, service='desk', reason=str(number))
+    assert len(metrics.counters) <= MAX_LABEL_SETS + 1
+    assert sum(metrics.counters.values()) == 3 * MAX_LABEL_SETS
+
+
+def test_unknown_names_and_labels_are_refused():
+    with pytest.raises(ValueError):
+        Metrics().add('other_total')
+    with pytest.raises(ValueError):
+        Metrics().add(names.REQUESTS, service='desk')
+
+
+@pytest.mark.parametrize('description', METRICS_BY_NAME.values())
+def test_names_follow_the_conventions(description):
+    assert description.name.startswith('clementinebank_')
+    assert description.kind in {'counter', 'gauge', 'summary'}
+    assert description.name.endswith('_total') == (
+        description.kind == 'counter'
+    )
