Observe every request of a caller in the listener; test bad input

Cause: each route had to open its own action and observation, so that a route of another kind, or a refusal before a route, left no trace.

Ruled out: counting refusals in the routes, which misses those of the operators' listener.

--- a/clementinebank/http/_server_connection.py
+++ b/clementinebank/http/_server_connection.py
@@ -171,11 +171,11 @@
     async def _close_idle(self) -> Next:
         """Close without a request, and say so to a request on its way."""
         if self.state.is_draining:
-            code, message = 'draining', 'the instance shuts down'
+            message = 'the instance shuts down'
         else:
-            code, message = 'idle_timeout', 'no request came in time'
+            message = 'no request came in time'
         failure = Failure(
-            code,
+            'connection_closing',
             message,
             Step.CLOSE,
             execution=Execution.NOT_RUN,
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -76,10 +76,17 @@
 SHARD_REQUESTS = _describe(
     'clementinebank_shard_requests_total',
     'counter',
-    'Events of queries by kind; hedges, retries and moves are extra load.',
+    'Shard requests, and those of them that are extra load.',
     'service',
     'kind',
 )
+QUERY_EVENTS = _describe(
+    'clementinebank_query_events_total',
+    'counter',
+    'Events of queries, for example hedges, retries and snapshot moves.',
+    'service',
+    'event',
+)
 LEAF_FAILURES = _describe(
     'clementinebank_leaf_failures_total',
     'counter',
--- a/clementinebank/server/_caller_routes.py
+++ b/clementinebank/server/_caller_routes.py
@@ -4,7 +4,6 @@
 import uuid
 from typing import Any
 
-from eliot import start_action
 from result import Err, Ok, Result
 
 from clementinebank.clock import now
@@ -14,7 +13,7 @@
 from clementinebank.invariants import check, invariant
 from clementinebank.search import Answer, SearchRequest, read_search_body
 from clementinebank.server._instance import Instance
-from clementinebank.server._observer import Observation
+from clementinebank.server._observer import current_observation
 from clementinebank.server._routes import Listener, refuse, route
 
 MS_PER_S = 1000
@@ -36,32 +35,12 @@
     instance: Instance, request: HttpRequest, service: str
 ) -> HttpResponse:
     """Answer one search."""
-    request_id = _request_id(request)
-    settings = instance.service(service)
-    objectives = settings.objectives if settings else None
-    with (
-        instance.observer.observe(request_id, service, objectives) as seen,
-        start_action(
-            action_type='request:search',
-            request_id=request_id,
-            service=service,
-        ) as action,
-    ):
-        response = seen.respond(await _search(instance, request, seen))
-        action.add_success_fields(outcome=seen.outcome, status=seen.status)
-    return response
-
-
-async def _search(
-    instance: Instance, request: HttpRequest, seen: Observation
-) -> HttpResponse:
-    accepted = _accept(instance, request, seen)
-    revision = instance.document_revision
+    accepted = _accept(instance, request, service)
     if isinstance(accepted, Err):
-        seen.failure = accepted.err_value
-        return refuse(seen.failure)
+        return refuse(accepted.err_value)
     search_request = accepted.ok_value
-    engine = instance.engines_by_service[seen.service]
+    engine = instance.engines_by_service[service]
+    revision = instance.document_revision
     answer = await engine.search(search_request)
     if not check(
         'answer-to-own-request',
@@ -69,15 +48,8 @@
         request=search_request,
         answer=answer,
     ):
-        seen.failure = Failure(
-            'answer_withheld',
-            'the answer does not belong to this request',
-            Step.RESPOND,
-            execution=Execution.UNKNOWN,
-            status=500,
-        )
-        return refuse(seen.failure)
-    seen.answer = answer
+        return refuse(_withheld())
+    current_observation().answer = answer
     return json_response(
         200,
         _answer_json(answer, revision),
@@ -85,16 +57,19 @@
     )
 
 
-def _request_id(request: HttpRequest) -> str:
-    """Return the caller's id, or a new one if it has none that is valid."""
-    found = request.headers.get('request-id', '')
-    return found if REQUEST_ID_PATTERN.fullmatch(found) else uuid.uuid4().hex
+def _withheld() -> Failure:
+    return Failure(
+        'answer_withheld',
+        'the answer does not belong to this request',
+        Step.RESPOND,
+        execution=Execution.UNKNOWN,
+        status=500,
+    )
 
 
 def _accept(
-    instance: Instance, request: HttpRequest, seen: Observation
+    instance: Instance, request: HttpRequest, service: str
 ) -> Result[SearchRequest, Failure]:
-    service = seen.service
     settings = instance.service(service)
     if settings is None or service not in instance.engines_by_service:
         return Err(
@@ -106,7 +81,8 @@
                 status=404,
             )
         )
-    if request.headers.get('request-id', seen.request_id) != seen.request_id:
+    request_id = request.headers.get('request-id') or uuid.uuid4().hex
+    if not REQUEST_ID_PATTERN.fullmatch(request_id):
         return _invalid('Request-Id', 'must be 1 to 64 of A-Z a-z 0-9 _ -')
     deadline_ms = _deadline_ms(instance, request, settings)
     if isinstance(deadline_ms, Err):
@@ -114,13 +90,13 @@
     try:
         body = read_search_body(request.body)
     except RecursionError:
-        return _invalid('$', 'the JSON is nested too deeply')
+        return _invalid('body', 'the JSON is nested too deeply')
     if isinstance(body, Err):
         problem = body.err_value[0]
         return _invalid(problem.field, problem.message)
     query, limit = body.ok_value
     deadline = now() + deadline_ms.ok_value / MS_PER_S
-    return Ok(SearchRequest(seen.request_id, query, limit, deadline))
+    return Ok(SearchRequest(request_id, query, limit, deadline))
 
 
 def _deadline_ms(
--- a/clementinebank/server/_observer.py
+++ b/clementinebank/server/_observer.py
@@ -1,15 +1,15 @@
 """Records what became of each request of a caller."""
 
 import json
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
+from contextvars import ContextVar
 from typing import Any
 
 import attrs
 
 from clementinebank.clock import now, wall_time
 from clementinebank.document import Objectives
-from clementinebank.errors import Failure
 from clementinebank.http import HttpResponse
 from clementinebank.metrics import AnswerFacts, Metrics, SlotRing, names
 from clementinebank.search import Answer
@@ -20,6 +20,7 @@
 )
 
 MS_PER_S = 1000
+CLIENT_ERROR = 400
 SERVER_ERROR = 500
 UNKNOWN_SERVICE = 'unknown'
 OTHER_EVENT = 'other'
@@ -35,6 +36,12 @@
         As the caller named them.
     objectives : Objectives or None
         Of the service; ``None`` if there is no such service.
+    answer : Answer or None
+        Answer to a search.
+    response : HttpResponse or None
+        Response; ``None`` if the handler raised an exception.
+    events : tuple of dict
+        Events of the query.
     """
 
     request_id: str
@@ -43,25 +50,52 @@
     started: float = attrs.Factory(now)
     received_at: float = attrs.Factory(wall_time)
     answer: Answer | None = None
-    failure: Failure | None = None
-    status: int = SERVER_ERROR
+    response: HttpResponse | None = None
+    events: tuple[dict[str, Any], ...] = ()
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return self.response.status if self.response else SERVER_ERROR
 
     @property
     def outcome(self) -> str:
         """Return the outcome as it is counted."""
-        if self.answer is not None:
-            return 'answered'
-        return 'refused' if self.failure is not None else 'failed'
+        if self.response is None or self.status == SERVER_ERROR:
+            return 'failed'
+        return 'answered' if self.status < CLIENT_ERROR else 'refused'
 
     @property
     def label(self) -> str:
         """Return the service as a label that callers cannot invent."""
         return self.service if self.objectives else UNKNOWN_SERVICE
 
-    def respond(self, response: HttpResponse) -> HttpResponse:
-        """Take note of the response and return it."""
-        self.status = response.status
-        return response
+    @property
+    def facts(self) -> dict[str, Any]:
+        """Return the coverage of the answer, or the error."""
+        if self.answer is not None:
+            return {
+                'snapshot': self.answer.snapshot,
+                'records': len(self.answer.records),
+                'coverage': self.answer.coverage.as_json(),
+            }
+        if self.response is None or self.outcome == 'answered':
+            return {}
+        return error_of(self.response)
+
+
+_CURRENT: ContextVar[Observation] = ContextVar('observation')
+
+
+def current_observation() -> Observation:
+    """Return the observation of the request that this task handles.
+
+    Raises
+    ------
+    LookupError
+        If the task handles none.
+    """
+    return _CURRENT.get()
 
 
 @attrs.define(eq=False)
@@ -79,24 +113,25 @@
     ) -> Iterator[Observation]:
         """Record one request when its block ends, also by an exception."""
         observation = Observation(request_id, service, objectives)
+        token = _CURRENT.set(observation)
         try:
             yield observation
         finally:
+            _CURRENT.reset(token)
             self._record(observation)
 
+    def on_trace(self, request_id: str, events: Iterable[Any]) -> None:
+        """Take the events of the query that this task has run."""
+        current_observation().events = event_mappings(events)
+
     def _record(self, seen: Observation) -> None:
         elapsed_ms = (now() - seen.started) * MS_PER_S
         label = seen.label
         self.metrics.record_ms(names.LATENCY, elapsed_ms, service=label)
         self.metrics.add(names.REQUESTS, service=label, outcome=seen.outcome)
-        if seen.failure is not None:
-            self.metrics.add(
-                names.REFUSALS, listener='callers', code=seen.failure.code
-            )
-        events = event_mappings(getattr(seen.answer, 'events', ()))
-        for event in events:
-            kind = str(event.get('kind', OTHER_EVENT))
-            self.metrics.add(names.SHARD_REQUESTS, service=label, kind=kind)
+        for event in seen.events:
+            kind = str(event.get('event', OTHER_EVENT))
+            self.metrics.add(names.QUERY_EVENTS, service=label, event=kind)
         if seen.answer is not None:
             self._count_answer(label, seen.answer)
         if seen.objectives is not None:
@@ -109,8 +144,8 @@
                 elapsed_ms,
                 seen.outcome,
                 seen.status,
-                _facts(seen),
-                events,
+                seen.facts,
+                seen.events,
             )
         )
 
@@ -135,21 +170,30 @@
         self, seen: Observation, objectives: Objectives, elapsed_ms: float
     ) -> None:
         """Count what spends a budget; faults of the caller do not."""
-        is_failed = seen.answer is None
-        if is_failed and seen.status < SERVER_ERROR:
+        is_failed = seen.status >= SERVER_ERROR
+        if seen.outcome == 'refused' and not is_failed:
             return
         ring = self.rings_by_service.setdefault(seen.service, SlotRing())
         shards, missing = _shard_counts(seen.answer)
-        is_complete = bool(seen.answer and seen.answer.coverage.is_complete)
+        is_partial = bool(seen.answer and not seen.answer.coverage.is_complete)
         facts = AnswerFacts(
             is_failed or elapsed_ms > objectives.latency_ms,
-            not is_complete,
+            is_failed or is_partial,
             shards,
             missing,
         )
         ring.record(wall_time(), facts)
 
 
+def error_of(response: HttpResponse) -> dict[str, Any]:
+    """Return the error of a response, empty if it has none."""
+    try:
+        found = json.loads(response.body)['error']
+    except (ValueError, KeyError, TypeError):
+        return {}
+    return found if isinstance(found, dict) else {}
+
+
 def _shard_counts(
     answer: Answer | None,
 ) -> tuple[dict[str, int], dict[str, int]]:
@@ -161,15 +205,3 @@
             count = missing.get(shard.yard, 0) + int(not shard.is_answered)
             missing[shard.yard] = count
     return asked, missing
-
-
-def _facts(seen: Observation) -> dict[str, Any]:
-    if seen.failure is not None:
-        return seen.failure.as_json()
-    if seen.answer is None:
-        return {}
-    return {
-        'snapshot': seen.answer.snapshot,
-        'records': len(seen.answer.records),
-        'coverage': seen.answer.coverage.as_json(),
-    }
--- a/clementinebank/server/_routes.py
+++ b/clementinebank/server/_routes.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import attrs
+from result import Err, Ok, Result
 
 from clementinebank.errors import Failure, Step
 from clementinebank.http import HttpRequest, HttpResponse, json_response
@@ -63,39 +64,49 @@
     return register
 
 
-async def dispatch(
-    instance: Any, listener: Listener, request: HttpRequest
-) -> HttpResponse:
-    """Pass a request to its route, or refuse it."""
-    routes_by_method = {
-        each.method: each
+@attrs.frozen
+class Match:
+    """A route with the variables of a path.
+
+    Parameters
+    ----------
+    route : Route
+        The route.
+    variables : dict of str to str
+        Texts of the variable segments.
+    """
+
+    route: Route
+    variables: dict[str, str]
+
+    async def call(self, instance: Any, request: HttpRequest) -> HttpResponse:
+        """Pass a request to the handler."""
+        return await self.route.handler(instance, request, **self.variables)
+
+
+def find_route(
+    listener: Listener, request: HttpRequest
+) -> Result[Match, Failure]:
+    """Return the route of a request, or why there is none."""
+    matches_by_method = {
+        each.method: Match(each, variables)
         for each in ROUTES
-        if each.listener is listener and each.match(request.path) is not None
+        if each.listener is listener
+        and (variables := each.match(request.path)) is not None
     }
-    found = routes_by_method.get(request.method)
+    found = matches_by_method.get(request.method)
     if found is not None:
-        variables = found.match(request.path) or {}
-        return await found.handler(instance, request, **variables)
-    if routes_by_method:
-        allowed = ', '.join(sorted(routes_by_method))
-        return refuse(
-            Failure(
-                'method_not_allowed',
-                f'{request.method} is not one of {allowed}',
-                Step.ACCEPT,
-                field='method',
-                status=405,
-            )
-        )
-    return refuse(
-        Failure(
-            'unknown_path',
-            f'no such path: {request.path}',
-            Step.ACCEPT,
-            field='path',
-            status=404,
-        )
-    )
+        return Ok(found)
+    if matches_by_method:
+        allowed = ', '.join(sorted(matches_by_method))
+        message = f'{request.method} is not one of {allowed}'
+        return _no_route('method_not_allowed', message, 'method', 405)
+    message = f'no such path: {request.path}'
+    return _no_route('unknown_path', message, 'path', 404)
+
+
+def _no_route(code: str, message: str, field: str, status: int) -> Err[Failure]:
+    return Err(Failure(code, message, Step.ACCEPT, field=field, status=status))
 
 
 def refuse(failure: Failure) -> HttpResponse:
--- a/clementinebank/server/_telemetry.py
+++ b/clementinebank/server/_telemetry.py
@@ -33,10 +33,21 @@
             connections = server.open_connections
             yield sample(names.CONNECTIONS, connections, listener=name)
             yield sample(names.IN_FLIGHT, server.in_flight, listener=name)
+        for service, engine in instance.engines_by_service.items():
+            yield from _extra_load(service, engine)
 
     instance.observer.metrics.add_source(read)
 
 
+def _extra_load(service: str, engine: Any) -> Iterator[Sample]:
+    budget = getattr(engine.router, 'budget', None)
+    if budget is None:
+        return
+    total, extra = budget.requests, budget.extra_requests
+    yield sample(names.SHARD_REQUESTS, total, service=service, kind='all')
+    yield sample(names.SHARD_REQUESTS, extra, service=service, kind='extra')
+
+
 def add_log_source(metrics: Metrics, sink: LogSink) -> None:
     """Register the losses of the log."""
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -93,6 +93,7 @@
     document: dict
     instance_count: int = 2
     drain_delay_ms: int = 300
+    further_settings: dict = attrs.Factory(dict)
     processes: dict = attrs.Factory(dict)
     instances: list = attrs.Factory(list)
     key_value_port: int = 0
@@ -159,6 +160,7 @@
             },
             'log_path': str(self.directory / f'entry-{number}.log'),
             'drain_delay_ms': self.drain_delay_ms,
+            **self.further_settings,
         }
         path = self.directory / f'entry-{number}.yaml'
         path.write_text(yaml.safe_dump(settings))
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,113 @@
+"""Guards against callers whose input takes an instance down."""
+
+import json
+import signal
+import socket
+
+import pytest
+
+from tests.harness import call, eventually
+
+STOP_LIMIT_S = 15
+READ_TIMEOUT_S = 20
+SEARCH = (
+    b'POST /v1/services/pickup-desk/search HTTP/1.1\r\nhost: a\r\n'
+    b'deadline-ms: 3000\r\ncontent-length: 14\r\n\r\n{"query": "*"}'
+)
+BAD_INPUTS = (
+    b'\x00\xff\xfe garbage\r\n\r\n',
+    b'GET / HTTP/1.1\r\nhost: a\r\nx: ' + b'y' * 50_000,
+    b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 99999999\r\n\r\n',
+    b'POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n',
+    b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nab',
+)
+
+
+def _connect(fleet):
+    return socket.create_connection(
+        ('127.0.0.1', fleet.instances[0].callers), READ_TIMEOUT_S
+    )
+
+
+def _exchange(fleet, payload):
+    with _connect(fleet) as sock:
+        sock.sendall(payload)
+        sock.shutdown(socket.SHUT_WR)
+        received = b''
+        while chunk := sock.recv(65_536):
+            received += chunk
+    head, _, body = received.partition(b'\r\n\r\n')
+    return int(head.split()[1]), json.loads(body)['error']
+
+
+def _is_complete(fleet):
+    reply = fleet.search(0, 'pickup-desk', **{'Deadline-Ms': '5000'})
+    return reply.status == 200 and reply.data['coverage']['complete']
+
+
+@pytest.fixture
+def small_fleet(fleet):
+    """Restart the first instance with small limits."""
+    fleet.signal('entry-0', signal.SIGKILL)
+    fleet.processes['entry-0'].wait(STOP_LIMIT_S)
+    fleet.further_settings = {
+        'max_caller_connections': 8,
+        'max_requests_in_flight': 4,
+    }
+    fleet.start_instance(0)
+    assert eventually(lambda: _is_complete(fleet))
+    return fleet
+
+
+def test_bad_input_is_refused_and_the_instance_goes_on(fleet):
+    assert eventually(lambda: _is_complete(fleet))
+    for payload in BAD_INPUTS:
+        status, error = _exchange(fleet, payload)
+        assert 400 <= status < 500
+        assert error['execution'] == 'not_run'
+        assert error['step'] == 'accept'
+    for _ in range(20):
+        with _connect(fleet) as sock:
+            sock.sendall(SEARCH)
+    assert _is_complete(fleet)
+    text = call(fleet.instances[0].operators, 'GET', '/metrics').data
+    assert 'code="malformed_request"' in text
+    assert 'code="internal_error"' not in text
+
+
+def test_connections_beyond_the_limit_are_refused(small_fleet):
+    held = [_connect(small_fleet) for _ in range(8)]
+    try:
+        status, error = _exchange(small_fleet, SEARCH)
+    finally:
+        for sock in held:
+            sock.close()
+    assert status == 503
+    assert error['code'] == 'too_many_connections'
+    assert error['execution'] == 'not_run'
+    assert eventually(lambda: _is_complete(small_fleet))
+
+
+def test_requests_beyond_the_limit_are_refused(small_fleet):
+    for leaf_id, port in small_fleet.leaf_ports.items():
+        if leaf_id.startswith('pickup-desk'):
+            small_fleet.control(port, delay_ms=1500)
+    held = [_connect(small_fleet) for _ in range(4)]
+    try:
+        for sock in held:
+            sock.sendall(SEARCH)
+        assert eventually(lambda: _in_flight(small_fleet) == 4)
+        status, error = _exchange(small_fleet, SEARCH)
+    finally:
+        for sock in held:
+            sock.close()
+    assert status == 503
+    assert error['code'] == 'overloaded'
+    assert error['execution'] == 'not_run'
+
+
+def _in_flight(fleet):
+    text = call(fleet.instances[0].operators, 'GET', '/metrics').data
+    prefix = 'clementinebank_requests_in_flight{listener="callers"} '
+    (line,) = [each for each in text.split('\n') if each.startswith(prefix)]
+    return int(line.removeprefix(prefix))
