--- a/clementinebank/cli/_explain_command.py
+++ b/clementinebank/cli/_explain_command.py
@@ -6,8 +6,9 @@
 
 from result import Err, Ok, Result
 
-from clementinebank.cli._client import Reply, call
+from clementinebank.cli._client import Reply
 from clementinebank.cli._commands import ExitStatus, Report, command
+from clementinebank.cli._instances import add_instances, read_each
 from clementinebank.errors import Failure, Step
 
 NOT_FOUND = 404
@@ -16,13 +17,7 @@
 
 def _configure(parser: argparse.ArgumentParser) -> None:
     parser.add_argument('request_id', help='id of the request')
-    parser.add_argument(
-        '--operators',
-        nargs='+',
-        required=True,
-        metavar='ADDR',
-        help='operators listeners of the instances to ask',
-    )
+    add_instances(parser)
 
 
 @command(
@@ -36,13 +31,14 @@
     if not REQUEST_ID_PATTERN.fullmatch(options.request_id):
         message = 'must be 1 to 64 of A-Z a-z 0-9 _ -'
         return Err(
-            Failure('invalid_request', message, Step.ACCEPT, field='request_id')
+            Failure(
+                'invalid_argument', message, Step.ACCEPT, field='request_id'
+            )
         )
     target = f'/v1/requests/{options.request_id}'
     found: list[dict[str, Any]] = []
     unreachable: list[str] = []
-    for address in options.operators:
-        reply = call(address, 'GET', target)
+    for address, reply in read_each(options, target).items():
         if isinstance(reply, Err):
             unreachable.append(f'{address}: {reply.err_value.message}')
         elif reply.ok_value.status != NOT_FOUND:
--- a/clementinebank/cli/_report_command.py
+++ b/clementinebank/cli/_report_command.py
@@ -1,12 +1,14 @@
 """The ``report burn`` command."""
 
 import argparse
+from functools import partial
 from pathlib import Path
 
 from result import Err, Ok, Result
 
-from clementinebank.cli._client import call
+from clementinebank.cli._client import Reply
 from clementinebank.cli._commands import ExitStatus, Report, command
+from clementinebank.cli._instances import add_instances, read_each
 from clementinebank.clock import wall_time
 from clementinebank.errors import Failure, Step
 from clementinebank.metrics import (
@@ -21,13 +23,7 @@
 
 
 def _configure(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument(
-        '--operators',
-        nargs='+',
-        required=True,
-        metavar='ADDR',
-        help='operators listeners of all live instances',
-    )
+    add_instances(parser)
     parser.add_argument(
         '--html', type=Path, metavar='FILE', help='write an HTML page as well'
     )
@@ -43,17 +39,15 @@
     """Collect the records of the instances and report on them."""
     records = []
     unreachable = []
-    for address in options.operators:
-        record = _fetch(address)
+    for address, reply in read_each(options, '/v1/burn').items():
+        record = reply.and_then(partial(_decode, address))
         if isinstance(record, Err):
             unreachable.append(f'{address} ({record.err_value.message})')
         else:
             records.append(record.ok_value)
     if not records:
         return Err(
-            Failure(
-                'no_instance', '; '.join(unreachable), Step.READ, status=503
-            )
+            Failure('instance_unreachable', '; '.join(unreachable), Step.READ)
         )
     report = burn_report(records, unreachable, wall_time())
     if options.html is not None:
@@ -64,11 +58,8 @@
     return Ok(Report(burn_text(report), burn_data(report), status))
 
 
-def _fetch(address: str) -> Result[InstanceRecord, Failure]:
-    reply = call(address, 'GET', '/v1/burn')
-    if isinstance(reply, Err):
-        return reply
-    record = decode_instance_record(reply.ok_value.data)
+def _decode(address: str, reply: Reply) -> Result[InstanceRecord, Failure]:
+    record = decode_instance_record(reply.data)
     return record.map_err(
         lambda problems: Failure(
             'invalid_reply',
@@ -84,6 +75,6 @@
         path.write_text(burn_html(report))
     except OSError as error:
         return Err(
-            Failure('cannot_write', str(error), Step.RESPOND, field='--html')
+            Failure('invalid_argument', str(error), Step.READ, field='html')
         )
     return Ok(None)
--- a/clementinebank/document/__init__.py
+++ b/clementinebank/document/__init__.py
@@ -1,10 +1,29 @@
 """The operators' document."""
 
+from clementinebank.document._accept import ACCEPT_STEPS, AcceptChange
+from clementinebank.document._change import (
+    Change,
+    SectionConflict,
+    merge_change,
+    read_change,
+    text_digest,
+)
+from clementinebank.document._decode import decode_head
+from clementinebank.document._file import (
+    DocumentFile,
+    FileBase,
+    FileSection,
+    parse_file,
+    render_file,
+)
 from clementinebank.document._head import (
     DOCUMENT_KEY,
+    MAX_HEAD_BYTES,
+    AcceptedChange,
     HeadRecord,
+    HeadTooLargeError,
     Section,
-    decode_head,
+    fit_head,
 )
 from clementinebank.document._model import (
     Document,
@@ -15,17 +34,38 @@
     ServiceSettings,
 )
 from clementinebank.document._parse import parse_document
+from clementinebank.document._restore import merge_restored
+from clementinebank.document._result import ChangeResult, Outcome
 
 __all__ = (
+    'ACCEPT_STEPS',
     'DOCUMENT_KEY',
+    'MAX_HEAD_BYTES',
+    'AcceptChange',
+    'AcceptedChange',
+    'Change',
+    'ChangeResult',
     'Document',
+    'DocumentFile',
+    'FileBase',
+    'FileSection',
     'FleetSettings',
     'GroupSettings',
     'HeadRecord',
+    'HeadTooLargeError',
     'LeafSettings',
     'Objectives',
+    'Outcome',
     'Section',
+    'SectionConflict',
     'ServiceSettings',
     'decode_head',
+    'fit_head',
+    'merge_change',
+    'merge_restored',
     'parse_document',
+    'parse_file',
+    'read_change',
+    'render_file',
+    'text_digest',
 )
