Write the log unbuffered and keep traces typed until they are read

Cause: a buffered stream keeps the lines that a full disk has refused; the traces converted the coverage and every query event to plain data for each request, which grows with the shards.

Ruled out: a bound on the buffer, which text streams do not offer; sampling the traces, because an operator asks for one given request.

Change: LogSink writes bytes to an unbuffered file; a trace keeps the typed coverage and events and converts them on the operator route; shards and events are counted per yard, reason and kind and not one by one.

--- a/clementinebank/cli/_explain_command.py
+++ b/clementinebank/cli/_explain_command.py
@@ -12,6 +12,7 @@
 from clementinebank.errors import Failure, Step
 
 NOT_FOUND = 404
+DETAILS = ('snapshot', 'coverage', 'error')
 REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
 
 
@@ -80,7 +81,7 @@
             f'{trace["elapsed_ms"]:.1f} ms'
         )
         lines.extend(
-            f'  {name}: {fact}' for name, fact in trace['facts'].items()
+            f'  {name}: {trace[name]}' for name in DETAILS if trace.get(name)
         )
         lines.extend(f'  {_event_text(event)}' for event in trace['events'])
     if not found:
--- /dev/null
+++ b/clementinebank/cli/_instances.py
@@ -0,0 +1,32 @@
+"""Calls to several instances at the same time."""
+
+import argparse
+
+import curio
+from result import Result
+
+from clementinebank.cli._client import Reply, call_each
+from clementinebank.cli._operators import address, operators_of
+from clementinebank.errors import Failure
+
+READ_TIMEOUT_S = 5.0
+
+
+def add_instances(parser: argparse.ArgumentParser) -> None:
+    """Add ``--operators`` with the listeners of several instances."""
+    parser.add_argument(
+        '--operators',
+        action='extend',
+        nargs='+',
+        required=True,
+        type=address,
+        metavar='ADDR',
+        help='operators listeners of the instances to ask',
+    )
+
+
+def read_each(
+    options: argparse.Namespace, target: str
+) -> dict[str, Result[Reply, Failure]]:
+    """Return the reply of each instance of the command line."""
+    return curio.run(call_each, operators_of(options), target, READ_TIMEOUT_S)
--- a/clementinebank/server/_listeners.py
+++ b/clementinebank/server/_listeners.py
@@ -101,7 +101,7 @@
         action.add_success_fields(
             outcome=seen.outcome,
             status=seen.status,
-            code=seen.facts.get('code'),
+            code=seen.error.get('code'),
         )
     return response
 
--- a/clementinebank/server/_log_sink.py
+++ b/clementinebank/server/_log_sink.py
@@ -20,7 +20,8 @@
     Parameters
     ----------
     stream : file object
-        Text stream that receives one JSON object per line.
+        Unbuffered binary stream that receives one JSON object per line. A
+        buffer would keep lines that a full disk has refused.
     max_waiting : int
         Lines that may wait for the stream.
     """
@@ -32,7 +33,7 @@
         self.dropped_lines = 0
         self.failed_writes = 0
         self._stream = stream
-        self._lines: queue.Queue[str] = queue.Queue(max_waiting)
+        self._lines: queue.Queue[bytes] = queue.Queue(max_waiting)
         self._is_closing = threading.Event()
         self._thread = threading.Thread(target=self._write_all, daemon=True)
         self._thread.start()
@@ -41,7 +42,7 @@
         """Queue one message; called by eliot."""
         line = json.dumps(message, default=_encode_any)
         try:
-            self._lines.put_nowait(f'{line}\n')
+            self._lines.put_nowait(f'{line}\n'.encode())
         except queue.Full:
             self.dropped_lines += 1
 
@@ -58,13 +59,12 @@
                 continue
             self._write(line)
 
-    def _write(self, line: str) -> None:
+    def _write(self, line: bytes) -> None:
         try:
-            self._stream.write(line)
-            if self._lines.empty():
-                self._stream.flush()
-        except (OSError, ValueError):
-            self.failed_writes += 1
+            written = self._stream.write(line)
+        except OSError:
+            written = 0
+        self.failed_writes += int(written != len(line))
 
 
 def _encode_any(content: object) -> object:
--- a/clementinebank/server/_main.py
+++ b/clementinebank/server/_main.py
@@ -1,6 +1,7 @@
 """Entry point of the daemon."""
 
 import argparse
+import io
 import sys
 from pathlib import Path
 
@@ -11,7 +12,7 @@
 from clementinebank.server._instance import create_instance
 from clementinebank.server._log_sink import LogSink
 from clementinebank.server._telemetry import add_log_source
-from clementinebank.settings import load_settings
+from clementinebank.settings import InstanceSettings, load_settings
 
 EXIT_INVALID_SETTINGS = 1
 EXIT_FAILED = 2
@@ -44,20 +45,27 @@
         for problem in loaded.err_value:
             sys.stderr.write(f'{options.settings}: {problem}\n')
         return EXIT_INVALID_SETTINGS
-    sink = _open_log(loaded.ok_value.log_path)
-    instance = create_instance(loaded.ok_value)
-    add_log_source(instance.observer.metrics, sink)
-    instance.life_cycle.stop_signal.install()
     try:
-        return int(run_service(instance.run))
+        return _serve(loaded.ok_value)
     except OSError as error:
         sys.stderr.write(f'{options.settings}: {error}\n')
         return EXIT_FAILED
+
+
+def _serve(settings: InstanceSettings) -> int:
+    sink = _open_log(settings.log_path)
+    instance = create_instance(settings)
+    add_log_source(instance.observer.metrics, sink)
+    instance.life_cycle.stop_signal.install()
+    try:
+        return int(run_service(instance.run))
     finally:
         sink.close(LOG_CLOSE_TIMEOUT_S)
 
 
 def _open_log(path: str) -> LogSink:
-    sink = LogSink(sys.stderr if path == '-' else Path(path).open('a'))
+    is_file = path != '-'
+    target = path if is_file else sys.stderr.fileno()
+    sink = LogSink(io.FileIO(target, 'a', closefd=is_file))
     eliot.add_destinations(sink)
     return sink
--- a/clementinebank/server/_observer.py
+++ b/clementinebank/server/_observer.py
@@ -1,6 +1,7 @@
 """Records what became of each request of a caller."""
 
 import json
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
@@ -13,11 +14,7 @@
 from clementinebank.http import HttpResponse
 from clementinebank.metrics import AnswerFacts, Metrics, SlotRing, names
 from clementinebank.search import Answer
-from clementinebank.server._traces import (
-    RequestTrace,
-    TraceLog,
-    event_mappings,
-)
+from clementinebank.server._traces import RequestTrace, TraceLog
 
 MS_PER_S = 1000
 CLIENT_ERROR = 400
@@ -40,8 +37,8 @@
         Answer to a search.
     response : HttpResponse or None
         Response; ``None`` if the handler raised an exception.
-    events : tuple of dict
-        Events of the query.
+    events : tuple
+        Typed events of the query.
     """
 
     request_id: str
@@ -51,7 +48,7 @@
     received_at: float = attrs.Factory(wall_time)
     answer: Answer | None = None
     response: HttpResponse | None = None
-    events: tuple[dict[str, Any], ...] = ()
+    events: tuple[Any, ...] = ()
 
     @property
     def status(self) -> int:
@@ -71,14 +68,8 @@
         return self.service if self.objectives else UNKNOWN_SERVICE
 
     @property
-    def facts(self) -> dict[str, Any]:
-        """Return the coverage of the answer, or the error."""
-        if self.answer is not None:
-            return {
-                'snapshot': self.answer.snapshot,
-                'records': len(self.answer.records),
-                'coverage': self.answer.coverage.as_json(),
-            }
+    def error(self) -> dict[str, Any]:
+        """Return the error that is sent, empty for an answer."""
         if self.response is None or self.outcome == 'answered':
             return {}
         return error_of(self.response)
@@ -122,16 +113,17 @@
 
     def on_trace(self, request_id: str, events: Iterable[Any]) -> None:
         """Take the events of the query that this task has run."""
-        current_observation().events = event_mappings(events)
+        current_observation().events = tuple(events)
 
     def _record(self, seen: Observation) -> None:
         elapsed_ms = (now() - seen.started) * MS_PER_S
         label = seen.label
         self.metrics.record_ms(names.LATENCY, elapsed_ms, service=label)
         self.metrics.add(names.REQUESTS, service=label, outcome=seen.outcome)
-        for event in seen.events:
-            kind = str(event.get('event', OTHER_EVENT))
-            self.metrics.add(names.QUERY_EVENTS, service=label, event=kind)
+        for kind, count in Counter(map(_kind_of, seen.events)).items():
+            self.metrics.add(
+                names.QUERY_EVENTS, count, service=label, event=kind
+            )
         if seen.answer is not None:
             self._count_answer(label, seen.answer)
         if seen.objectives is not None:
@@ -144,7 +136,9 @@
                 elapsed_ms,
                 seen.outcome,
                 seen.status,
-                seen.facts,
+                seen.answer.snapshot if seen.answer else None,
+                seen.answer.coverage if seen.answer else None,
+                seen.error,
                 seen.events,
             )
         )
@@ -152,18 +146,21 @@
     def _count_answer(self, label: str, answer: Answer) -> None:
         is_complete = json.dumps(answer.coverage.is_complete)
         self.metrics.add(names.ANSWERS, service=label, complete=is_complete)
-        for shard in answer.coverage.shards_by_group.values():
+        shards = answer.coverage.shards_by_group.values()
+        yards = Counter((shard.yard, shard.is_answered) for shard in shards)
+        for (yard, is_answered), count in yards.items():
             self.metrics.add(
                 names.SHARDS,
+                count,
                 service=label,
-                yard=shard.yard,
-                answered=json.dumps(shard.is_answered),
+                yard=yard,
+                answered=json.dumps(is_answered),
             )
-            if shard.missing_reason is not None:
+        reasons = Counter(shard.missing_reason for shard in shards)
+        for reason, count in reasons.items():
+            if reason is not None:
                 self.metrics.add(
-                    names.LEAF_FAILURES,
-                    service=label,
-                    reason=shard.missing_reason,
+                    names.LEAF_FAILURES, count, service=label, reason=reason
                 )
 
     def _count_slot(
@@ -194,14 +191,13 @@
     return found if isinstance(found, dict) else {}
 
 
-def _shard_counts(
-    answer: Answer | None,
-) -> tuple[dict[str, int], dict[str, int]]:
-    asked: dict[str, int] = {}
-    missing: dict[str, int] = {}
-    if answer is not None:
-        for shard in answer.coverage.shards_by_group.values():
-            asked[shard.yard] = asked.get(shard.yard, 0) + 1
-            count = missing.get(shard.yard, 0) + int(not shard.is_answered)
-            missing[shard.yard] = count
-    return asked, missing
+def _kind_of(event: Any) -> str:
+    return str(getattr(event, 'event', OTHER_EVENT))
+
+
+def _shard_counts(answer: Answer | None) -> tuple[Counter[str], Counter[str]]:
+    shards = answer.coverage.shards_by_group.values() if answer else ()
+    asked = Counter(shard.yard for shard in shards)
+    return asked, Counter(
+        shard.yard for shard in shards if not shard.is_answered
+    )
--- a/clementinebank/server/_traces.py
+++ b/clementinebank/server/_traces.py
@@ -1,11 +1,12 @@
 """Traces of the last requests of an instance."""
 
 from collections import deque
-from collections.abc import Iterable
 from typing import Any
 
 import attrs
 
+from clementinebank.search import Coverage
+
 MAX_TRACES = 1000
 MAX_EVENTS = 1000
 
@@ -28,10 +29,14 @@
         ``answered``, ``refused`` or ``failed``.
     status : int
         HTTP status.
-    facts : dict
-        Snapshot, revision and coverage of an answer, or the error.
-    events : tuple of dict
-        Events of the query in the order of their times.
+    snapshot : str or None
+        Snapshot of the answer to a search.
+    coverage : Coverage or None
+        Coverage of the answer to a search.
+    error : dict
+        Error that was sent instead of an answer.
+    events : tuple
+        Typed events of the query in the order of their times.
     """
 
     request_id: str
@@ -40,12 +45,30 @@
     elapsed_ms: float
     outcome: str
     status: int
-    facts: dict[str, Any] = attrs.Factory(dict)
-    events: tuple[dict[str, Any], ...] = ()
+    snapshot: str | None = None
+    coverage: Coverage | None = None
+    error: dict[str, Any] = attrs.Factory(dict)
+    events: tuple[Any, ...] = ()
 
     def as_json(self) -> dict[str, Any]:
-        """Return the trace for an operator route."""
-        return attrs.asdict(self)
+        """Return the trace for an operator route.
+
+        The events and the coverage are converted here and not for every
+        request, because a query over many shards has hundreds of them.
+        """
+        plain = attrs.asdict(
+            self,
+            recurse=False,
+            filter=attrs.filters.exclude('coverage', 'events'),
+        )
+        return {
+            **plain,
+            'coverage': self.coverage.as_json() if self.coverage else None,
+            'events': [
+                attrs.asdict(event, value_serializer=_plain)
+                for event in self.events[:MAX_EVENTS]
+            ],
+        }
 
 
 @attrs.define(eq=False)
@@ -74,14 +97,6 @@
         return [each for each in self._traces if each.request_id == request_id]
 
 
-def event_mappings(events: Iterable[Any]) -> tuple[dict[str, Any], ...]:
-    """Return typed events of a query as mappings, at most 1,000."""
-    return tuple(
-        attrs.asdict(event, value_serializer=_plain)
-        for event, _ in zip(events, range(MAX_EVENTS), strict=False)
-    )
-
-
 def _plain(instance: Any, field: Any, content: Any) -> Any:
     is_plain = isinstance(content, str | int | float | dict | list | tuple)
     return content if content is None or is_plain else str(content)
--- a/clementinebank/server/tests/test_log_sink.py
+++ b/clementinebank/server/tests/test_log_sink.py
@@ -28,9 +28,7 @@
         if self.fails:
             raise OSError('no space left on device')
         self.lines.append(line)
-
-    def flush(self):
-        return None
+        return len(line)
 
 
 def test_stuck_stream_drops_and_counts_lines():
@@ -61,7 +59,7 @@
     sink = LogSink(stream)
     sink({'failure': Failure('x', 'y', Step.ACCEPT), 'step': Step.PIN})
     sink.close(CLOSE_TIMEOUT_S)
-    assert 'Failure' in stream.lines[0]
+    assert b'Failure' in stream.lines[0]
 
 
 async def _log_request(number):
--- a/clementinebank/server/tests/test_observer.py
+++ b/clementinebank/server/tests/test_observer.py
@@ -76,7 +76,7 @@
     observer, slots = _run('refused')
     assert not slots
     (trace,) = observer.traces.find('r-1')
-    assert trace.facts['code'] == 'invalid_request'
+    assert trace.error['code'] == 'invalid_request'
 
 
 @pytest.mark.parametrize(('elapsed_s', 'slow'), [(0.05, 0), (0.2, 1)])
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -75,6 +75,18 @@
     assert 'code="internal_error"' not in text
 
 
+def test_full_disk_fails_no_request(fleet):
+    fleet.signal('entry-0', signal.SIGKILL)
+    fleet.processes['entry-0'].wait(STOP_LIMIT_S)
+    fleet.further_settings = {'log_path': '/dev/full'}
+    fleet.start_instance(0)
+    assert eventually(lambda: _is_complete(fleet))
+    prefix = 'clementinebank_log_lines_lost_total{reason="error"} '
+    assert _metric(fleet, prefix) > 0
+    fleet.signal('entry-0', signal.SIGTERM)
+    assert fleet.processes['entry-0'].wait(STOP_LIMIT_S) == 0
+
+
 def test_connections_beyond_the_limit_are_refused(small_fleet):
     held = [_connect(small_fleet) for _ in range(8)]
     try:
@@ -107,7 +119,12 @@
 
 
 def _in_flight(fleet):
+    return _metric(
+        fleet, 'clementinebank_requests_in_flight{listener="callers"} '
+    )
+
+
+def _metric(fleet, prefix):
     text = call(fleet.instances[0].operators, 'GET', '/metrics').data
-    prefix = 'clementinebank_requests_in_flight{listener="callers"} '
     (line,) = [each for each in text.split('\n') if each.startswith(prefix)]
     return int(line.removeprefix(prefix))
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -38,7 +38,7 @@
     assert status == 0
     assert trace['instance_id'] == 'entry-1'
     assert trace['service'] == 'pickup-desk'
-    assert trace['facts']['snapshot'] == 's-1'
+    assert trace['snapshot'] == 's-1'
     status, out = _run_tool(
         capsys, 'explain', 'never-sent', '--operators', *addresses
     )
