--- a/clementinebank/server/_caller_routes.py
+++ b/clementinebank/server/_caller_routes.py
@@ -49,7 +49,7 @@
         answer=answer,
     ):
         return refuse(_withheld())
-    current_observation().answer = answer
+    current_observation().take_answer(answer)
     return json_response(
         200,
         _answer_json(answer, revision),
--- a/clementinebank/server/_observer.py
+++ b/clementinebank/server/_observer.py
@@ -39,6 +39,8 @@
         Response; ``None`` if the handler raised an exception.
     events : tuple
         Typed events of the query.
+    shard_counts : Counter
+        Shards of the answer by yard and the reason why they are missing.
     """
 
     request_id: str
@@ -49,6 +51,15 @@
     answer: Answer | None = None
     response: HttpResponse | None = None
     events: tuple[Any, ...] = ()
+    shard_counts: Counter[tuple[str, str | None]] = attrs.Factory(Counter)
+
+    def take_answer(self, answer: Answer) -> None:
+        """Take the answer to a search; its shards are counted once."""
+        self.answer = answer
+        shards = answer.coverage.shards_by_group.values()
+        self.shard_counts = Counter(
+            [(shard.yard, shard.missing_reason) for shard in shards]
+        )
 
     @property
     def status(self) -> int:
@@ -125,7 +136,7 @@
                 names.QUERY_EVENTS, count, service=label, event=kind
             )
         if seen.answer is not None:
-            self._count_answer(label, seen.answer)
+            self._count_answer(label, seen, seen.answer)
         if seen.objectives is not None:
             self._count_slot(seen, seen.objectives, elapsed_ms)
         self.traces.add(
@@ -143,21 +154,19 @@
             )
         )
 
-    def _count_answer(self, label: str, answer: Answer) -> None:
+    def _count_answer(
+        self, label: str, seen: Observation, answer: Answer
+    ) -> None:
         is_complete = json.dumps(answer.coverage.is_complete)
         self.metrics.add(names.ANSWERS, service=label, complete=is_complete)
-        shards = answer.coverage.shards_by_group.values()
-        yards = Counter((shard.yard, shard.is_answered) for shard in shards)
-        for (yard, is_answered), count in yards.items():
+        for (yard, reason), count in seen.shard_counts.items():
             self.metrics.add(
                 names.SHARDS,
                 count,
                 service=label,
                 yard=yard,
-                answered=json.dumps(is_answered),
+                answered=json.dumps(reason is None),
             )
-        reasons = Counter(shard.missing_reason for shard in shards)
-        for reason, count in reasons.items():
             if reason is not None:
                 self.metrics.add(
                     names.LEAF_FAILURES, count, service=label, reason=reason
@@ -171,7 +180,7 @@
         if seen.outcome == 'refused' and not is_failed:
             return
         ring = self.rings_by_service.setdefault(seen.service, SlotRing())
-        shards, missing = _shard_counts(seen.answer)
+        shards, missing = _by_yard(seen.shard_counts)
         is_partial = bool(seen.answer and not seen.answer.coverage.is_complete)
         facts = AnswerFacts(
             is_failed or elapsed_ms > objectives.latency_ms,
@@ -195,9 +204,14 @@
     return str(getattr(event, 'event', OTHER_EVENT))
 
 
-def _shard_counts(answer: Answer | None) -> tuple[Counter[str], Counter[str]]:
-    shards = answer.coverage.shards_by_group.values() if answer else ()
-    asked = Counter(shard.yard for shard in shards)
-    return asked, Counter(
-        shard.yard for shard in shards if not shard.is_answered
-    )
+def _by_yard(
+    counts: Counter[tuple[str, str | None]],
+) -> tuple[Counter[str], Counter[str]]:
+    """Return the shards asked and those missing, by yard."""
+    asked: Counter[str] = Counter()
+    missing: Counter[str] = Counter()
+    for (yard, reason), count in counts.items():
+        asked[yard] += count
+        if reason is not None:
+            missing[yard] += count
+    return asked, missing
--- a/clementinebank/server/tests/test_observer.py
+++ b/clementinebank/server/tests/test_observer.py
@@ -33,7 +33,7 @@
         if ending == 'refused':
             seen.response = json_response(400, REFUSAL.as_json())
         else:
-            seen.answer = _answer()
+            seen.take_answer(_answer())
             seen.response = json_response(200, {})
 
 
