--- a/tests/test_replies_of_others.py
+++ b/tests/test_replies_of_others.py
@@ -31,8 +31,10 @@
     [
         ({'reply': 'crossed'}, 3000),
         ({'reply': 'previous'}, 3000),
+        ({'reply': 'previous_body'}, 3000),
         ({'delay_ms': 150}, 100),
     ],
+    ids=['crossed', 'previous', 'previous_body', 'late'],
 )
 def test_answers_belong_to_their_requests(fleet, faults, deadline_ms):
     tally = _search_with_faults(fleet, faults, deadline_ms)
