--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -9,6 +9,9 @@
 
 LEAF_DELAY_MS = 60
 STOP_LIMIT_S = 15
+THINK_S = 0.005
+# Longer than the drain delay, so that connections are idle when it ends.
+LONG_THINK_S = 0.33
 
 
 def _is_complete(fleet, number):
@@ -21,14 +24,14 @@
         assert eventually(lambda number=number: _is_complete(fleet, number))
 
 
-def _terminate_under_load(fleet, number=signal.SIGTERM):
+def _terminate_under_load(fleet, number=signal.SIGTERM, think_s=THINK_S):
     """Stop the first instance under load; return the tally and status."""
     _wait_until_complete(fleet)
     for leaf_id, port in fleet.leaf_ports.items():
         if leaf_id.startswith('pickup-desk'):
             fleet.control(port, delay_ms=LEAF_DELAY_MS)
     ports = [instance.callers for instance in fleet.instances]
-    with Callers(ports) as callers:
+    with Callers(ports, count=12, think_s=think_s) as callers:
         callers.wait_for(20)
         fleet.signal('entry-0', number)
         status = fleet.processes['entry-0'].wait(STOP_LIMIT_S)
@@ -45,9 +48,10 @@
     )
 
 
+@pytest.mark.parametrize('think_s', [THINK_S, LONG_THINK_S])
 @pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
-def test_signal_under_load_cuts_no_request(fleet, number):
-    tally, status = _terminate_under_load(fleet, number)
+def test_signal_under_load_cuts_no_request(fleet, number, think_s):
+    tally, status = _terminate_under_load(fleet, number, think_s)
     assert _is_graceful(tally, status), (tally, status)
 
 
