Compile route patterns once and adapt the tool's tests to find_route

Change: the tests pass requests through find_route; a route compiles its pattern when it is registered. Ruled out: keeping the old function beside the new one.

--- a/clementinebank/cli/tests/test_document_commands.py
+++ b/clementinebank/cli/tests/test_document_commands.py
@@ -28,7 +28,14 @@
 from clementinebank.http import HttpRequest
 from clementinebank.platform.tests.fakes import FakeKeyValueService, Fault
 from clementinebank.server import Listener
-from clementinebank.server._routes import dispatch
+from clementinebank.server._routes import find_route
+
+
+async def dispatch(instance, listener, request):
+    """Pass a request to its route."""
+    match = find_route(listener, request).unwrap()
+    return await match.call(instance, request)
+
 
 FIRST, SECOND = '127.0.0.1:9002', '127.0.0.1:9012'
 BOTH = ['--operators', FIRST, '--operators', SECOND]
--- a/clementinebank/server/_routes.py
+++ b/clementinebank/server/_routes.py
@@ -41,11 +41,16 @@
     method: str
     template: str
     handler: RouteHandler
+    pattern: re.Pattern[str] = attrs.field(init=False)
+
+    @pattern.default
+    def _compile_template(self) -> re.Pattern[str]:
+        named = re.sub(r'\{(\w+)\}', r'(?P<\1>[^/]+)', self.template)
+        return re.compile(named)
 
     def match(self, path: str) -> dict[str, str] | None:
         """Return the variables of a path, or ``None``."""
-        pattern = re.sub(r'\{(\w+)\}', r'(?P<\1>[^/]+)', self.template)
-        found = re.fullmatch(pattern, path)
+        found = self.pattern.fullmatch(path)
         return found.groupdict() if found else None
 
 
