--- a/benchmarks/bench_booking.py
+++ b/benchmarks/bench_booking.py
@@ -7,9 +7,9 @@
   processes, at several delays of the key-value service; the ratio is that of
   the medians. Writes and reads are those the service counted.
 - ``unknown``: on the fake clock, one fault at a random step of each booking,
-  which the caller repeats at another instance if it got no outcome; the share of bookings
-  whose first answer was unknown or missing, and of bookings that ran twice,
-  with the claim and without it.
+  which the caller repeats at another instance if it got no outcome; the
+  share of bookings whose first answer was unknown or missing, and of bookings
+  that ran twice, with the claim and without it.
 """
 
 import argparse
--- a/clementinebank/booking/_key.py
+++ b/clementinebank/booking/_key.py
@@ -34,10 +34,10 @@
         return _refuse('key_missing', 'a booking needs an idempotency key')
     key = raw.lower()
     if not KEY_PATTERN.fullmatch(key):
-        return _refuse('key_invalid', f'must be a UUIDv7, got {raw!r}')
+        return _refuse('key_invalid', f'must be a UUIDv7, got {raw[:80]!r}')
     parsed = uuid.UUID(key)
     if parsed.version != UUID_VERSION:
-        return _refuse('key_invalid', f'must be a UUIDv7, got {raw!r}')
+        return _refuse('key_invalid', f'must be a UUIDv7, got {raw[:80]!r}')
     age_s = wall_s - created_at(key)
     if age_s > retention_hours * S_PER_HOUR:
         return _refuse(
--- a/clementinebank/booking/_messages.py
+++ b/clementinebank/booking/_messages.py
@@ -79,7 +79,7 @@
     """
     try:
         body: Any = json.loads(response.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         body = None
     ran = body.get('ran') if isinstance(body, dict) else None
     if ran is True:
--- a/clementinebank/booking/_record.py
+++ b/clementinebank/booking/_record.py
@@ -150,7 +150,7 @@
     """Decode and validate a stored record."""
     try:
         reader = FieldReader(json.loads(value))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err([FieldProblem('$', f'invalid JSON: {error}')])
     states = [state.value for state in ClaimState]
     state = reader.text('state', choices=states)
--- a/clementinebank/booking/tests/test_decisions.py
+++ b/clementinebank/booking/tests/test_decisions.py
@@ -128,6 +128,7 @@
     for record in (claim, recorded):
         assert decode_record(record.encode()) == Ok(record)
     assert decode_record(b'7').is_err()
+    assert decode_record(b'[' * 100_000).is_err()
     problems = decode_record(b'{"state": "open"}').unwrap_err()
     assert 'state' in {problem.field for problem in problems}
 
@@ -141,6 +142,7 @@
         (b'{}', Execution.UNKNOWN),
         (b'[]', Execution.UNKNOWN),
         (b'{"ran": fal', Execution.UNKNOWN),
+        (b'[' * 100_000, Execution.UNKNOWN),
     ],
 )
 def test_only_a_stated_false_is_not_run(body, execution):
--- a/clementinebank/cli/_main.py
+++ b/clementinebank/cli/_main.py
@@ -11,6 +11,8 @@
     _apply_command,
     _booking_commands,
     _document_commands,
+    _explain_command,
+    _report_command,
     _search_command,
     _status_command,
 )
@@ -23,6 +25,8 @@
     _apply_command,
     _booking_commands,
     _document_commands,
+    _explain_command,
+    _report_command,
     _search_command,
     _status_command,
 )
--- a/clementinebank/server/__init__.py
+++ b/clementinebank/server/__init__.py
@@ -5,6 +5,7 @@
     _caller_routes,
     _document_routes,
     _operator_routes,
+    _telemetry_routes,
 )
 from clementinebank.server._instance import Instance, create_instance
 from clementinebank.server._main import main
@@ -26,4 +27,5 @@
     _caller_routes,
     _document_routes,
     _operator_routes,
+    _telemetry_routes,
 )
--- a/clementinebank/server/_booking_routes.py
+++ b/clementinebank/server/_booking_routes.py
@@ -29,6 +29,7 @@
 MS_PER_S = 1000
 MAX_DEADLINE_MS = 60_000
 REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
+DEADLINE_PATTERN = re.compile(r'0*[1-9][0-9]{0,9}')
 RESOLUTIONS = ('ran', 'not_run')
 
 
@@ -106,8 +107,9 @@
     if not REQUEST_ID_PATTERN.fullmatch(request_id):
         return _invalid('Request-Id', 'must be 1 to 64 of A-Z a-z 0-9 _ -')
     raw = request.headers.get('deadline-ms', str(engine.service.deadline_ms))
-    if not (raw.isascii() and raw.isdigit() and 0 < int(raw)):
-        return _invalid('Deadline-Ms', f'must be a positive integer: {raw!r}')
+    if not DEADLINE_PATTERN.fullmatch(raw):
+        message = f'must be a positive integer, got {raw[:80]!r}'
+        return _invalid('Deadline-Ms', message)
     if not _is_json_object(request.body):
         return _invalid('body', 'must be a JSON object')
     key = read_key(
@@ -128,7 +130,7 @@
 def _is_json_object(body: bytes) -> bool:
     try:
         return isinstance(json.loads(body), dict)
-    except ValueError:
+    except (ValueError, RecursionError):
         return False
 
 
@@ -167,7 +169,7 @@
 ) -> Result[Settlement, Failure]:
     try:
         reader = FieldReader(json.loads(body))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return _invalid('body', f'invalid JSON: {error}')
     resolution = reader.text('resolution', choices=RESOLUTIONS)
     who = reader.text('who')
