--- a/tests/broken_instance.py
+++ b/tests/broken_instance.py
@@ -1,8 +1,11 @@
 """Daemon with one rule broken, as a negative control of process tests."""
 
+import json
 import os
 import sys
 
+import attrs
+
 from clementinebank.http import HttpConnection, HttpServer, ServerConnection
 from clementinebank.http._server_connection import Next
 from clementinebank.server import main
@@ -57,7 +60,11 @@
     async def receive_as_own(self):
         response = await receive(self)
         response.headers['request-id'] = SENT_IDS[id(self)]
-        return response
+        body = json.loads(response.body or b'null')
+        if not isinstance(body, dict) or 'request_id' not in body:
+            return response
+        body['request_id'] = SENT_IDS[id(self)]
+        return attrs.evolve(response, body=json.dumps(body).encode())
 
     HttpConnection.send = send_and_note
     HttpConnection.receive = receive_as_own
