--- a/clementinebank/metrics/__init__.py
+++ b/clementinebank/metrics/__init__.py
@@ -1,11 +1,7 @@
 """Histograms, counters, their exposition and the burn report."""
 
 from clementinebank.metrics import _names as names
-from clementinebank.metrics._burn import (
-    WINDOW_PAIRS,
-    BurnReport,
-    burn_report,
-)
+from clementinebank.metrics._burn import BurnReport, burn_report
 from clementinebank.metrics._burn_html import burn_html
 from clementinebank.metrics._burn_records import (
     InstanceRecord,
@@ -13,6 +9,7 @@
     decode_instance_record,
 )
 from clementinebank.metrics._burn_text import burn_data, burn_text
+from clementinebank.metrics._burn_windows import WINDOW_PAIRS
 from clementinebank.metrics._exposition import expose
 from clementinebank.metrics._metrics import (
     Distribution,
--- a/clementinebank/metrics/_burn_html.py
+++ b/clementinebank/metrics/_burn_html.py
@@ -3,7 +3,6 @@
 import html
 
 from clementinebank.metrics._burn import (
-    BUDGET_WINDOW,
     BurnReport,
     ObjectiveBurn,
     ServiceBurn,
@@ -14,6 +13,7 @@
     objective_title,
     worst_text,
 )
+from clementinebank.metrics._burn_windows import BUDGET_WINDOW
 
 SECONDS_PER_MINUTE = 60
 PLOT_WIDTH = 720
--- a/clementinebank/metrics/_burn_text.py
+++ b/clementinebank/metrics/_burn_text.py
@@ -5,12 +5,12 @@
 import attrs
 
 from clementinebank.metrics._burn import (
-    BUDGET_WINDOW,
     BurnReport,
     ObjectiveBurn,
     ServiceBurn,
     Worst,
 )
+from clementinebank.metrics._burn_windows import BUDGET_WINDOW
 
 LIMITATION = (
     'Instances keep nothing beyond their own life: requests of instances '
