--- a/clementinebank/server/_instance.py
+++ b/clementinebank/server/_instance.py
@@ -5,6 +5,7 @@
 from eliot import log_message
 from result import Err
 
+from clementinebank.booking import BookingEngines
 from clementinebank.document import (
     DOCUMENT_KEY,
     Document,
@@ -45,6 +46,7 @@
     head: HeadRecord = HeadRecord()
     document: Document | None = None
     engines_by_service: dict[str, SearchEngine] = attrs.Factory(dict)
+    bookings: BookingEngines = attrs.field(init=False)
     observer: Observer = attrs.Factory(Observer)
     life_cycle: LifeCycle = attrs.field(init=False)
     loop_monitor: LoopMonitor = attrs.field(init=False)
@@ -52,6 +54,11 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the parts that depend on the settings."""
+        self.bookings = BookingEngines(
+            self.key_value,
+            self.settings.instance_id,
+            self.settings.data_centre,
+        )
         self.life_cycle = LifeCycle(self.settings)
         self.loop_monitor = LoopMonitor(on_loop_delay(self.observer.metrics))
         self.listeners = create_listeners(self)
@@ -110,6 +117,7 @@
         self.head = head
         self.document = parsed.ok_value
         await self._update_engines(parsed.ok_value)
+        await self.bookings.update(parsed.ok_value)
         log_message(message_type='document:activated', revision=head.revision)
 
     async def _update_engines(self, document: Document) -> None:
