--- a/clementinebank/document/tests/test_accept.py
+++ b/clementinebank/document/tests/test_accept.py
@@ -331,3 +331,24 @@
         invalid = kernel.run(use_case.preview, change(5, 2, fleet=None))
     assert invalid.outcome is Outcome.INVALID
     assert set(operators.service.calls) == {'read'}
+
+
+@pytest.mark.parametrize('calls', list(itertools.combinations(range(1, 5), 2)))
+def test_result_is_true_under_pairs_of_faults(calls):
+    seen = set()
+    for disturbances in itertools.product(Disturbance, repeat=2):
+        operators = Operators.start()
+        faults = [None] * calls[-1]
+        if calls[0] > 2:
+            # A change is accepted after two calls unless the swap fails.
+            faults[1] = Fault.LOST_BEFORE_EFFECT
+        for call, disturbance in zip(calls, disturbances, strict=True):
+            if disturbance in FAULTS_OF_A_CALL:
+                faults[call - 1] = FAULTS_OF_A_CALL[disturbance]
+            else:
+                operators.disturb(call, disturbance)
+        operators.service.faults.extend(faults)
+        settled = operators.apply(_applied())
+        _check_is_true(operators, settled)
+        seen.add(settled.outcome)
+    assert {ACCEPTED, UNKNOWN} <= seen
