--- a/clementinebank/cli/_main.py
+++ b/clementinebank/cli/_main.py
@@ -10,6 +10,8 @@
 from clementinebank.cli import (
     _apply_command,
     _document_commands,
+    _explain_command,
+    _report_command,
     _search_command,
     _status_command,
 )
@@ -21,6 +23,8 @@
 COMMAND_MODULES = (
     _apply_command,
     _document_commands,
+    _explain_command,
+    _report_command,
     _search_command,
     _status_command,
 )
