--- a/clementinebank/document/_restore.py
+++ b/clementinebank/document/_restore.py
@@ -115,7 +115,9 @@
     kept = [entry for entry in in_force.changes if entry.accepted_at < start]
     raised = [
         attrs.evolve(entry, revision=revision)
-        for entry in (*in_force.changes[len(kept) :], *added)
+        for entry in (*added, *in_force.changes[len(kept) :])
     ]
+    # The sort is stable: at equal times the record in force comes last, as
+    # its sections are kept.
     raised.sort(key=lambda entry: entry.accepted_at)
     return (*kept, *raised)
--- a/clementinebank/document/tests/test_accept.py
+++ b/clementinebank/document/tests/test_accept.py
@@ -352,3 +352,20 @@
         _check_is_true(operators, settled)
         seen.add(settled.outcome)
     assert {ACCEPTED, UNKNOWN} <= seen
+
+
+def test_repeat_at_a_process_that_only_saw_the_restored_head():
+    # Another process has the change in force and will write it back, so that
+    # a conflict is untrue.
+    operators = Operators.start()
+    operators.service.faults.extend([None, Fault.LOST_AFTER_EFFECT])
+    operators.service.faults.extend([Fault.DOWN] * 3)
+    assert operators.apply(_applied()).outcome is UNKNOWN
+    other_process = operators.stored
+    operators.service.restore(DOCUMENT_KEY)
+    operators.in_force = HeadRecord()
+    operators.put(next_head(operators.stored, 8, 'bo', desk=desk(9)))
+    settled = operators.apply(_applied())
+    merged = merge_restored(operators.stored, other_process)
+    assert merged.find_change(change_id(4)) is not None
+    assert settled.outcome is not CONFLICT
--- a/clementinebank/document/tests/test_merge.py
+++ b/clementinebank/document/tests/test_merge.py
@@ -219,6 +219,15 @@
     )
 
 
+def test_history_agrees_with_the_section_kept_at_equal_times():
+    ancestor, lost = _restored_lines()
+    on_top = next_head(ancestor, 4, 'cy', desk=desk(1), time=300)
+    assert on_top.changes[-1].accepted_at == lost.changes[-1].accepted_at
+    merged = merge_restored(on_top, lost)
+    assert merged.texts_by_section['service.desk'] == desk(9)
+    assert merged.changes[-1].change_id == lost.changes[-1].change_id
+
+
 def test_file_shown_before_the_restore_conflicts():
     ancestor, lost = _restored_lines()
     on_top = next_head(ancestor, 4, 'cy', orders=orders(7))
