Report a base above the head as an unknown outcome

Ruled out: keeping the refusal; the base itself shows that the head is not of the line the editor started from. Change: base_ahead_of_head is unknown, with its own advice.

--- a/clementinebank/cli/_apply_command.py
+++ b/clementinebank/cli/_apply_command.py
@@ -39,6 +39,8 @@
     'refused': ExitStatus.REFUSED,
     'unknown': ExitStatus.UNKNOWN,
 }
+# Reasons of an unknown outcome for which a repetition is no remedy.
+EXPLAINED_CODES = frozenset(('history_trimmed', 'base_ahead_of_head'))
 # Each of these holds whichever instance states it, also after an attempt
 # through another instance whose outcome is unknown.
 FINAL_RESULTS = frozenset(('accepted', 'valid', 'conflict', 'invalid'))
@@ -209,7 +211,7 @@
         settled = {**settled, **located.data}
         message = f'the document would be invalid\n{located.text}'
     code = error['code']
-    if settled['result'] == 'unknown' and code != 'history_trimmed':
+    if settled['result'] == 'unknown' and code not in EXPLAINED_CODES:
         code = 'outcome_unknown'
     next_step = advice_for(code)
     text = (
--- a/clementinebank/document/_accept.py
+++ b/clementinebank/document/_accept.py
@@ -184,10 +184,15 @@
         self, head: HeadRecord, version: int, time: float
     ) -> ChangeResult | SwapHead:
         if self.change.base_revision > head.revision:
-            return self._refuse(
-                'base_ahead_of_head',
+            # The service was restored below the base, so that an earlier
+            # apply of this id may be in force elsewhere.
+            message = (
                 f'base revision {self.change.base_revision} is above the '
-                f'revision {head.revision} of the document',
+                f'revision {head.revision} of the document; this request '
+                'wrote nothing'
+            )
+            return self._unknown(
+                Failure('base_ahead_of_head', message, Step.MERGE)
             )
         try:
             merged = merge_change(head, self.change, time)
--- a/clementinebank/document/tests/test_accept.py
+++ b/clementinebank/document/tests/test_accept.py
@@ -354,6 +354,14 @@
     assert {ACCEPTED, UNKNOWN} <= seen
 
 
+def test_base_above_the_head_does_not_deny_an_earlier_acceptance():
+    operators = Operators.start()
+    settled = operators.apply(change(4, 9, desk=desk(3)))
+    assert settled.outcome is UNKNOWN
+    assert settled.failure.code == 'base_ahead_of_head'
+    assert operators.service.calls == ['read']
+
+
 def test_repeat_at_a_process_that_only_saw_the_restored_head():
     # Another process has the change in force and will write it back, so that
     # a conflict is untrue.
