--- a/clementinebank/document/tests/test_accept.py
+++ b/clementinebank/document/tests/test_accept.py
@@ -331,3 +331,49 @@
         invalid = kernel.run(use_case.preview, change(5, 2, fleet=None))
     assert invalid.outcome is Outcome.INVALID
     assert set(operators.service.calls) == {'read'}
+
+
+@pytest.mark.parametrize('calls', list(itertools.combinations(range(1, 5), 2)))
+def test_result_is_true_under_pairs_of_faults(calls):
+    seen = set()
+    for disturbances in itertools.product(Disturbance, repeat=2):
+        operators = Operators.start()
+        faults = [None] * calls[-1]
+        if calls[0] > 2:
+            # A change is accepted after two calls unless the swap fails.
+            faults[1] = Fault.LOST_BEFORE_EFFECT
+        for call, disturbance in zip(calls, disturbances, strict=True):
+            if disturbance in FAULTS_OF_A_CALL:
+                faults[call - 1] = FAULTS_OF_A_CALL[disturbance]
+            else:
+                operators.disturb(call, disturbance)
+        operators.service.faults.extend(faults)
+        settled = operators.apply(_applied())
+        _check_is_true(operators, settled)
+        seen.add(settled.outcome)
+    assert {ACCEPTED, UNKNOWN} <= seen
+
+
+def test_base_above_the_head_does_not_deny_an_earlier_acceptance():
+    operators = Operators.start()
+    settled = operators.apply(change(4, 9, desk=desk(3)))
+    assert settled.outcome is UNKNOWN
+    assert settled.failure.code == 'base_ahead_of_head'
+    assert operators.service.calls == ['read']
+
+
+def test_repeat_at_a_process_that_only_saw_the_restored_head():
+    # Another process has the change in force and will write it back, so that
+    # a conflict is untrue.
+    operators = Operators.start()
+    operators.service.faults.extend([None, Fault.LOST_AFTER_EFFECT])
+    operators.service.faults.extend([Fault.DOWN] * 3)
+    assert operators.apply(_applied()).outcome is UNKNOWN
+    other_process = operators.stored
+    operators.service.restore(DOCUMENT_KEY)
+    operators.in_force = HeadRecord()
+    operators.put(next_head(operators.stored, 8, 'bo', desk=desk(9)))
+    settled = operators.apply(_applied())
+    merged = merge_restored(operators.stored, other_process)
+    assert merged.find_change(change_id(4)) is not None
+    assert settled.outcome is not CONFLICT
