Hedge, retry and move queries within one budget

Cause: a query sent each shard once, to a replica chosen by latency alone, and neither hedged, retried nor limited what it added to the load of the leafs.

The engine returns a Result. A refusal is not_run only if the leaf stated it.

Ruled out: a queue inside the router; a shard that finds no room is tried again on a timer of its query, so that no task is added.

--- a/clementinebank/routing/__init__.py
+++ b/clementinebank/routing/__init__.py
@@ -1,5 +1,21 @@
 """Replica selection."""
 
-from clementinebank.routing._router import LeafState, Router
+from clementinebank.routing._budget import ExtraLoadBudget
+from clementinebank.routing._leaf_state import (
+    OUTCOMES_BY_CODE,
+    CallOutcome,
+    LeafState,
+)
+from clementinebank.routing._quantiles import LatencyWindow
+from clementinebank.routing._router import Router
+from clementinebank.routing._subset import rendezvous_subset
 
-__all__ = ('LeafState', 'Router')
+__all__ = (
+    'OUTCOMES_BY_CODE',
+    'CallOutcome',
+    'ExtraLoadBudget',
+    'LatencyWindow',
+    'LeafState',
+    'Router',
+    'rendezvous_subset',
+)
--- /dev/null
+++ b/clementinebank/routing/_leaf_state.py
@@ -0,0 +1,255 @@
+"""What an instance knows of one leaf, and the rules that follow from it."""
+
+import enum
+
+import attrs
+
+from clementinebank.upstream import LeafStatus
+
+LATENCY_WEIGHT = 0.2
+INITIAL_SERVICE_S = 0.005
+# A minimum that rises slowly follows a leaf whose work became heavier.
+FLOOR_RISE = 1.01
+
+# Reported load and state lower the rank at most by these factors, so that
+# misleading reports cannot remove a leaf that answers well.
+MAX_LOAD_PENALTY = 1.0
+COLD_PENALTY = 2.0
+
+SLOW_START_S = 10.0
+MIN_SLOW_START_SHARE = 0.1
+
+LIMIT_DECREASE = 0.5
+QUEUE_LIMIT_DECREASE = 0.9
+# A reply this many times slower than the leaf's fastest one has queued.
+QUEUE_FACTOR = 4.0
+# One decrease for all refusals of the same overload.
+DECREASE_INTERVAL_S = 0.05
+REFUSAL_PAUSE_S = 0.01
+
+EJECT_AFTER_FAILURES = 3
+# Single slow replies are common (stragglers), several in a row are not.
+EJECT_AFTER_SLOW = 5
+EJECTION_S = 2.0
+MAX_EJECTION_S = 30.0
+PROBE_INTERVAL_S = 0.5
+READMIT_AFTER_PROBES = 3
+
+
+class CallOutcome(enum.Enum):
+    """End of a shard call as far as the leaf's rank is concerned."""
+
+    GOOD = 'good'
+    REFUSED = 'refused'
+    DRAINING = 'draining'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+    UNSENT = 'unsent'
+
+
+OUTCOMES_BY_CODE = {
+    'shed': CallOutcome.REFUSED,
+    'draining': CallOutcome.DRAINING,
+    'snapshot_unavailable': CallOutcome.UNSENT,
+    'expired': CallOutcome.UNSENT,
+    'pool_retired': CallOutcome.UNSENT,
+}
+
+
+@attrs.define
+class LeafState:
+    """Observations of one leaf; reports only lower its rank.
+
+    Parameters
+    ----------
+    leaf_id : str
+        The leaf.
+    delay_s : float
+        One-way link delay in seconds.
+    max_in_flight : int
+        Static limit that follows from the connections.
+    limit : float
+        Adaptive limit of requests in flight.
+    cold_since : float or None
+        Start of the slow start, ``None`` for a warm leaf.
+    """
+
+    leaf_id: str
+    delay_s: float = 0
+    max_in_flight: int = 1
+    limit: float = 1
+    in_flight: int = 0
+    service_s: float = INITIAL_SERVICE_S
+    floor_s: float = 0
+    reported: LeafStatus | None = None
+    cold_since: float | None = None
+    draining_since: float | None = None
+    ejected_since: float | None = None
+    _failures: int = 0
+    _slow: int = 0
+    _ejections: int = 0
+    _good_probes: int = 0
+    _next_probe_at: float = 0
+    _paused_until: float = 0
+    _decreased_at: float = float('-inf')
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether the leaf may get no new work."""
+        return self.draining_since is not None
+
+    @property
+    def is_ejected(self) -> bool:
+        """Return whether the leaf gets only probes."""
+        return self.ejected_since is not None
+
+    @property
+    def round_trip_s(self) -> float:
+        """Return the link delay there and back in seconds."""
+        return 2 * self.delay_s
+
+    @property
+    def cost(self) -> float:
+        """Return the rank: the expected time of one more request."""
+        queued = (self.in_flight + 1) * self.service_s
+        return (self.round_trip_s + queued) * self._penalty
+
+    @property
+    def fastest_s(self) -> float:
+        """Return the shortest time in which an answer can be expected."""
+        return self.round_trip_s + self.floor_s
+
+    def has_room(self, now: float) -> bool:
+        """Return whether one more request is within the limits."""
+        return (
+            self.in_flight < self.max_in_flight
+            and self.in_flight < max(1, self.limit)
+            and now >= self._paused_until
+        )
+
+    def slow_start_share(self, now: float) -> float:
+        """Return the share of its requests that a cold leaf gets, 0 to 1."""
+        if self.cold_since is None:
+            return 1
+        share = (now - self.cold_since) / SLOW_START_S
+        if share >= 1:
+            self.cold_since = None
+        return min(1, max(MIN_SLOW_START_SHARE, share))
+
+    def is_probe_due(self, now: float) -> bool:
+        """Return whether an ejected leaf may get a probe."""
+        return self.is_ejected and now >= self._next_probe_at
+
+    def on_sent(self, now: float) -> None:
+        """Count a request; it is a probe if the leaf is ejected."""
+        self.in_flight += 1
+        if self.is_ejected:
+            self._next_probe_at = now + PROBE_INTERVAL_S
+
+    def on_end(
+        self,
+        now: float,
+        elapsed_s: float,
+        outcome: CallOutcome,
+        slow_s: float,
+    ) -> None:
+        """Take the end of a request; ``slow_s`` bounds a usual service."""
+        self.in_flight = max(0, self.in_flight - 1)
+        if outcome is CallOutcome.GOOD:
+            service_s = max(0, elapsed_s - self.round_trip_s)
+            self._failures = 0
+            self._take_good(now, service_s)
+            self._count_slow(now, service_s > slow_s)
+        elif outcome is CallOutcome.REFUSED:
+            self._paused_until = now + REFUSAL_PAUSE_S
+            self._decrease(now, LIMIT_DECREASE)
+        elif outcome is CallOutcome.DRAINING:
+            self.start_drain(now)
+        elif outcome is CallOutcome.FAILED:
+            self.on_failure(now)
+
+    def on_cancel(self, now: float, elapsed_s: float, slow_s: float) -> None:
+        """Take a cancelled request, whose true time is at least this long."""
+        service_s = elapsed_s - self.round_trip_s
+        if service_s > self.service_s:
+            self.service_s += LATENCY_WEIGHT * (service_s - self.service_s)
+        if service_s > slow_s:
+            self._count_slow(now, is_slow=True)
+
+    def on_failure(self, now: float) -> None:
+        """Count a failure and eject the leaf after several in a row."""
+        self._failures += 1
+        self._good_probes = 0
+        if self._failures >= EJECT_AFTER_FAILURES:
+            self.eject(now)
+
+    def eject(self, now: float) -> None:
+        """Restrict the leaf to probes for a time that grows."""
+        if self.is_ejected:
+            return
+        ejection_s = min(MAX_EJECTION_S, EJECTION_S * 2**self._ejections)
+        self._ejections += 1
+        self._good_probes = 0
+        self.ejected_since = now
+        self._next_probe_at = now + ejection_s
+
+    def start_drain(self, now: float) -> None:
+        """Stop new work until the leaf reports that it serves again."""
+        if self.draining_since is None:
+            self.draining_since = now
+
+    def on_status(
+        self, now: float, requested_at: float, status: LeafStatus
+    ) -> None:
+        """Take a reported status.
+
+        A status requested before the first drain signal cannot end a drain.
+        """
+        self.reported = status
+        if status.state == 'draining':
+            self.start_drain(now)
+        elif self._is_back(requested_at):
+            self.draining_since = None
+            self.cold_since = now
+        if status.state == 'cold':
+            self.cold_since = now
+
+    def _is_back(self, requested_at: float) -> bool:
+        since = self.draining_since
+        return since is not None and requested_at > since
+
+    @property
+    def _penalty(self) -> float:
+        if self.reported is None:
+            return 1
+        load = min(1, max(0, self.reported.load))
+        penalty = 1 + MAX_LOAD_PENALTY * load
+        return penalty * (COLD_PENALTY if self.reported.state == 'cold' else 1)
+
+    def _take_good(self, now: float, service_s: float) -> None:
+        self.service_s += LATENCY_WEIGHT * (service_s - self.service_s)
+        self.floor_s = min(service_s, self.floor_s * FLOOR_RISE or service_s)
+        if self._has_queued(service_s):
+            self._decrease(now, QUEUE_LIMIT_DECREASE)
+        else:
+            self.limit = min(self.max_in_flight, self.limit + 1 / self.limit)
+
+    def _has_queued(self, service_s: float) -> bool:
+        return self.in_flight > 0 and service_s > QUEUE_FACTOR * self.floor_s
+
+    def _count_slow(self, now: float, is_slow: bool) -> None:
+        self._slow = self._slow + 1 if is_slow else 0
+        if is_slow:
+            self._good_probes = 0
+            if self._slow >= EJECT_AFTER_SLOW:
+                self.eject(now)
+        elif self.is_ejected:
+            self._good_probes += 1
+            if self._good_probes >= READMIT_AFTER_PROBES:
+                self.ejected_since = None
+                self.cold_since = now
+
+    def _decrease(self, now: float, factor: float) -> None:
+        if now - self._decreased_at >= DECREASE_INTERVAL_S:
+            self._decreased_at = now
+            self.limit = max(1, self.limit * factor)
--- a/clementinebank/search/__init__.py
+++ b/clementinebank/search/__init__.py
@@ -1,5 +1,13 @@
 """Search over many shards."""
 
+from clementinebank.search._actions import (
+    Answer,
+    CancelShard,
+    Finish,
+    Refuse,
+    SendShard,
+    TraceEvent,
+)
 from clementinebank.search._coverage import Coverage, ShardCoverage
 from clementinebank.search._engine import SearchEngine
 from clementinebank.search._messages import (
@@ -8,16 +16,16 @@
     ShardReply,
     read_search_body,
 )
-from clementinebank.search._query import (
-    Answer,
-    CancelShard,
-    Finish,
-    Query,
-    SendShard,
+from clementinebank.search._policies import (
+    ANSWER_POLICIES,
+    WaitPlan,
+    answer_policy,
 )
+from clementinebank.search._query import Query
 from clementinebank.search._snapshots import PartitionMap, SnapshotCatalogue
 
 __all__ = (
+    'ANSWER_POLICIES',
     'Answer',
     'CancelShard',
     'Coverage',
@@ -25,11 +33,15 @@
     'PartitionMap',
     'Query',
     'Record',
+    'Refuse',
     'SearchEngine',
     'SearchRequest',
     'SendShard',
     'ShardCoverage',
     'ShardReply',
     'SnapshotCatalogue',
+    'TraceEvent',
+    'WaitPlan',
+    'answer_policy',
     'read_search_body',
 )
--- a/clementinebank/search/_engine.py
+++ b/clementinebank/search/_engine.py
@@ -1,31 +1,33 @@
 """Runs queries of one service over its leaf connections."""
 
 import json
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 import curio
 from eliot import log_message
-from result import Err, Result
+from result import Err, Ok, Result
 
 from clementinebank.clock import now
 from clementinebank.document import Document, LeafSettings, ServiceSettings
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpRequest, HttpResponse, json_request
-from clementinebank.routing import Router
-from clementinebank.search._messages import (
-    SearchRequest,
-    ShardReply,
-    decode_shard_reply,
-)
-from clementinebank.search._query import (
+from clementinebank.routing import OUTCOMES_BY_CODE, CallOutcome, Router
+from clementinebank.search._actions import (
     Action,
     Answer,
     CancelShard,
     Finish,
-    Query,
     SendShard,
+    TraceEvent,
 )
+from clementinebank.search._messages import (
+    SearchRequest,
+    ShardReply,
+    decode_shard_reply,
+)
+from clementinebank.search._query import Query
 from clementinebank.search._snapshots import SnapshotCatalogue
 from clementinebank.upstream import (
     LeafCall,
@@ -38,6 +40,8 @@
 PROBE_TIMEOUT_S = 1.0
 MS_PER_S = 1000
 
+OnTrace = Callable[[str, list[TraceEvent]], None]
+
 
 @attrs.define(eq=False)
 class SearchEngine:
@@ -51,18 +55,25 @@
         Document in force.
     data_centre : str
         Data centre of this instance.
+    on_trace : callable or None
+        Receives the request id and the trace of each query that ended.
     """
 
     service: ServiceSettings
     document: Document
     data_centre: str
+    on_trace: OnTrace | None = None
     router: Router = attrs.field(init=False)
     catalogue: SnapshotCatalogue = attrs.Factory(SnapshotCatalogue)
     pools_by_leaf: dict[str, LeafPool] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         """Create the routing state."""
-        self.router = Router(self.service)
+        self.router = Router(
+            self.service,
+            delays_by_leaf=self._delays_by_leaf(),
+            connection_share=self.document.connection_share(self.service),
+        )
 
     async def start(self) -> None:
         """Open a pool and start probing for every leaf."""
@@ -74,8 +85,10 @@
         """Follow a new revision; running queries keep their own settings."""
         self.service = service
         self.document = document
-        self.router.update_service(service)
         share = document.connection_share(service)
+        self.router.update_service(
+            service, now(), self._delays_by_leaf(), share
+        )
         leafs = service.leafs_by_id
         for leaf_id, pool in list(self.pools_by_leaf.items()):
             if leafs.get(leaf_id) != pool.leaf or pool.share != share:
@@ -92,13 +105,15 @@
             await pool.retire()
         self.pools_by_leaf.clear()
 
-    async def search(self, request: SearchRequest) -> Answer:
+    async def search(self, request: SearchRequest) -> Result[Answer, Failure]:
         """Run one query to its answer; never later than its deadline."""
-        query = Query(
-            request, self.service, self.router, self.catalogue.newest()
-        )
+        query = Query(request, self.service, self.router, self.catalogue)
         run = _QueryRun(query, dict(self.pools_by_leaf), self)
-        return await run.run()
+        try:
+            return await run.run()
+        finally:
+            if self.on_trace is not None:
+                self.on_trace(request.request_id, query.trace)
 
     def delay_to(self, leaf: LeafSettings) -> float:
         """Return the one-way delay to a leaf in seconds."""
@@ -107,6 +122,12 @@
         )
         return delay_ms / MS_PER_S
 
+    def _delays_by_leaf(self) -> dict[str, float]:
+        return {
+            leaf_id: self.delay_to(leaf)
+            for leaf_id, leaf in self.service.leafs_by_id.items()
+        }
+
     async def _open_pool(
         self, group_id: str, leaf: LeafSettings, share: int
     ) -> None:
@@ -125,13 +146,19 @@
                 replies.put,
             )
             call.request.headers['request-id'] = call.call_id
+            requested_at = now()
             await pool.submit(call)
-            self._take_status(pool, group_id, await replies.get())
+            reply = await replies.get()
+            self._take_status(pool, group_id, reply, requested_at)
             number += 1
             await curio.sleep(PROBE_INTERVAL_S)
 
     def _take_status(
-        self, pool: LeafPool, group_id: str, reply: LeafReply
+        self,
+        pool: LeafPool,
+        group_id: str,
+        reply: LeafReply,
+        requested_at: float,
     ) -> None:
         if pool.is_retired or isinstance(reply.outcome, Err):
             return
@@ -143,7 +170,9 @@
                 problems=[str(problem) for problem in status.err_value],
             )
             return
-        self.router.on_status(reply.leaf_id, now(), status.ok_value)
+        self.router.on_status(
+            reply.leaf_id, now(), status.ok_value, requested_at
+        )
         self.catalogue.learn(reply.leaf_id, group_id, status.ok_value.snapshots)
 
 
@@ -155,19 +184,28 @@
     pools: dict[str, LeafPool]
     engine: SearchEngine
     replies: Any = attrs.field(factory=curio.Queue)
-    answer: Answer | None = None
+    ending: Result[Answer, Failure] | None = None
 
-    async def run(self) -> Answer:
-        """Return the answer of the query."""
+    async def run(self) -> Result[Answer, Failure]:
+        """Return the answer or the refusal of the query."""
+        try:
+            return await self._drive()
+        except curio.CancelledError:
+            # The caller is gone: the leafs need not finish the work.
+            async with curio.disable_cancellation():
+                await self._perform(self.query.abandon(now()))
+            raise
+
+    async def _drive(self) -> Result[Answer, Failure]:
         await self._perform(self.query.start(now()))
-        while self.answer is None:
+        while self.ending is None:
             wait_s = max(0, self.query.next_wakeup - now())
-            reply = await curio.ignore_after(wait_s, self.replies.get)
-            if reply is None:
+            delivered = await curio.ignore_after(wait_s, self.replies.get)
+            if delivered is None:
                 await self._perform(self.query.on_time(now()))
             else:
-                await self._perform(self._take(reply))
-        return self.answer
+                await self._perform(self._take(*delivered))
+        return self.ending
 
     async def _perform(self, actions: list[Action]) -> None:
         for action in actions:
@@ -176,12 +214,15 @@
             elif isinstance(action, CancelShard):
                 await self.pools[action.leaf_id].cancel(action.attempt_id)
             elif isinstance(action, Finish):
-                self.answer = action.answer
+                self.ending = Ok(action.answer)
+            else:
+                self.ending = Err(action.failure)
 
     async def _send(self, action: SendShard) -> None:
         pool = self.pools[action.leaf_id]
         request = self.query.request
-        deadline = request.deadline - self.engine.delay_to(pool.leaf)
+        # The request must reach the leaf and the reply come back in time.
+        deadline = request.deadline - 2 * self.engine.delay_to(pool.leaf)
         remaining_ms = max(0, int((deadline - now()) * MS_PER_S))
         message = json_request(
             'POST',
@@ -197,27 +238,36 @@
                 'snapshot': action.snapshot,
             },
         )
-        self.engine.router.on_sent(action.leaf_id, now())
         await pool.submit(
             LeafCall(action.attempt_id, message, deadline, self._deliver)
         )
 
     async def _deliver(self, reply: LeafReply) -> None:
         """Update the routing state, also after the query has ended."""
-        is_good = reply.outcome.is_ok() and reply.outcome.unwrap().status < 300
-        self.engine.router.on_reply(
-            reply.leaf_id, now(), reply.elapsed_s, is_good=is_good
+        is_current = reply.call_id in self.query.dispatcher.shards_by_attempt
+        outcome = reply.outcome.and_then(_shard_reply_of)
+        self.engine.router.on_end(
+            reply.leaf_id,
+            now(),
+            reply.elapsed_s,
+            _call_outcome(outcome) if is_current else CallOutcome.CANCELLED,
         )
-        if self.answer is None:
-            await self.replies.put(reply)
+        if is_current and self.ending is None:
+            await self.replies.put((reply.call_id, outcome))
 
-    def _take(self, reply: LeafReply) -> list[Action]:
-        outcome = reply.outcome.and_then(_shard_reply_of)
+    def _take(
+        self, call_id: str, outcome: Result[ShardReply, Failure]
+    ) -> list[Action]:
         if isinstance(outcome, Err):
-            return self.query.on_failure(
-                reply.call_id, outcome.err_value, now()
-            )
-        return self.query.on_reply(reply.call_id, outcome.ok_value, now())
+            return self.query.on_failure(call_id, outcome.err_value, now())
+        return self.query.on_reply(call_id, outcome.ok_value, now())
+
+
+def _call_outcome(outcome: Result[ShardReply, Failure]) -> CallOutcome:
+    if isinstance(outcome, Err):
+        code = outcome.err_value.code
+        return OUTCOMES_BY_CODE.get(code, CallOutcome.FAILED)
+    return CallOutcome.GOOD
 
 
 def _shard_reply_of(response: HttpResponse) -> Result[ShardReply, Failure]:
@@ -231,8 +281,21 @@
                 execution=Execution.UNKNOWN,
             )
         )
+    code, execution = _read_refusal(response.body)
+    message = f'status {response.status}'
+    return Err(Failure(code, message, Step.READ, execution=execution))
+
+
+def _read_refusal(body: bytes) -> tuple[str, Execution]:
+    """Return code and execution; only a stated ``ran: false`` is not run."""
     try:
-        code = str(json.loads(response.body)['code'])
-    except (ValueError, KeyError, TypeError):
-        code = 'leaf_refused'
-    return Err(Failure(code, f'status {response.status}', Step.READ))
+        refusal = json.loads(body)
+    except (ValueError, RecursionError):
+        return 'leaf_refused', Execution.UNKNOWN
+    if not isinstance(refusal, dict):
+        return 'leaf_refused', Execution.UNKNOWN
+    is_not_run = refusal.get('ran') is False
+    return (
+        str(refusal.get('code', 'leaf_refused')),
+        Execution.NOT_RUN if is_not_run else Execution.UNKNOWN,
+    )
--- /dev/null
+++ b/clementinebank/search/_merge.py
@@ -0,0 +1,114 @@
+"""Records of the shards, filtered on receipt and checked before an answer."""
+
+from collections.abc import Collection, Iterable
+
+from clementinebank.invariants import check, invariant
+from clementinebank.search._coverage import Coverage
+from clementinebank.search._messages import Record, ShardReply
+from clementinebank.search._shards import Shard
+from clementinebank.search._snapshots import PartitionMap
+
+
+@invariant('records-from-pinned-snapshot', 'R1')
+def _is_pinned_snapshot(pinned: str | None, shards: Collection[Shard]) -> bool:
+    return all(
+        shard.snapshot == pinned for shard in shards if shard.is_answered
+    )
+
+
+@invariant('record-owned-by-answering-group', 'R2')
+def _is_owned(
+    partition_map: PartitionMap | None, shards: Collection[Shard]
+) -> bool:
+    owners = partition_map.group_by_partition if partition_map else {}
+    return all(
+        owners.get(record.partition) == shard.group_id
+        for shard in shards
+        for record in shard.records or ()
+    )
+
+
+@invariant('record-returned-once', 'R2')
+def _is_returned_once(records: Collection[Record]) -> bool:
+    return len({record.record_id for record in records}) == len(records)
+
+
+@invariant('complete-only-with-known-map', 'R2')
+def _is_complete_by_map(
+    partition_map: PartitionMap | None,
+    shards: Collection[Shard],
+    is_complete: bool,
+) -> bool:
+    if not is_complete:
+        return True
+    if partition_map is None:
+        return False
+    answered = {
+        partition
+        for shard in shards
+        if shard.is_answered
+        for partition in shard.partitions
+    }
+    return answered == set(range(partition_map.partition_count))
+
+
+def owned_records(
+    reply: ShardReply, shard: Shard, partition_map: PartitionMap
+) -> tuple[Record, ...]:
+    """Return the records of the group's own partitions, each one once.
+
+    While the index is repartitioned a group may still hold records of a
+    partition that another group owns in the pinned map.
+    """
+    owners = partition_map.group_by_partition
+    kept = {
+        record.record_id: record
+        for record in reply.records
+        if owners.get(record.partition) == shard.group_id
+    }
+    return tuple(kept.values())
+
+
+def merge(shards: Iterable[Shard]) -> list[Record]:
+    """Return the records of all shards, best first, each id once."""
+    records = [record for shard in shards for record in shard.records or ()]
+    records.sort(key=lambda record: (-record.score, record.record_id))
+    best: dict[str, Record] = {}
+    for record in records:
+        best.setdefault(record.record_id, record)
+    return list(best.values())
+
+
+def is_truthful(
+    request_id: str,
+    partition_map: PartitionMap | None,
+    shards: Collection[Shard],
+    records: Collection[Record],
+    coverage: Coverage,
+) -> bool:
+    """Check every invariant of an answer; each violation is reported."""
+    snapshot = partition_map.snapshot if partition_map else None
+    return all(
+        [
+            check(
+                'records-from-pinned-snapshot',
+                request_id,
+                pinned=snapshot,
+                shards=shards,
+            ),
+            check(
+                'record-owned-by-answering-group',
+                request_id,
+                partition_map=partition_map,
+                shards=shards,
+            ),
+            check('record-returned-once', request_id, records=records),
+            check(
+                'complete-only-with-known-map',
+                request_id,
+                partition_map=partition_map,
+                shards=shards,
+                is_complete=coverage.is_complete,
+            ),
+        ]
+    )
--- a/clementinebank/search/_messages.py
+++ b/clementinebank/search/_messages.py
@@ -102,7 +102,7 @@
     """Decode and validate the body of a leaf's reply."""
     try:
         reader = FieldReader(json.loads(body))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err([FieldProblem('$', f'invalid JSON: {error}')])
     raw_records = reader.data.get('records')
     partitions = reader.data.get('partitions')
--- a/clementinebank/search/_query.py
+++ b/clementinebank/search/_query.py
@@ -3,94 +3,39 @@
 import attrs
 
 from clementinebank.document import ServiceSettings
-from clementinebank.errors import Failure
+from clementinebank.errors import Execution, Failure, Step
 from clementinebank.invariants import check, invariant
 from clementinebank.routing import Router
-from clementinebank.search._coverage import Coverage, ShardCoverage
-from clementinebank.search._messages import (
-    Record,
-    SearchRequest,
-    ShardReply,
+from clementinebank.search._actions import (
+    Action,
+    Answer,
+    Finish,
+    Refuse,
+    TraceEvent,
 )
-from clementinebank.search._snapshots import PartitionMap
-
-
-@attrs.frozen
-class SendShard:
-    """Send a shard request to a leaf."""
-
-    attempt_id: str
-    group_id: str
-    leaf_id: str
-    snapshot: str
-    partitions: tuple[int, ...]
-
-
-@attrs.frozen
-class CancelShard:
-    """Cancel a shard request at its leaf."""
-
-    attempt_id: str
-    leaf_id: str
-
-
-@attrs.frozen
-class Answer:
-    """Answer to a caller.
-
-    Parameters
-    ----------
-    request_id : str
-        Id of the request.
-    snapshot : str or None
-        The one snapshot from which all records come.
-    records : tuple of Record
-        Best records, best first.
-    coverage : Coverage
-        What the answer covers.
-    """
-
-    request_id: str
-    snapshot: str | None
-    records: tuple[Record, ...]
-    coverage: Coverage
-
-
-@attrs.frozen
-class Finish:
-    """Answer the caller."""
-
-    answer: Answer
-
-
-Action = SendShard | CancelShard | Finish
-
-
-@invariant('records-from-pinned-snapshot', 'R1')
-def _is_pinned_snapshot(pinned: str, received: str) -> bool:
-    return pinned == received
+from clementinebank.search._admission import refuse_admission
+from clementinebank.search._coverage import Coverage, ShardCoverage
+from clementinebank.search._dispatch import Dispatcher
+from clementinebank.search._merge import is_truthful, merge, owned_records
+from clementinebank.search._messages import SearchRequest, ShardReply
+from clementinebank.search._policies import ANSWER_POLICIES
+from clementinebank.search._shards import Shard
+from clementinebank.search._snapshots import PartitionMap, SnapshotCatalogue
 
+SNAPSHOT_UNAVAILABLE = 'snapshot_unavailable'
 
-@invariant('record-owned-by-answering-group', 'R2')
-def _is_owner(partition_map: PartitionMap, record: Record, group: str) -> bool:
-    return partition_map.group_by_partition.get(record.partition) == group
 
+@invariant('answered-once', 'R3')
+def _is_first_answer(is_finished: bool) -> bool:
+    return not is_finished
 
-@attrs.define
-class _Shard:
-    group_id: str
-    partitions: tuple[int, ...]
-    attempts_by_id: dict[str, str] = attrs.Factory(dict)
-    records: tuple[Record, ...] | None = None
-    answered_by: str | None = None
-    missing_reason: str = 'no answer within the deadline'
 
-    @property
-    def is_open(self) -> bool:
-        return self.records is None and bool(self.attempts_by_id)
+@invariant('not-run-is-true', 'R4')
+def _is_not_run_true(execution: Execution, sent: int, not_run: int) -> bool:
+    return execution is not Execution.NOT_RUN or sent == not_run
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Query:
     """State of one search from its start to its answer.
 
@@ -102,155 +47,248 @@
         Settings of the service when the query started.
     router : Router
         Chooses the replicas.
-    partition_map : PartitionMap or None
-        The pinned snapshot's map.
+    catalogue : SnapshotCatalogue
+        Snapshots from which one is pinned.
     """
 
     request: SearchRequest
     service: ServiceSettings
     router: Router
-    partition_map: PartitionMap | None
+    catalogue: SnapshotCatalogue
+    partition_map: PartitionMap | None = None
     is_finished: bool = False
-    _shards_by_group: dict[str, _Shard] = attrs.Factory(dict)
-    _group_by_attempt: dict[str, str] = attrs.Factory(dict)
+    is_moved: bool = False
+    dispatcher: Dispatcher = attrs.field(init=False)
+    _shards_by_group: dict[str, Shard] = attrs.Factory(dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the part that sends the shard requests."""
+        self.dispatcher = Dispatcher(self.request, self.router, 0)
 
     @property
     def next_wakeup(self) -> float:
         """Return the runtime time at which ``on_time`` is due."""
-        return self.request.deadline
+        return min(self.dispatcher.finish_at, self.dispatcher.timers.next_at())
+
+    @property
+    def trace(self) -> list[TraceEvent]:
+        """Return the events of the query so far."""
+        return self.dispatcher.trace_events
 
     def start(self, now: float) -> list[Action]:
-        """Pin the snapshot and send one request to each shard."""
-        if self.partition_map is None:
-            return self._finish()
-        actions: list[Action] = []
-        for group_id in self.partition_map.group_ids:
-            shard = _Shard(group_id, self.partition_map.partitions_of(group_id))
-            self._shards_by_group[group_id] = shard
-            actions.extend(self._send(shard, now))
-        return actions + self._finish_if_done()
+        """Admit the query, pin a snapshot and ask every shard."""
+        remaining_s = self.request.deadline - now
+        plan = ANSWER_POLICIES[self.service.answer_policy](remaining_s)
+        self.dispatcher.started_at = now
+        self.dispatcher.finish_at = self.request.deadline - plan.reserve_s
+        self.dispatcher.patience = plan.patience
+        refusal = refuse_admission(
+            self.router,
+            self.service.groups_by_id,
+            now,
+            remaining_s - plan.reserve_s,
+        )
+        if refusal is not None:
+            return self._refuse(refusal, now)
+        pinned = self.catalogue.newest()
+        if pinned is None:
+            self.dispatcher.trace(now, 'no_snapshot')
+            return self._finish(now)
+        return self._pin(pinned, now) + self._finish_if_done(now)
 
     def on_reply(
         self, attempt_id: str, reply: ShardReply, now: float
     ) -> list[Action]:
-        """Take the reply of a leaf."""
-        shard = self._close_attempt(attempt_id)
-        if shard is None or shard.records is not None:
+        """Take the reply of a leaf; the first one of a shard wins."""
+        ended = self.dispatcher.end_attempt(attempt_id)
+        if self.is_finished or ended is None:
             return []
-        leaf_id = shard.attempts_by_id.pop(attempt_id)
+        shard, attempt = ended
         if not self._is_usable(shard, reply):
-            shard.missing_reason = 'the leaf answered another request'
-            return self._finish_if_done()
-        shard.records = self._owned_records(shard, reply)
-        shard.answered_by = leaf_id
-        return self._finish_if_done()
+            return self._take_invalid(shard, attempt.leaf_id, now)
+        if self.partition_map is not None:
+            shard.records = owned_records(reply, shard, self.partition_map)
+        shard.snapshot = reply.snapshot
+        shard.answered_by = attempt.leaf_id
+        self.dispatcher.trace(now, 'reply', leaf=attempt.leaf_id)
+        cancels = self.dispatcher.settle(shard, now)
+        return cancels + self._finish_if_done(now)
 
     def on_failure(
         self, attempt_id: str, failure: Failure, now: float
     ) -> list[Action]:
-        """Take the failure of a shard request."""
-        shard = self._close_attempt(attempt_id)
-        if shard is None:
+        """Take the failure or the refusal of a shard request."""
+        ended = self.dispatcher.end_attempt(attempt_id)
+        if self.is_finished or ended is None:
             return []
-        shard.attempts_by_id.pop(attempt_id)
-        shard.missing_reason = failure.code
-        return self._finish_if_done()
+        shard, attempt = ended
+        if failure.execution is Execution.NOT_RUN:
+            self.dispatcher.not_run_count += 1
+        if failure.code == SNAPSHOT_UNAVAILABLE:
+            shard.unserving.add(attempt.leaf_id)
+            actions = self._leave_snapshot(attempt.leaf_id, now)
+            if actions:
+                return actions + self._finish_if_done(now)
+        actions = self.dispatcher.on_failed(
+            shard, attempt.leaf_id, failure, now
+        )
+        return actions + self._finish_if_done(now)
 
     def on_time(self, now: float) -> list[Action]:
-        """Answer with what there is when the deadline is reached."""
-        if self.is_finished or now < self.request.deadline:
+        """Hedge and retry what is due; answer when the time is up."""
+        if self.is_finished:
             return []
-        cancels: list[Action] = [
-            CancelShard(attempt_id, leaf_id)
-            for shard in self._shards_by_group.values()
-            for attempt_id, leaf_id in shard.attempts_by_id.items()
-        ]
-        return cancels + self._finish()
+        if now >= self.dispatcher.finish_at:
+            return self._finish(now)
+        actions: list[Action] = []
+        for shard in self.dispatcher.timers.pop_due(now):
+            actions.extend(self.dispatcher.on_due(shard, now))
+        return actions + self._finish_if_done(now)
 
-    def _send(self, shard: _Shard, now: float) -> list[Action]:
-        leaf_id = self.router.choose(shard.group_id, now)
-        if leaf_id is None:
-            shard.missing_reason = 'no_leaf'
-            return []
-        number = len(self._group_by_attempt)
-        attempt_id = f'{self.request.request_id}.{number}'
-        self._group_by_attempt[attempt_id] = shard.group_id
-        shard.attempts_by_id[attempt_id] = leaf_id
-        snapshot = self.partition_map.snapshot if self.partition_map else ''
-        return [
-            SendShard(
-                attempt_id,
-                shard.group_id,
-                leaf_id,
-                snapshot,
-                shard.partitions,
-            )
-        ]
+    def abandon(self, now: float) -> list[Action]:
+        """Cancel everything because the caller is gone."""
+        self.is_finished = True
+        return self._settle_all(now)
 
-    def _close_attempt(self, attempt_id: str) -> _Shard | None:
-        group_id = self._group_by_attempt.get(attempt_id)
-        if self.is_finished or group_id is None:
-            return None
-        shard = self._shards_by_group[group_id]
-        return shard if attempt_id in shard.attempts_by_id else None
+    def _pin(self, pinned: PartitionMap, now: float) -> list[Action]:
+        self.partition_map = pinned
+        self.dispatcher.snapshot = pinned.snapshot
+        self.dispatcher.trace(now, 'pinned', snapshot=pinned.snapshot)
+        actions: list[Action] = []
+        self._shards_by_group = {}
+        for group_id, partitions in pinned.partitions_by_group.items():
+            group = self.service.groups_by_id.get(group_id)
+            leafs = set(group.leafs_by_id) if group else set()
+            shard = Shard(
+                group_id, partitions, leafs - pinned.leaf_ids, self.is_moved
+            )
+            self._shards_by_group[group_id] = shard
+            actions.extend(self.dispatcher.open(shard, now))
+        return actions
+
+    def _leave_snapshot(self, leaf_id: str, now: float) -> list[Action]:
+        """Move the whole query once, or return nothing if it must stay."""
+        refused = self.dispatcher.snapshot
+        self.catalogue.withdraw(leaf_id, refused)
+        other = self.catalogue.newest()
+        if self.is_moved or other is None or not self._may_move(other, now):
+            return []
+        self.is_moved = True
+        self.dispatcher.trace(now, 'moved', refused=refused, leaf=leaf_id)
+        return self._settle_all(now) + self._pin(other, now)
+
+    def _may_move(self, other: PartitionMap, now: float) -> bool:
+        """Return whether time and budget permit; takes the tokens."""
+        if other.snapshot == self.dispatcher.snapshot or not other.is_complete:
+            return False
+        remaining_s = self.dispatcher.finish_at - now
+        if not all(
+            self.router.has_leaf(group_id, remaining_s)
+            for group_id in other.group_ids
+        ):
+            return False
+        return self.router.budget.take(
+            len(other.group_ids), self.request.request_id
+        )
 
-    def _is_usable(self, shard: _Shard, reply: ShardReply) -> bool:
+    def _is_usable(self, shard: Shard, reply: ShardReply) -> bool:
         return (
-            check(
-                'records-from-pinned-snapshot',
-                self.request.request_id,
-                pinned=self.partition_map and self.partition_map.snapshot,
-                received=reply.snapshot,
-            )
+            reply.snapshot == self.dispatcher.snapshot
             and reply.partitions == shard.partitions
         )
 
-    def _owned_records(
-        self, shard: _Shard, reply: ShardReply
-    ) -> tuple[Record, ...]:
-        return tuple(
-            record
-            for record in reply.records
-            if check(
-                'record-owned-by-answering-group',
-                self.request.request_id,
-                partition_map=self.partition_map,
-                record=record,
-                group=shard.group_id,
-            )
+    def _take_invalid(
+        self, shard: Shard, leaf_id: str, now: float
+    ) -> list[Action]:
+        """Count a reply to another question as a failure of the leaf."""
+        self.router.on_invalid_reply(leaf_id, now)
+        failure = Failure(
+            'leaf_mismatch',
+            'the leaf answered another request',
+            Step.MERGE,
+            peer=leaf_id,
+            execution=Execution.UNKNOWN,
         )
+        actions = self.dispatcher.on_failed(shard, leaf_id, failure, now)
+        return actions + self._finish_if_done(now)
 
-    def _finish_if_done(self) -> list[Action]:
-        if any(shard.is_open for shard in self._shards_by_group.values()):
-            return []
-        return self._finish()
+    def _finish_if_done(self, now: float) -> list[Action]:
+        for shard in self._shards_by_group.values():
+            if not shard.is_settled and now < shard.hopeless_at:
+                return []
+        return self._finish(now)
 
-    def _finish(self) -> list[Action]:
-        self.is_finished = True
-        records = [
-            record
-            for shard in self._shards_by_group.values()
-            for record in shard.records or ()
-        ]
-        records.sort(key=lambda record: (-record.score, record.record_id))
+    def _settle_all(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for shard in self._shards_by_group.values():
+            actions.extend(self.dispatcher.settle(shard, now))
+        return actions
+
+    def _finish(self, now: float) -> list[Action]:
+        cancels = self._settle_all(now)
+        shards = self._shards_by_group.values()
+        records = merge(shards)
+        coverage = self._coverage()
+        request_id = self.request.request_id
+        if not is_truthful(
+            request_id, self.partition_map, shards, records, coverage
+        ):
+            message = 'the answer broke an invariant and is withheld'
+            return cancels + self._refuse_unanswered(
+                'untrue_answer', message, now
+            )
+        if shards and not any(shard.is_answered for shard in shards):
+            reasons = sorted({shard.missing_reason for shard in shards})
+            return cancels + self._refuse_unanswered(
+                'no_shard_answered', ', '.join(reasons), now
+            )
+        self._end(now, 'answered')
         answer = Answer(
-            self.request.request_id,
+            request_id,
             self.partition_map.snapshot if self.partition_map else None,
             tuple(records[: self.request.limit]),
-            self._coverage(),
+            coverage,
+        )
+        return [*cancels, Finish(answer)]
+
+    def _refuse_unanswered(
+        self, code: str, message: str, now: float
+    ) -> list[Action]:
+        execution = self.dispatcher.execution
+        failure = Failure(code, message, Step.MERGE, execution=execution)
+        return self._refuse(failure, now)
+
+    def _refuse(self, failure: Failure, now: float) -> list[Action]:
+        check(
+            'not-run-is-true',
+            self.request.request_id,
+            execution=failure.execution,
+            sent=self.dispatcher.sent_count,
+            not_run=self.dispatcher.not_run_count,
         )
-        return [Finish(answer)]
+        self._end(now, 'refused', reason=failure.code)
+        return [Refuse(failure)]
+
+    def _end(self, now: float, event: str, **facts: str) -> None:
+        check(
+            'answered-once',
+            self.request.request_id,
+            is_finished=self.is_finished,
+        )
+        self.is_finished = True
+        self.dispatcher.trace(now, event, **facts)
 
     def _coverage(self) -> Coverage:
         leafs = self.service.leafs_by_id
         shards = {}
         for group_id, shard in self._shards_by_group.items():
             leaf = leafs.get(shard.answered_by or '')
+            group = self.service.groups_by_id.get(group_id)
             shards[group_id] = ShardCoverage(
                 group_id,
-                self.service.groups_by_id[group_id].yard,
+                group.yard if group else '',
                 shard.partitions,
                 leaf.data_centre if leaf else None,
-                None if shard.records is not None else shard.missing_reason,
+                None if shard.is_answered else shard.missing_reason,
             )
         return Coverage(self.partition_map, shards)
--- /dev/null
+++ b/clementinebank/search/_shards.py
@@ -0,0 +1,87 @@
+"""State of the shards of one query."""
+
+import heapq
+from itertools import count
+
+import attrs
+
+from clementinebank.search._messages import Record
+
+
+@attrs.frozen
+class Attempt:
+    """One request to a leaf that has not ended."""
+
+    attempt_id: str
+    leaf_id: str
+    sent_at: float
+
+
+@attrs.define(eq=False)
+class Shard:
+    """One shard of the pinned snapshot.
+
+    Parameters
+    ----------
+    group_id : str
+        Group that owns the partitions.
+    partitions : tuple of int
+        Partitions asked.
+    unserving : set of str
+        Leafs of the group that do not serve the snapshot.
+    is_moved : bool
+        Whether the query asked the group under another snapshot before.
+    """
+
+    group_id: str
+    partitions: tuple[int, ...]
+    unserving: set[str]
+    is_moved: bool = False
+    attempts_by_id: dict[str, Attempt] = attrs.Factory(dict)
+    failed: set[str] = attrs.Factory(set)
+    sent_count: int = 0
+    hedge_count: int = 0
+    is_waiting: bool = False
+    is_settled: bool = False
+    due_at: float = 0
+    hopeless_at: float = float('inf')
+    records: tuple[Record, ...] | None = None
+    snapshot: str | None = None
+    answered_by: str | None = None
+    missing_reason: str = 'no answer within the deadline'
+
+    @property
+    def is_answered(self) -> bool:
+        """Return whether the shard answered."""
+        return self.records is not None
+
+    @property
+    def excluded(self) -> set[str]:
+        """Return the leafs that must not get the next request."""
+        asked = {each.leaf_id for each in self.attempts_by_id.values()}
+        return asked | self.failed | self.unserving
+
+
+@attrs.define(eq=False)
+class Timers:
+    """Times at which shards need attention."""
+
+    _entries: list[tuple[float, int, Shard]] = attrs.Factory(list)
+    _numbers: count = attrs.Factory(count)
+
+    def add(self, at: float, shard: Shard) -> None:
+        """Ask for attention to a shard at a runtime time in seconds."""
+        heapq.heappush(self._entries, (at, next(self._numbers), shard))
+
+    def next_at(self) -> float:
+        """Return the next time, infinity for none."""
+        while self._entries and self._entries[0][2].is_settled:
+            heapq.heappop(self._entries)
+        return self._entries[0][0] if self._entries else float('inf')
+
+    def pop_due(self, now: float) -> list[Shard]:
+        """Remove and return the shards that are due."""
+        due = []
+        while self.next_at() <= now:
+            due.append(heapq.heappop(self._entries)[2])
+        return due
--- a/clementinebank/server/_caller_routes.py
+++ b/clementinebank/server/_caller_routes.py
@@ -36,7 +36,11 @@
         request_id=search_request.request_id,
         service=service,
     ) as action:
-        answer = await engine.search(search_request)
+        found = await engine.search(search_request)
+        if isinstance(found, Err):
+            action.add_success_fields(refused=found.err_value.code)
+            return refuse(found.err_value)
+        answer = found.ok_value
         action.add_success_fields(
             snapshot=answer.snapshot, complete=answer.coverage.is_complete
         )
--- a/clementinebank/upstream/_pool.py
+++ b/clementinebank/upstream/_pool.py
@@ -20,6 +20,7 @@
 # A reply that comes later than this after its deadline costs a connection.
 LATE_REPLY_LIMIT_S = 1.0
 CANCEL_TIMEOUT_S = 0.5
+DRAINING = 503
 
 
 @attrs.frozen
@@ -93,8 +94,15 @@
     _calls_by_id: dict[str, LeafCall] = attrs.Factory(dict)
 
     async def submit(self, call: LeafCall) -> None:
-        """Queue a call for the next free connection."""
+        """Queue a call for the next free connection.
+
+        A retired pool has no connection that could take it; the call then
+        fails at once as not run.
+        """
         call.submitted_at = now()
+        if self.is_retired:
+            await self._refuse(call)
+            return
         self._calls_by_id[call.call_id] = call
         await self._calls.put(call)
         waiting = self._calls.qsize()
@@ -128,6 +136,13 @@
         for _ in range(self.open_connections):
             await self._calls.put(None)
 
+    async def _refuse(self, call: LeafCall) -> None:
+        message = 'the leaf was removed from the document'
+        failure = self._failure('pool_retired', message, Step.DISPATCH, call)
+        await call.deliver(
+            LeafReply(call.call_id, self.leaf.leaf_id, Err(failure), 0)
+        )
+
     async def _run_connection(self) -> None:
         connection = self._new_connection()
         try:
@@ -154,7 +169,7 @@
         self, connection: HttpConnection, call: LeafCall
     ) -> None:
         outcome = await self._exchange(connection, call)
-        if isinstance(outcome, Err):
+        if isinstance(outcome, Err) or outcome.ok_value.status == DRAINING:
             await connection.close()
         self._calls_by_id.pop(call.call_id, None)
         await call.deliver(
--- a/clementinebank/upstream/_status.py
+++ b/clementinebank/upstream/_status.py
@@ -57,7 +57,7 @@
     """Decode and validate the body of a status reply."""
     try:
         reader = FieldReader(json.loads(payload))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err([FieldProblem('$', f'invalid JSON: {error}')])
     raw_snapshots = reader.data.get('snapshots', [])
     if not isinstance(raw_snapshots, list):
