--- /dev/null
+++ b/clementinebank/routing/tests/test_router.py
@@ -0,0 +1,261 @@
+"""Guards replica selection against misleading reports and lost leafs.
+
+Every rule is a check of one router; the checks are repeated with a variant
+of the rule that is broken on purpose and must then fail.
+"""
+
+import random
+from unittest import mock
+
+import pytest
+
+from clementinebank.routing import CallOutcome, LeafState, Router
+from clementinebank.routing import _leaf_state as leaf_module
+from clementinebank.search.tests.worlds import make_service
+from clementinebank.upstream import LeafStatus
+
+NOW = 1000.0
+NEAR = {'g0-a': 0.0, 'g0-b': 0.008, 'g0-c': 0.008}
+
+
+def make_router(delays=None):
+    return Router(make_service(), random.Random(3), delays or {})
+
+
+def run_call(router, leaf_id, now, elapsed_s, outcome=CallOutcome.GOOD):
+    router.on_sent(leaf_id, now)
+    router.on_end(leaf_id, now + elapsed_s, elapsed_s, outcome)
+
+
+def shares(router, now=NOW, calls=600):
+    chosen = [router.choose('g0', now) for _ in range(calls)]
+    return {name: chosen.count(f'g0-{name}') / calls for name in 'abc'}
+
+
+def check_busy_leaf_gets_less():
+    router = make_router()
+    router.on_sent('g0-a', NOW)
+    assert shares(router)['a'] < 0.2
+
+
+def check_slow_leaf_gets_less():
+    router = make_router()
+    for _ in range(20):
+        run_call(router, 'g0-b', NOW, 0.02)
+    assert shares(router)['b'] < 0.2
+
+
+def check_local_data_centre_is_preferred():
+    assert shares(make_router(NEAR))['a'] > 0.9
+
+
+def check_full_leaf_is_not_chosen():
+    router = make_router(NEAR)
+    for _ in range(2):
+        router.on_sent('g0-a', NOW)
+    assert shares(router)['a'] == 0
+
+
+def check_reports_only_lower_the_rank():
+    router = make_router()
+    plain = router.leafs_by_id['g0-a'].cost
+    for load in (0, 0.5, 1, 1000):
+        status = LeafStatus('serving', load, ())
+        router.on_status('g0-a', NOW, status)
+        assert plain <= router.leafs_by_id['g0-a'].cost <= 2 * plain
+
+
+def check_lying_load_does_not_remove_a_leaf():
+    router = make_router()
+    router.on_status('g0-b', NOW, LeafStatus('serving', 1000, ()))
+    run_slow = ('g0-a', 'g0-c')
+    for leaf_id in run_slow * 20:
+        run_call(router, leaf_id, NOW, 0.015)
+    assert shares(router)['b'] > 0.5
+
+
+def check_cold_leaf_ramps_up():
+    router = make_router()
+    router.on_status('g0-a', NOW, LeafStatus('draining', 0, ()))
+    router.on_status('g0-a', NOW + 1, LeafStatus('serving', 0, ()))
+    start = shares(router, NOW + 1.1)['a']
+    middle = shares(router, NOW + 6)['a']
+    end = shares(router, NOW + 12)['a']
+    assert start < 0.1 < middle < end
+
+
+def check_failing_leaf_gets_only_probes():
+    router = make_router()
+    for _ in range(3):
+        run_call(router, 'g0-a', NOW, 0.001, CallOutcome.FAILED)
+    assert shares(router)['a'] == 0
+    assert router.probe_target('g0', NOW + 0.1) is None
+    assert router.probe_target('g0', NOW + 10) == 'g0-a'
+    router.on_sent('g0-a', NOW + 10)
+    assert router.probe_target('g0', NOW + 10.1) is None
+
+
+def check_leaf_returns_after_good_probes():
+    router = make_router()
+    for _ in range(3):
+        run_call(router, 'g0-a', NOW, 0.001, CallOutcome.FAILED)
+    for number in range(3):
+        assert router.leafs_by_id['g0-a'].is_ejected
+        run_call(router, 'g0-a', NOW + 10 + number, 0.005)
+    assert not router.leafs_by_id['g0-a'].is_ejected
+
+
+def check_silent_leaf_is_ejected():
+    """See a leaf that never replies through cancelled calls alone."""
+    router = make_router()
+    for _ in range(5):
+        router.on_sent('g0-a', NOW)
+        router.on_cancel('g0-a', NOW, 0.09)
+        router.on_end('g0-a', NOW, 1, CallOutcome.CANCELLED)
+    assert router.leafs_by_id['g0-a'].is_ejected
+
+
+def check_group_without_healthy_leaf_is_still_asked():
+    router = make_router()
+    for name in 'abc' * 3:
+        run_call(router, f'g0-{name}', NOW, 0.001, CallOutcome.FAILED)
+    assert router.choose('g0', NOW) is not None
+
+
+def check_drain_is_remembered():
+    router = make_router()
+    run_call(router, 'g0-a', NOW, 0.001, CallOutcome.DRAINING)
+    old = LeafStatus('serving', 0, ())
+    router.on_status('g0-a', NOW + 0.1, old, requested_at=NOW - 0.1)
+    assert shares(router, NOW + 60)['a'] == 0
+    router.on_status('g0-a', NOW + 61, old, requested_at=NOW + 60.9)
+    assert shares(router, NOW + 90)['a'] > 0
+
+
+def check_limit_adapts():
+    router = make_router()
+    router.connection_share = 9
+    router.update_service(router.service, NOW, {}, 9)
+    leaf = router.leafs_by_id['g0-a']
+    for number in range(60):
+        run_call(router, 'g0-a', NOW + number, 0.005)
+    grown = leaf.limit
+    assert 3 < grown <= 8
+    run_call(router, 'g0-a', NOW + 100, 0.001, CallOutcome.REFUSED)
+    assert leaf.limit == grown / 2
+    for number in range(20):
+        run_call(router, 'g0-a', NOW + 200 + number, 0, CallOutcome.REFUSED)
+    assert leaf.limit == 1
+
+
+def check_queueing_lowers_the_limit():
+    router = make_router()
+    run_call(router, 'g0-a', NOW, 0.002)
+    before = router.leafs_by_id['g0-a'].limit
+    router.on_sent('g0-a', NOW)
+    run_call(router, 'g0-a', NOW + 1, 0.05)
+    assert router.leafs_by_id['g0-a'].limit < before
+
+
+def check_hedge_delay_follows_the_quantile():
+    router = make_router({'g0-b': 0.01})
+    for number in range(200):
+        run_call(router, 'g0-a', NOW, 0.004 if number % 100 < 99 else 0.05)
+    assert 0.004 <= router.hedge_delay_s('g0-a') < 0.01
+    assert router.hedge_delay_s('g0-b') >= 0.024
+
+
+def check_connections_bound_the_requests():
+    router = make_router()
+    leaf = router.leafs_by_id['g0-a']
+    for number in range(200):
+        run_call(router, 'g0-a', NOW + number, 0.005)
+    assert leaf.limit <= router.connection_share - 1
+
+
+CHECKS = [each for name, each in globals().items() if name.startswith('check_')]
+
+
+@pytest.mark.parametrize('check', CHECKS, ids=lambda check: check.__name__)
+def test_router(check):
+    check()
+
+
+def _any_leaf(router, ready, now):
+    return router.rng.choice(ready)
+
+
+def _trust_report(leaf):
+    load = leaf.reported.load if leaf.reported else 1
+    return leaf.round_trip_s + leaf.service_s * (leaf.in_flight + 1) * load
+
+
+def _resume_at_once(leaf, requested_at):
+    return leaf.draining_since is not None
+
+
+BROKEN = {
+    check_busy_leaf_gets_less: (Router, '_better_of_two', _any_leaf),
+    check_slow_leaf_gets_less: (Router, '_better_of_two', _any_leaf),
+    check_local_data_centre_is_preferred: (
+        Router,
+        '_better_of_two',
+        _any_leaf,
+    ),
+    check_full_leaf_is_not_chosen: (LeafState, 'has_room', lambda *_: True),
+    check_reports_only_lower_the_rank: (
+        LeafState,
+        'cost',
+        property(_trust_report),
+    ),
+    check_lying_load_does_not_remove_a_leaf: (
+        leaf_module,
+        'MAX_LOAD_PENALTY',
+        100,
+    ),
+    check_cold_leaf_ramps_up: (
+        LeafState,
+        'slow_start_share',
+        lambda *_: 1,
+    ),
+    check_failing_leaf_gets_only_probes: (
+        LeafState,
+        'eject',
+        lambda *_: None,
+    ),
+    check_leaf_returns_after_good_probes: (
+        leaf_module,
+        'READMIT_AFTER_PROBES',
+        1,
+    ),
+    check_silent_leaf_is_ejected: (LeafState, 'on_cancel', lambda *_: None),
+    # An ejection that removes a leaf for good leaves its group without any.
+    check_group_without_healthy_leaf_is_still_asked: (
+        LeafState,
+        'eject',
+        lambda leaf, now: leaf.start_drain(now),
+    ),
+    check_drain_is_remembered: (LeafState, '_is_back', _resume_at_once),
+    check_limit_adapts: (LeafState, '_decrease', lambda *_: None),
+    check_queueing_lowers_the_limit: (
+        LeafState,
+        '_has_queued',
+        lambda *_: False,
+    ),
+    check_hedge_delay_follows_the_quantile: (
+        Router,
+        '_quantile_s',
+        lambda *_: 0.03,
+    ),
+    check_connections_bound_the_requests: (
+        Router,
+        '_set_limits',
+        lambda router, leaf: setattr(leaf, 'max_in_flight', 100),
+    ),
+}
+
+
+@pytest.mark.parametrize('check', CHECKS, ids=lambda check: check.__name__)
+def test_broken_variant_is_caught(check):
+    with mock.patch.object(*BROKEN[check]), pytest.raises(AssertionError):
+        check()
--- /dev/null
+++ b/clementinebank/search/tests/test_query_machine.py
@@ -0,0 +1,286 @@
+"""Guards the rules of a query under arbitrary orders of events.
+
+Each broken variant at the end must be caught by the same machine.
+"""
+
+import contextlib
+from unittest import mock
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from clementinebank.errors import Execution
+from clementinebank.invariants import VIOLATIONS_BY_NAME
+from clementinebank.routing import ExtraLoadBudget, LeafState
+from clementinebank.search import (
+    Coverage,
+    Query,
+    Refuse,
+)
+from clementinebank.search import _query as query_module
+from clementinebank.search._dispatch import Dispatcher
+from clementinebank.search._shards import Shard
+from clementinebank.search.tests.worlds import (
+    GROUPS,
+    PARTITION_COUNT,
+    REPLICAS,
+    make_record,
+    make_world,
+)
+
+LEAFS = [f'{group}-{name}' for group in GROUPS for name in REPLICAS]
+CODES = ('shed', 'leaf_broken', 'leaf_timeout', 'leaf_malformed')
+RUN = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=40,
+    suppress_health_check=list(HealthCheck),
+)
+CONTROL = settings(
+    RUN, max_examples=600, phases=[Phase.generate], print_blob=False
+)
+
+
+class QueryMachine(RuleBasedStateMachine):
+    @initialize(
+        seed=st.integers(0, 1000),
+        tokens=st.sampled_from([0, 1, 5, 50]),
+        policy=st.sampled_from(['latency_first', 'coverage_first']),
+        sequences=st.sampled_from([(1,), (1, 2), ()]),
+    )
+    def begin(self, seed, tokens, policy, sequences):
+        VIOLATIONS_BY_NAME.clear()
+        self.world = make_world(seed, tokens, sequences, answer_policy=policy)
+        self.tokens = tokens
+        self.world.start()
+
+    def _pick(self, number):
+        return sorted(self.world.outstanding)[
+            number % len(self.world.outstanding)
+        ]
+
+    @precondition(lambda self: self.world.outstanding)
+    @rule(number=st.integers(0, 20))
+    def reply(self, number):
+        self.world.reply(self._pick(number))
+
+    @precondition(lambda self: self.world.outstanding)
+    @rule(number=st.integers(0, 20), partition=st.integers(0, 9))
+    def reply_with_foreign_record(self, number, partition):
+        attempt_id = self._pick(number)
+        snapshot = self.world.outstanding[attempt_id].snapshot
+        extra = make_record(snapshot, partition)
+        self.world.reply(attempt_id, extra=(extra, extra))
+
+    @precondition(lambda self: self.world.outstanding)
+    @rule(number=st.integers(0, 20))
+    def reply_of_other_snapshot(self, number):
+        self.world.reply(self._pick(number), snapshot='s-9')
+
+    @precondition(lambda self: self.world.outstanding)
+    @rule(number=st.integers(0, 20))
+    def reply_of_other_partitions(self, number):
+        self.world.reply(self._pick(number), partitions=(4,))
+
+    @precondition(lambda self: self.world.outstanding)
+    @rule(
+        number=st.integers(0, 20),
+        code=st.sampled_from(CODES),
+        ran=st.booleans(),
+    )
+    def fail(self, number, code, ran):
+        self.world.fail(self._pick(number), code, ran=ran)
+
+    @precondition(lambda self: self.world.outstanding)
+    @rule(number=st.integers(0, 20), is_whole_group=st.booleans())
+    def lose_snapshot(self, number, is_whole_group):
+        attempt_id = self._pick(number)
+        send = self.world.outstanding[attempt_id]
+        for leaf_id in LEAFS:
+            if is_whole_group or leaf_id == send.leaf_id:
+                sequences = (2, 3) if send.snapshot == 's-1' else (3,)
+                self.world.learn(leaf_id, sequences)
+        self.world.fail(attempt_id, 'snapshot_unavailable')
+
+    @precondition(lambda self: self.world.cancelled)
+    @rule(number=st.integers(0, 20))
+    def late_reply(self, number):
+        cancelled = sorted(self.world.cancelled)
+        self.world.reply(cancelled[number % len(cancelled)])
+
+    @rule(leaf_id=st.sampled_from(LEAFS), load=st.floats(0, 5))
+    def drain(self, leaf_id, load):
+        self.world.report(leaf_id, 'draining', load)
+
+    @rule(milliseconds=st.sampled_from([0.5, 3, 20, 40]))
+    def wait(self, milliseconds):
+        self.world.advance(milliseconds / 1000)
+
+    @invariant()
+    def run_time_invariants_hold(self):
+        assert not VIOLATIONS_BY_NAME, dict(VIOLATIONS_BY_NAME)
+
+    @invariant()
+    def extra_load_is_bounded(self):
+        extra = len(self.world.sent) - len(GROUPS)
+        assert extra <= self.tokens + len(GROUPS) * 0.05 + 1e-6
+
+    @invariant()
+    def ends_at_most_once(self):
+        assert len(self.world.endings) <= 1, 'not one answer'
+        if self.world.endings:
+            assert not self.world.outstanding, 'not cancelled'
+            self._check_ending(self.world.endings[0])
+
+    def _check_ending(self, ending):
+        if isinstance(ending, Refuse):
+            if ending.failure.execution is Execution.NOT_RUN:
+                sent = {each.attempt_id for each in self.world.sent}
+                assert sent <= self.world.not_run, 'not run is untrue'
+            return
+        answer = ending.answer
+        answered = sorted(
+            partition
+            for partitions in self.world.answered.values()
+            for partition in partitions
+        )
+        whole = list(range(PARTITION_COUNT))
+        is_whole = answered == whole
+        assert answer.coverage.is_complete == is_whole, 'coverage is untrue'
+        names = [record.record_id for record in answer.records]
+        assert len(set(names)) == len(names)
+        assert {record.partition for record in answer.records} == set(answered)
+        for name in names:
+            assert name.startswith(f'{answer.snapshot}/')
+
+    def teardown(self):
+        if hasattr(self, 'world') and not self.world.is_broken:
+            self.world.advance(1)
+            assert len(self.world.endings) == 1, 'not one answer'
+            self.ends_at_most_once()
+            self.run_time_invariants_hold()
+
+
+def test_query_keeps_its_rules():
+    run_state_machine_as_test(QueryMachine, settings=RUN)
+
+
+def test_machine_reaches_each_kind_of_event():
+    """A machine that never hedges, retries or moves would prove nothing."""
+    seen = set()
+
+    class Recording(QueryMachine):
+        def teardown(self):
+            super().teardown()
+            if hasattr(self, 'world'):
+                seen.update(each.event for each in self.world.query.trace)
+                seen.update(type(each).__name__ for each in self.world.endings)
+
+    run_state_machine_as_test(Recording, settings=RUN)
+    assert seen >= {'hedge', 'retry', 'moved', 'Finish', 'Refuse'}
+
+
+def _settle_silently(dispatcher, shard, now):
+    shard.is_settled = True
+    return []
+
+
+def _finish_again(query, attempt_id, reply, now):
+    if query.is_finished:
+        return query._finish(now)
+    return ORIGINAL_ON_REPLY(query, attempt_id, reply, now)
+
+
+def _pin_again(query, pinned, now):
+    """Keep the shards of the snapshot that was left."""
+    kept = dict(query._shards_by_group)
+    actions = ORIGINAL_PIN(query, pinned, now)
+    for group_id, shard in kept.items():
+        if shard.is_answered:
+            actions += query.dispatcher.settle(
+                query._shards_by_group[group_id], now
+            )
+            query._shards_by_group[group_id] = shard
+    return actions
+
+
+def _late(self):
+    """Answer only after the deadline."""
+    return self.request.deadline + 0.05
+
+
+ORIGINAL_PIN = Query._pin
+ORIGINAL_ON_REPLY = Query.on_reply
+# The reason is matched, so that a variant is not caught by accident.
+BROKEN_VARIANTS = {
+    'other snapshot is merged': (
+        'coverage is untrue|records-from-pinned-snapshot',
+        mock.patch.object(
+            Query, '_is_usable', lambda query, shard, reply: True
+        ),
+    ),
+    'foreign records are kept': (
+        'record-owned-by-answering-group',
+        mock.patch.object(
+            query_module, 'owned_records', lambda reply, *rest: reply.records
+        ),
+    ),
+    'move keeps old shards': (
+        'records-from-pinned-snapshot',
+        mock.patch.object(Query, '_pin', _pin_again),
+    ),
+    'not run is always stated': (
+        'not run is untrue',
+        mock.patch.object(Dispatcher, 'execution', Execution.NOT_RUN),
+    ),
+    'complete is assumed': (
+        'complete-only-with-known-map',
+        mock.patch.object(Coverage, 'is_complete', True),
+    ),
+    'hedge may repeat the leaf': (
+        'two requests to one leaf',
+        mock.patch.object(Shard, 'excluded', frozenset()),
+    ),
+    'budget is not asked': (
+        'extra-load-within-budget',
+        mock.patch.object(ExtraLoadBudget, '_has', lambda budget, count: True),
+    ),
+    'losers are not cancelled': (
+        'not cancelled|two snapshots are asked',
+        mock.patch.object(Dispatcher, 'settle', _settle_silently),
+    ),
+    'answers twice': (
+        'answered-once|not one answer',
+        mock.patch.object(Query, 'on_reply', _finish_again),
+    ),
+    'deadline is not kept': (
+        'sent too late',
+        mock.patch.object(
+            Dispatcher, 'finish_at', property(_late, lambda self, at: None)
+        ),
+    ),
+    'draining leaf is used': (
+        'sent to draining leaf',
+        mock.patch.object(LeafState, 'start_drain', lambda leaf, now: None),
+    ),
+}
+
+
+@pytest.mark.parametrize('name', sorted(BROKEN_VARIANTS))
+def test_broken_variant_is_caught(name):
+    reason, patch = BROKEN_VARIANTS[name]
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(patch)
+        with pytest.raises(AssertionError, match=reason):
+            run_state_machine_as_test(QueryMachine, settings=CONTROL)
