Measure tail latency by policy and improve replica selection

A service without extra load does not wait for tokens, and bench_tail leaves out the first second of empty instances.

--- /dev/null
+++ b/benchmarks/bench_tail.py
@@ -0,0 +1,259 @@
+"""Tail latency, coverage and extra load of the policies in one run.
+
+``baseline`` sends each shard once to a random replica, ``product`` runs the
+decision objects of the product, ``ideal`` knows each leaf's time beforehand
+and is not limited by slots. Every policy sees the same times for the same
+query and leaf. Usage: ``python -m benchmarks.bench_tail --seed 1``.
+"""
+
+import argparse
+import json
+import multiprocessing
+import random
+from pathlib import Path
+
+from benchmarks.tail_scenarios import MEDIAN_SERVICE_S, SCENARIOS
+from benchmarks.tail_simulation import INSTANCES, World, is_answered
+from clementinebank.cli._document_commands import split_sections
+from clementinebank.document import parse_document
+from clementinebank.invariants import VIOLATIONS_BY_NAME
+
+EXAMPLES = Path(__file__).parent.parent / 'examples'
+DEPLOYMENTS = ('kumagawa', 'blockwood')
+POLICIES = ('baseline', 'product', 'ideal')
+CLOSING = 'product_closing'
+# Mean share of the slots in use. At 2 slots a leaf refuses 1 to 2 in 100
+# requests already at this share, because arrivals are not coordinated.
+UTILISATION = 0.1
+PROCESSES = 6
+# Latency and coverage leave out the first queries of empty instances; extra
+# load does not.
+WARM_UP_S = 1.0
+
+MAX_OF_BASELINE = 0.5
+MAX_OF_IDEAL = 1.25
+MAX_EXTRA_LOAD = 0.05
+ON_TIME_SHARE = 0.99
+
+
+def read_document(deployment):
+    text = (EXAMPLES / f'{deployment}.yaml').read_text()
+    return parse_document(split_sections(text), 1).unwrap()
+
+
+def run_policy(job):
+    """Return the figures of one deployment, scenario and policy."""
+    deployment, scenario_name, policy, seed, seconds = job
+    document = read_document(deployment)
+    VIOLATIONS_BY_NAME.clear()
+    totals = Totals(policy)
+    for service in document.services_by_name.values():
+        if service.kind == 'search':
+            scenario = SCENARIOS[scenario_name](seed, len(service.leafs_by_id))
+            world = World(
+                document,
+                service,
+                scenario,
+                seed,
+                seconds,
+                policy,
+                is_closing=policy == CLOSING,
+            )
+            arrivals = list(_arrivals(service, seed, seconds))
+            if policy == 'ideal':
+                totals.add_ideal(world, arrivals)
+            else:
+                world.run(arrivals)
+                totals.add_runs(world)
+    return {
+        'deployment': deployment,
+        'scenario': scenario_name,
+        'policy': policy,
+        **totals.figures(),
+        'violations': dict(VIOLATIONS_BY_NAME),
+    }
+
+
+def _arrivals(service, seed, seconds):
+    replicas = len(service.leafs_by_id) / len(service.groups_by_id)
+    rate = UTILISATION * replicas * service.slots / MEDIAN_SERVICE_S
+    rng = random.Random(seed)
+    when = rng.expovariate(rate)
+    while when < seconds:
+        yield when, rng.randrange(INSTANCES)
+        when += rng.expovariate(rate)
+
+
+class Totals:
+    """Sums over the services of a deployment."""
+
+    def __init__(self, policy):
+        self.policy = policy
+        self.latencies_ms = []
+        self.answered = []
+        self.late = 0
+        self.refused = 0
+        self.first_requests = 0
+        self.requests = 0
+        self.connects = 0
+        self.possible_misses = 0
+
+    def add_runs(self, world):
+        caller_ms = 2 * world.document.fleet.caller_delay_ms
+        self.connects += world.connects
+        for run in world.runs:
+            groups = len(world.service.groups_by_id)
+            self.first_requests += min(run.sent, groups)
+            self.requests += run.sent
+            if run.started_at < WARM_UP_S:
+                continue
+            latency_ms = (run.ended_at - run.started_at) * 1000 + caller_ms
+            self.latencies_ms.append(latency_ms)
+            self.late += latency_ms > world.service.deadline_ms
+            if not is_answered(run):
+                self.refused += 1
+                self.answered.append(0)
+                continue
+            coverage = run.ending.answer.coverage
+            total = coverage.partition_map.partition_count
+            self.answered.append(coverage.answered_partitions / total)
+            if world.service.answer_policy == 'coverage_first':
+                self._count_possible(world, run, coverage)
+
+    def _count_possible(self, world, run, coverage):
+        """Count yards missed that a replica could have answered."""
+        for group_id, shard in coverage.shards_by_group.items():
+            if not shard.is_answered:
+                best_s = _best_s(
+                    world,
+                    group_id,
+                    run.number,
+                    run.started_at,
+                    world.instances.index(run.instance),
+                )
+                limit_s = run.query.request.deadline - run.started_at
+                self.possible_misses += best_s < limit_s
+
+    def add_ideal(self, world, arrivals):
+        caller_s = 2 * world.document.fleet.caller_delay_ms / 1000
+        limit_s = world.service.deadline_ms / 1000 - caller_s
+        for number, (when, instance) in enumerate(arrivals):
+            if when < WARM_UP_S:
+                continue
+            times_s = [
+                _best_s(world, group_id, number, when, instance)
+                for group_id in world.service.groups_by_id
+            ]
+            in_time = [each for each in times_s if each <= limit_s]
+            self.answered.append(len(in_time) / len(times_s))
+            slowest_s = min(limit_s, max(times_s))
+            self.latencies_ms.append((slowest_s + caller_s) * 1000)
+            self.requests += len(times_s)
+            self.first_requests += len(times_s)
+
+    def figures(self):
+        ordered = sorted(self.latencies_ms)
+        extra = self.requests - self.first_requests
+        return {
+            'p50_ms': _quantile(ordered, 0.5),
+            'p99_ms': _quantile(ordered, 0.99),
+            'p999_ms': _quantile(ordered, 0.999),
+            'coverage': round(sum(self.answered) / len(self.answered), 5),
+            'extra_load': round(extra / max(1, self.first_requests), 5),
+            'refused': round(self.refused / len(ordered), 5),
+            'late': round(self.late / len(ordered), 5),
+            'queries': len(ordered),
+            'connects': self.connects,
+            'possible_misses': self.possible_misses,
+        }
+
+
+def _best_s(world, group_id, number, when, instance):
+    delays = world.instances[instance].router.delays_by_leaf
+    scenario = world.scenario
+    times_s = [float('inf')]
+    for leaf_id in world.service.groups_by_id[group_id].leafs_by_id:
+        leaf = world.leafs[leaf_id]
+        is_gone = (
+            scenario.is_lost(leaf.index, when)
+            or scenario.is_refusing(leaf.index, when)
+            or scenario.is_shedding(leaf.index, when)
+        )
+        if not is_gone:
+            draw = scenario.draw(number, leaf.index, delays[leaf_id], when)
+            times_s.append(draw.up_s + draw.service_s + draw.down_s)
+    return min(times_s)
+
+
+def _quantile(ordered, share):
+    return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 2)
+
+
+def misses(product, baseline, ideal):
+    """Return the targets of the design page that the product misses."""
+    found = []
+    if product['p99_ms'] > MAX_OF_IDEAL * ideal['p99_ms']:
+        ratio = product['p99_ms'] / ideal['p99_ms']
+        found.append(f'p99 is {ratio:.2f} of ideal, target {MAX_OF_IDEAL}')
+    ratio = product['p99_ms'] / baseline['p99_ms']
+    if product['scenario'] == 'stragglers' and ratio > MAX_OF_BASELINE:
+        found.append(
+            f'p99 is {ratio:.2f} of baseline, target {MAX_OF_BASELINE}'
+        )
+    if product['extra_load'] > MAX_EXTRA_LOAD:
+        found.append(f'extra load above {MAX_EXTRA_LOAD}')
+    if product['possible_misses']:
+        count = product['possible_misses']
+        found.append(f'{count} shards missed that a replica could answer')
+    if product['late'] > 1 - ON_TIME_SHARE:
+        found.append(f'{product["late"]:.3f} of answers late')
+    if product['violations']:
+        found.append(f'invariants violated: {product["violations"]}')
+    return found
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=10)
+    parser.add_argument('--format', choices=('json', 'text'), default='text')
+    parser.add_argument('--scenario', action='append', choices=SCENARIOS)
+    parser.add_argument('--compare-cancel', action='store_true')
+    options = parser.parse_args()
+    policies = POLICIES + ((CLOSING,) if options.compare_cancel else ())
+    jobs = [
+        (deployment, scenario, policy, options.seed, options.seconds)
+        for deployment in DEPLOYMENTS
+        for scenario in options.scenario or SCENARIOS
+        for policy in policies
+    ]
+    with multiprocessing.Pool(PROCESSES) as pool:
+        results = pool.map(run_policy, jobs, chunksize=1)
+    rows = {
+        (row['deployment'], row['scenario'], row['policy']): row
+        for row in results
+    }
+    for (deployment, scenario, policy), row in rows.items():
+        if policy == 'product':
+            others = (
+                rows[deployment, scenario, other]
+                for other in ('baseline', 'ideal')
+            )
+            row['misses'] = misses(row, *others)
+        print(json.dumps(row) if options.format == 'json' else _text(row))
+
+
+def _text(row):
+    figures = ' '.join(
+        f'{name}={row[name]}'
+        for name in row
+        if name not in {'deployment', 'scenario', 'policy', 'misses'}
+        and row[name] != {}
+    )
+    name = f'{row["deployment"]:10}{row["scenario"]:14}{row["policy"]:16}'
+    missed = ''.join(f'\n    MISS {each}' for each in row.get('misses', ()))
+    return f'{name}{figures}{missed}'
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/tail_scenarios.py
@@ -0,0 +1,167 @@
+"""Scenarios of the tail benchmark: how seeded stand-in leafs behave."""
+
+import math
+import random
+
+import attrs
+
+MEDIAN_SERVICE_S = 0.004
+SERVICE_SIGMA = 0.35
+STRAGGLER_SHARE = 0.02
+STRAGGLER_FACTOR = 15
+SLOW_LEAF_FACTOR = 6
+COLD_FACTOR = 8
+COLD_S = 2.0
+SHED_PERIOD_S = 2.0
+FAULT_AT_S = 2.0
+INDEX_CHANGE_S = 3.0
+OVERLAP_S = 1.5
+
+# One-way variation and loss of links between data centres.
+JITTER_SHARE = 0.1
+JITTER_FLOOR_S = 0.0001
+LOSS_SHARE = 0.001
+RETRANSMIT_FLOOR_S = 0.01
+
+
+@attrs.frozen
+class Draw:
+    """Times of one request to one leaf in seconds."""
+
+    up_s: float
+    service_s: float
+    down_s: float
+
+
+@attrs.define
+class Scenario:
+    """A scenario; the base class is a day without faults."""
+
+    seed: int
+    leaf_count: int
+
+    def draw(self, query, leaf, delay_s, now):
+        """Return the same times for every policy that asks again."""
+        number = (self.seed * 1_000_003 + query) * 100_003 + leaf
+        rng = random.Random(number)
+        service_s = MEDIAN_SERVICE_S * math.exp(rng.gauss(0, SERVICE_SIGMA))
+        up_s = _link(rng, delay_s)
+        down_s = _link(rng, delay_s)
+        factor = self.factor(leaf, now, rng)
+        return Draw(up_s, service_s * factor, down_s)
+
+    def factor(self, leaf, now, rng):
+        return 1
+
+    def is_lost(self, leaf, now):
+        """Return whether the leaf does not answer at all."""
+        return False
+
+    def is_refusing(self, leaf, now):
+        """Return whether connections to the leaf are refused."""
+        return False
+
+    def is_shedding(self, leaf, now):
+        return False
+
+    def status(self, leaf, now):
+        """Return the reported state and load."""
+        return 'serving', 0.1
+
+    def sequences(self, leaf, now):
+        return (1,)
+
+
+class Stragglers(Scenario):
+    """Single requests are slow, and one leaf in ten is always slow."""
+
+    def factor(self, leaf, now, rng):
+        straggler = rng.random() < STRAGGLER_SHARE
+        slow_leaf = leaf % 10 == self.seed % 10
+        return (STRAGGLER_FACTOR if straggler else 1) * (
+            SLOW_LEAF_FACTOR if slow_leaf else 1
+        )
+
+
+class ColdStarts(Scenario):
+    """One leaf in five restarts and is slow for some seconds."""
+
+    def _cold(self, leaf, now):
+        since = now - FAULT_AT_S - (leaf % 25) / 5
+        is_cold = leaf % 5 == self.seed % 5 and 0 <= since < COLD_S
+        return 1 - since / COLD_S if is_cold else 0
+
+    def factor(self, leaf, now, rng):
+        return 1 + (COLD_FACTOR - 1) * self._cold(leaf, now)
+
+    def status(self, leaf, now):
+        return ('cold' if self._cold(leaf, now) else 'serving'), 0.1
+
+
+class Shedding(Scenario):
+    """One leaf in five at a time refuses all work."""
+
+    def is_shedding(self, leaf, now):
+        return (leaf + int(now / SHED_PERIOD_S)) % 5 == 0
+
+
+class LostReplicas(Scenario):
+    """One replica of every second group stops answering."""
+
+    def is_lost(self, leaf, now):
+        return now > FAULT_AT_S and leaf % 6 == self.seed % 6
+
+
+class LyingHealth(Scenario):
+    """Slow leafs report that they are idle, good ones that they are not."""
+
+    def factor(self, leaf, now, rng):
+        return COLD_FACTOR if leaf % 10 == self.seed % 10 else 1
+
+    def status(self, leaf, now):
+        if leaf % 10 == self.seed % 10:
+            return 'serving', 0.0
+        return ('cold', 1.0) if leaf % 3 == 0 else ('serving', 0.1)
+
+
+class IndexChange(Scenario):
+    """Leafs change the snapshot one after the other, some without overlap."""
+
+    def sequences(self, leaf, now):
+        changed_at = FAULT_AT_S + INDEX_CHANGE_S * (leaf % 17) / 17
+        overlap_s = 0 if leaf % 10 == self.seed % 10 else OVERLAP_S
+        if now < changed_at:
+            return (1,)
+        is_overlapping = now < FAULT_AT_S + INDEX_CHANGE_S + overlap_s
+        return (1, 2) if overlap_s and is_overlapping else (2,)
+
+
+class Outage(Scenario):
+    """A third of the leafs is gone: half silent, half refusing."""
+
+    def _is_gone(self, leaf, now):
+        return now > FAULT_AT_S and leaf % 3 == self.seed % 3
+
+    def is_lost(self, leaf, now):
+        return self._is_gone(leaf, now) and leaf % 2 == 0
+
+    def is_refusing(self, leaf, now):
+        return self._is_gone(leaf, now) and leaf % 2 == 1
+
+
+SCENARIOS = {
+    'stragglers': Stragglers,
+    'cold_starts': ColdStarts,
+    'shedding': Shedding,
+    'lost_replicas': LostReplicas,
+    'lying_health': LyingHealth,
+    'index_change': IndexChange,
+    'outage': Outage,
+}
+
+
+def _link(rng, delay_s):
+    jitter_s = rng.expovariate(1 / (JITTER_SHARE * delay_s + JITTER_FLOOR_S))
+    is_lost = delay_s > 0 and rng.random() < LOSS_SHARE
+    retransmit_s = 4 * delay_s + RETRANSMIT_FLOOR_S if is_lost else 0
+    return delay_s + jitter_s + retransmit_s
--- /dev/null
+++ b/benchmarks/tail_simulation.py
@@ -0,0 +1,420 @@
+"""Discrete-event simulation that runs the product's decision objects."""
+
+import heapq
+import random
+from itertools import count
+
+import attrs
+
+from clementinebank.errors import Execution, Failure, Step
+from clementinebank.routing import OUTCOMES_BY_CODE, CallOutcome, Router
+from clementinebank.search import (
+    CancelShard,
+    Finish,
+    Query,
+    SearchRequest,
+    SendShard,
+    ShardReply,
+    SnapshotCatalogue,
+)
+from clementinebank.upstream import LeafStatus, ServedSnapshot
+
+INSTANCES = 7
+PARTITIONS_PER_GROUP = 2
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+LATE_REPLY_LIMIT_S = 1.0
+
+
+class Simulator:
+    """Events in the order of their time."""
+
+    def __init__(self):
+        self.now = 0.0
+        self._events = []
+        self._numbers = count()
+
+    def at(self, when, action, *arguments):
+        entry = (when, next(self._numbers), action, arguments)
+        heapq.heappush(self._events, entry)
+
+    def run(self):
+        while self._events:
+            self.now, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+
+
+class BaselineRouter(Router):
+    """Random replica, no probes; its service has no budget."""
+
+    def choose(self, group_id, now, excluded=(), limit_s=0):
+        leafs = [
+            leaf_id
+            for leaf_id in self.service.groups_by_id[group_id].leafs_by_id
+            if leaf_id not in excluded
+        ]
+        return self.rng.choice(leafs) if leafs else None
+
+    def probe_target(self, group_id, now):
+        return None
+
+
+@attrs.define(eq=False)
+class Call:
+    """One shard request on its way."""
+
+    run: 'QueryRun'
+    send: SendShard
+    number: int
+    sent_at: float
+    is_ended: bool = False
+    is_cancelled: bool = False
+    has_slot: bool = False
+    has_connection: bool = False
+
+
+@attrs.define(eq=False)
+class Leaf:
+    """A stand-in leaf with slots."""
+
+    simulator: Simulator
+    scenario: object
+    index: int
+    slots: int
+    busy: int = 0
+
+    def receive(self, call, draw, respond):
+        now = self.simulator.now
+        if call.is_ended or self.scenario.is_lost(self.index, now):
+            return
+        if self.scenario.is_shedding(self.index, now) or (
+            self.busy >= self.slots
+        ):
+            respond('shed')
+        elif int(call.send.snapshot[2:]) not in self.scenario.sequences(
+            self.index, now
+        ):
+            respond('snapshot_unavailable')
+        elif not call.is_cancelled:
+            self.busy += 1
+            call.has_slot = True
+            self.simulator.at(
+                now + draw.service_s, self._complete, call, respond
+            )
+
+    def cancel(self, call, respond):
+        if call.has_slot:
+            self.free(call)
+            respond('cancelled')
+
+    def free(self, call):
+        if call.has_slot:
+            call.has_slot = False
+            self.busy -= 1
+
+    def _complete(self, call, respond):
+        if call.has_slot:
+            self.free(call)
+            respond(None)
+
+
+@attrs.define(eq=False)
+class Pool:
+    """Connections of one instance to one leaf."""
+
+    world: 'World'
+    leaf: Leaf
+    delay_s: float
+    share: int
+    free: int = 0
+    opened: int = 0
+    waiting: list = attrs.Factory(list)
+
+    def submit(self, call):
+        now = self.world.simulator.now
+        if self.world.scenario.is_refusing(self.leaf.index, now):
+            delay_s = 2 * self.delay_s
+            self.world.simulator.at(now + delay_s, self.end, call, 'broken')
+            return
+        if self.free:
+            self.free -= 1
+            self._transmit(call, 0)
+        elif self.opened < self.share:
+            self.opened += 1
+            self.world.connects += 1
+            self._transmit(call, self.world.connect_s)
+        else:
+            self.waiting.append(call)
+
+    def cancel(self, call):
+        call.is_cancelled = True
+        simulator = self.world.simulator
+        if not call.has_connection:
+            if call in self.waiting:
+                self.waiting.remove(call)
+                self.end(call, 'expired')
+        elif self.world.is_closing:
+            self.opened -= 1
+            call.has_connection = False
+            simulator.at(simulator.now + self.delay_s, self.leaf.free, call)
+            self.end(call, 'expired')
+        else:
+            # The message needs a connection of its own.
+            connect_s = 0 if self.free else self.world.connect_s
+            when = simulator.now + connect_s + self.delay_s
+            simulator.at(when, self.leaf.cancel, call, self._responder(call))
+
+    def end(self, call, code):
+        """Free the connection and report the end of the call."""
+        if call.is_ended:
+            return
+        call.is_ended = True
+        if call.has_connection:
+            call.has_connection = False
+            self.free += 1
+        if code == 'lost' and self.free:
+            self.free -= 1
+            self.opened -= 1
+        call.run.take(call, code)
+        if self.waiting and (self.free or self.opened < self.share):
+            self.submit(self.waiting.pop(0))
+
+    def _transmit(self, call, connect_s):
+        call.has_connection = True
+        simulator = self.world.simulator
+        now = simulator.now
+        draw = self.world.draw(call.number, self.leaf, self.delay_s)
+        simulator.at(
+            now + connect_s + draw.up_s,
+            self.leaf.receive,
+            call,
+            draw,
+            self._responder(call, draw.down_s),
+        )
+        deadline = call.run.query.request.deadline
+        simulator.at(deadline + LATE_REPLY_LIMIT_S, self.end, call, 'lost')
+
+    def _responder(self, call, down_s=None):
+        delay_s = self.delay_s if down_s is None else down_s
+
+        def respond(code):
+            now = self.world.simulator.now
+            self.world.simulator.at(now + delay_s, self.end, call, code)
+
+        return respond
+
+
+@attrs.define(eq=False)
+class Instance:
+    """Routing state and connections of one entry instance."""
+
+    world: 'World'
+    router: Router
+    catalogue: SnapshotCatalogue
+    pools: dict = attrs.Factory(dict)
+
+    def poll(self, leaf_id, group_id):
+        """Ask a leaf for its status and read the reply a round trip later."""
+        world = self.world
+        pool = self.pools[leaf_id]
+        now = world.simulator.now
+        index = pool.leaf.index
+        if not (
+            world.scenario.is_lost(index, now)
+            or world.scenario.is_refusing(index, now)
+        ):
+            state, load = world.scenario.status(index, now)
+            sequences = world.scenario.sequences(index, now)
+            status = LeafStatus(state, load, world.served(group_id, sequences))
+            world.simulator.at(
+                now + 2 * pool.delay_s, self._learn, leaf_id, group_id, status
+            )
+        else:
+            when = now + PROBE_TIMEOUT_S
+            world.simulator.at(
+                when, self.router.on_invalid_reply, leaf_id, when
+            )
+        if now < world.end_s:
+            world.simulator.at(
+                now + PROBE_INTERVAL_S, self.poll, leaf_id, group_id
+            )
+
+    def _learn(self, leaf_id, group_id, status):
+        self.router.on_status(leaf_id, self.world.simulator.now, status)
+        self.catalogue.learn(leaf_id, group_id, status.snapshots)
+
+
+@attrs.define(eq=False)
+class QueryRun:
+    """Drives one query, as the engine does over real connections."""
+
+    instance: Instance
+    query: Query
+    number: int
+    started_at: float
+    calls: dict = attrs.Factory(dict)
+    wakeup: float = 0
+    sent: int = 0
+    ending: object = None
+    ended_at: float = 0
+
+    def perform(self, actions):
+        simulator = self.instance.world.simulator
+        for action in actions:
+            if isinstance(action, SendShard):
+                self.sent += 1
+                call = Call(self, action, self.number, simulator.now)
+                self.calls[action.attempt_id] = call
+                self.instance.pools[action.leaf_id].submit(call)
+            elif isinstance(action, CancelShard):
+                call = self.calls[action.attempt_id]
+                self.instance.pools[action.leaf_id].cancel(call)
+            else:
+                self.ending = action
+                self.ended_at = simulator.now
+        self._arm()
+
+    def take(self, call, code):
+        now = self.instance.world.simulator.now
+        send = call.send
+        self.instance.router.on_end(
+            send.leaf_id, now, now - call.sent_at, _outcome(call, code)
+        )
+        if self.ending is not None or call.is_cancelled:
+            return
+        if code is None:
+            reply = ShardReply(send.snapshot, send.partitions, ())
+            actions = self.query.on_reply(send.attempt_id, reply, now)
+        else:
+            is_run = code in {'broken', 'lost'}
+            execution = Execution.UNKNOWN if is_run else Execution.NOT_RUN
+            failure = Failure(code, code, Step.READ, execution=execution)
+            actions = self.query.on_failure(send.attempt_id, failure, now)
+        self.perform(actions)
+
+    def _arm(self):
+        wakeup = self.query.next_wakeup
+        if self.ending is None and wakeup != self.wakeup:
+            self.wakeup = wakeup
+            simulator = self.instance.world.simulator
+            simulator.at(max(wakeup, simulator.now), self._wake, wakeup)
+
+    def _wake(self, wakeup):
+        if self.ending is None and wakeup == self.wakeup:
+            self.wakeup = 0
+            now = self.instance.world.simulator.now
+            self.perform(self.query.on_time(now))
+
+
+@attrs.define(eq=False)
+class World:
+    """One service with its leafs and all entry instances."""
+
+    document: object
+    service: object
+    scenario: object
+    seed: int
+    end_s: float
+    policy: str
+    is_closing: bool = False
+    simulator: Simulator = attrs.Factory(Simulator)
+    leafs: dict = attrs.Factory(dict)
+    instances: list = attrs.Factory(list)
+    runs: list = attrs.Factory(list)
+    connects: int = 0
+
+    def __attrs_post_init__(self):
+        """Create the leafs and the instances."""
+        for index, leaf_id in enumerate(self.service.leafs_by_id):
+            self.leafs[leaf_id] = Leaf(
+                self.simulator, self.scenario, index, self.service.slots
+            )
+        for number in range(INSTANCES):
+            self.instances.append(self._instance(number))
+
+    @property
+    def connect_s(self):
+        return self.service.connect_ms / 1000
+
+    def delays(self, number):
+        fleet = self.document.fleet
+        centres = list(fleet.regions_by_data_centre)
+        here = centres[number % len(centres)]
+        return {
+            leaf_id: fleet.delay_ms(here, leaf.data_centre) / 1000
+            for leaf_id, leaf in self.service.leafs_by_id.items()
+        }
+
+    def draw(self, query, leaf, delay_s):
+        now = self.simulator.now
+        return self.scenario.draw(query, leaf.index, delay_s, now)
+
+    def served(self, group_id, sequences):
+        groups = list(self.service.groups_by_id)
+        first = groups.index(group_id) * PARTITIONS_PER_GROUP
+        held = tuple(range(first, first + PARTITIONS_PER_GROUP))
+        total = len(groups) * PARTITIONS_PER_GROUP
+        return tuple(
+            ServedSnapshot(f's-{each}', each, total, held) for each in sequences
+        )
+
+    def run(self, arrivals):
+        """Run all queries, given as pairs of time and instance number."""
+        for instance in self.instances:
+            for group in self.service.groups_by_id.values():
+                for leaf_id in group.leafs_by_id:
+                    state = LeafStatus(
+                        'serving', 0, self.served(group.group_id, (1,))
+                    )
+                    instance._learn(leaf_id, group.group_id, state)
+                    offset_s = random.Random(leaf_id).random()
+                    self.simulator.at(
+                        offset_s, instance.poll, leaf_id, group.group_id
+                    )
+        for number, (when, instance) in enumerate(arrivals):
+            self.simulator.at(when, self._begin, number, instance)
+        self.simulator.run()
+
+    def _instance(self, number):
+        router_class = BaselineRouter if self.policy == 'baseline' else Router
+        service = self.service
+        if self.policy == 'baseline':
+            service = attrs.evolve(service, extra_load=0)
+        delays = self.delays(number)
+        share = self.document.connection_share(service)
+        router = router_class(
+            service, random.Random(self.seed + number), delays, share
+        )
+        instance = Instance(self, router, SnapshotCatalogue())
+        for leaf_id, leaf in self.leafs.items():
+            instance.pools[leaf_id] = Pool(self, leaf, delays[leaf_id], share)
+        return instance
+
+    def _begin(self, number, instance_number):
+        now = self.simulator.now
+        instance = self.instances[instance_number]
+        caller_s = 2 * self.document.fleet.caller_delay_ms / 1000
+        deadline = now + self.service.deadline_ms / 1000 - caller_s
+        request = SearchRequest(str(number), '*', 20, deadline)
+        query = Query(
+            request,
+            instance.router.service,
+            instance.router,
+            instance.catalogue,
+        )
+        run = QueryRun(instance, query, number, now)
+        self.runs.append(run)
+        run.perform(query.start(now))
+
+
+def is_answered(run):
+    """Return whether a run ended with an answer."""
+    return isinstance(run.ending, Finish)
+
+
+def _outcome(call, code):
+    if call.is_cancelled:
+        return CallOutcome.CANCELLED
+    if code is None:
+        return CallOutcome.GOOD
+    return OUTCOMES_BY_CODE.get(code, CallOutcome.FAILED)
--- a/clementinebank/routing/_budget.py
+++ b/clementinebank/routing/_budget.py
@@ -45,9 +45,9 @@
         self.earned += self.ratio
         self.tokens = min(self.capacity, self.tokens + self.ratio)
 
-    def take(self, count: int, request_id: str) -> bool:
-        """Spend tokens for extra requests if there are enough."""
-        if not self._has(count):
+    def take(self, count: int, request_id: str, reserve: float = 0) -> bool:
+        """Spend tokens for extra requests if the reserve is left over."""
+        if not self._has(count + reserve):
             return False
         self.tokens -= count
         self.extra_requests += count
@@ -59,5 +59,5 @@
             allowed=self.earned + 1e-6,
         )
 
-    def _has(self, count: int) -> bool:
+    def _has(self, count: float) -> bool:
         return count <= self.tokens
--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -6,8 +6,12 @@
 
 from clementinebank.upstream import LeafStatus
 
-LATENCY_WEIGHT = 0.2
+LATENCY_WEIGHT = 0.1
+# A single straggler counts as at most this multiple of the average, so that
+# it does not move work to a farther data centre.
+MAX_SAMPLE_FACTOR = 2.0
 INITIAL_SERVICE_S = 0.005
+MIN_SERVICE_S = 0.0005
 # A minimum that rises slowly follows a leaf whose work became heavier.
 FLOOR_RISE = 1.01
 
@@ -26,13 +30,15 @@
 # One decrease for all refusals of the same overload.
 DECREASE_INTERVAL_S = 0.05
 REFUSAL_PAUSE_S = 0.01
+MAX_REFUSAL_PAUSE_S = 1.0
+MAX_COUNTED_REFUSALS = 10
 
 EJECT_AFTER_FAILURES = 3
 # Single slow replies are common (stragglers), several in a row are not.
-EJECT_AFTER_SLOW = 5
+EJECT_AFTER_SLOW = 3
 EJECTION_S = 2.0
 MAX_EJECTION_S = 30.0
-PROBE_INTERVAL_S = 0.5
+PROBE_INTERVAL_S = 0.2
 READMIT_AFTER_PROBES = 3
 
 
@@ -86,11 +92,12 @@
     draining_since: float | None = None
     ejected_since: float | None = None
     _failures: int = 0
+    _refusals: int = 0
     _slow: int = 0
     _ejections: int = 0
     _good_probes: int = 0
     _next_probe_at: float = 0
-    _paused_until: float = 0
+    _refused_at: float = float('-inf')
     _decreased_at: float = float('-inf')
 
     @property
@@ -108,6 +115,11 @@
         """Return the link delay there and back in seconds."""
         return 2 * self.delay_s
 
+    @property
+    def usual_s(self) -> float:
+        """Return the average time of an idle leaf with its link."""
+        return self.round_trip_s + self.service_s
+
     @property
     def cost(self) -> float:
         """Return the rank: the expected time of one more request."""
@@ -121,12 +133,19 @@
 
     def has_room(self, now: float) -> bool:
         """Return whether one more request is within the limits."""
+        # A request occupies a slot only while it is served, not on the link.
+        on_link = 1 + self.round_trip_s / max(self.service_s, MIN_SERVICE_S)
         return (
             self.in_flight < self.max_in_flight
-            and self.in_flight < max(1, self.limit)
-            and now >= self._paused_until
+            and self.in_flight < max(1, self.limit) * on_link
+            and now >= self._refused_at + REFUSAL_PAUSE_S
         )
 
+    def is_paused(self, now: float) -> bool:
+        """Return whether another replica should be asked after refusals."""
+        pause_s = min(MAX_REFUSAL_PAUSE_S, REFUSAL_PAUSE_S * 2**self._refusals)
+        return now < self._refused_at + pause_s
+
     def slow_start_share(self, now: float) -> float:
         """Return the share of its requests that a cold leaf gets, 0 to 1."""
         if self.cold_since is None:
@@ -153,27 +172,28 @@
         outcome: CallOutcome,
         slow_s: float,
     ) -> None:
-        """Take the end of a request; ``slow_s`` bounds a usual service."""
+        """Take the end of a request; ``slow_s`` bounds a usual time."""
         self.in_flight = max(0, self.in_flight - 1)
         if outcome is CallOutcome.GOOD:
             service_s = max(0, elapsed_s - self.round_trip_s)
             self._failures = 0
             self._take_good(now, service_s)
-            self._count_slow(now, service_s > slow_s)
+            self._count_slow(now, elapsed_s > slow_s)
         elif outcome is CallOutcome.REFUSED:
-            self._paused_until = now + REFUSAL_PAUSE_S
-            self._decrease(now, LIMIT_DECREASE)
+            self._take_refusal(now)
         elif outcome is CallOutcome.DRAINING:
             self.start_drain(now)
         elif outcome is CallOutcome.FAILED:
             self.on_failure(now)
 
-    def on_cancel(self, now: float, elapsed_s: float, slow_s: float) -> None:
+    def on_cancel(
+        self, now: float, elapsed_s: float, *, was_overtaken: bool
+    ) -> None:
         """Take a cancelled request, whose true time is at least this long."""
         service_s = elapsed_s - self.round_trip_s
         if service_s > self.service_s:
-            self.service_s += LATENCY_WEIGHT * (service_s - self.service_s)
-        if service_s > slow_s:
+            self._average(service_s)
+        if was_overtaken:
             self._count_slow(now, is_slow=True)
 
     def on_failure(self, now: float) -> None:
@@ -184,9 +204,7 @@
             self.eject(now)
 
     def eject(self, now: float) -> None:
-        """Restrict the leaf to probes for a time that grows."""
-        if self.is_ejected:
-            return
+        """Restrict the leaf to probes; each bad probe doubles the wait."""
         ejection_s = min(MAX_EJECTION_S, EJECTION_S * 2**self._ejections)
         self._ejections += 1
         self._good_probes = 0
@@ -227,13 +245,24 @@
         return penalty * (COLD_PENALTY if self.reported.state == 'cold' else 1)
 
     def _take_good(self, now: float, service_s: float) -> None:
-        self.service_s += LATENCY_WEIGHT * (service_s - self.service_s)
+        self._refusals = 0
+        self._average(service_s)
         self.floor_s = min(service_s, self.floor_s * FLOOR_RISE or service_s)
         if self._has_queued(service_s):
             self._decrease(now, QUEUE_LIMIT_DECREASE)
         else:
             self.limit = min(self.max_in_flight, self.limit + 1 / self.limit)
 
+    def _average(self, service_s: float) -> None:
+        counted_s = min(service_s, MAX_SAMPLE_FACTOR * self.service_s)
+        self.service_s += LATENCY_WEIGHT * (counted_s - self.service_s)
+
+    def _take_refusal(self, now: float) -> None:
+        """Pause the leaf, longer after each refusal in a row."""
+        self._refusals = min(self._refusals + 1, MAX_COUNTED_REFUSALS)
+        self._refused_at = now
+        self._decrease(now, LIMIT_DECREASE)
+
     def _has_queued(self, service_s: float) -> bool:
         return self.in_flight > 0 and service_s > QUEUE_FACTOR * self.floor_s
 
@@ -247,6 +276,7 @@
             self._good_probes += 1
             if self._good_probes >= READMIT_AFTER_PROBES:
                 self.ejected_since = None
+                self._ejections = 0
                 self.cold_since = now
 
     def _decrease(self, now: float, factor: float) -> None:
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -13,16 +13,26 @@
 from clementinebank.routing._quantiles import LatencyWindow
 from clementinebank.upstream import LeafStatus
 
-HEDGE_QUANTILE = 0.96
-# With few tokens left only the slowest calls are worth a hedge.
-SCARCE_HEDGE_QUANTILE = 0.985
-SCARCE_FILL = 0.3
+HEDGE_QUANTILE = 0.9
+# The delay is the quantile times a factor: the first while tokens are saved,
+# the second when the bucket is empty and only stragglers are worth a token.
+FULL_HEDGE_FACTOR = 1.25
+SCARCE_HEDGE_FACTOR = 2.5
+FULL_TOKENS = 20
+# A group that is slow as a whole is hedged at this multiple of the quantile
+# of all groups: its own quantile would wait for its slowest replica.
+MAX_GROUP_FACTOR = 2.0
 INITIAL_HEDGE_DELAY_S = 0.03
 # Below this a hedge mostly repeats the variation of the links.
 MIN_HEDGE_DELAY_S = 0.002
 
-# A leaf is slow when it takes this many times as long as its fastest peer.
-OUTLIER_FACTOR = 4.0
+# A reply is not slow for a leaf within this multiple of its average; a hedge
+# to a farther data centre would seldom overtake it.
+USUAL_SPREAD = 1.5
+
+# A leaf is slow when it takes this many times as long as its fastest peer,
+# both with their links.
+OUTLIER_FACTOR = 3.0
 OUTLIER_MARGIN_S = 0.005
 
 
@@ -54,6 +64,7 @@
     leafs_by_id: dict[str, LeafState] = attrs.Factory(dict)
     budget: ExtraLoadBudget = attrs.field(init=False)
     waiting_by_group: dict[str, int] = attrs.Factory(dict)
+    _service_window: LatencyWindow = attrs.Factory(LatencyWindow)
     _windows_by_group: dict[str, LatencyWindow] = attrs.Factory(dict)
     _group_by_leaf: dict[str, str] = attrs.Factory(dict)
 
@@ -148,9 +159,14 @@
     def hedge_delay_s(self, leaf_id: str) -> float:
         """Return the time after which a call to the leaf is hedged."""
         leaf = self.leafs_by_id[leaf_id]
-        is_scarce = self.budget.fill < SCARCE_FILL
-        share = SCARCE_HEDGE_QUANTILE if is_scarce else HEDGE_QUANTILE
-        return leaf.round_trip_s + self._quantile_s(leaf_id, share)
+        saved = min(1, self.budget.tokens / FULL_TOKENS)
+        span = SCARCE_HEDGE_FACTOR - FULL_HEDGE_FACTOR
+        factor = SCARCE_HEDGE_FACTOR - saved * span
+        quantile_s = max(
+            self._quantile_s(leaf_id, HEDGE_QUANTILE),
+            USUAL_SPREAD * leaf.service_s,
+        )
+        return leaf.round_trip_s + factor * quantile_s
 
     def on_sent(self, leaf_id: str, now: float, request_id: str = '') -> None:
         """Count a request that goes to the leaf."""
@@ -177,13 +193,14 @@
         leaf = self.leafs_by_id.get(leaf_id)
         if leaf is None:
             return
-        leaf.on_cancel(now, elapsed_s, self._slow_bound_s(leaf))
-        if elapsed_s > self.hedge_delay_s(leaf_id):
+        was_overtaken = elapsed_s > self.hedge_delay_s(leaf_id)
+        leaf.on_cancel(now, elapsed_s, was_overtaken=was_overtaken)
+        if was_overtaken:
             # Without it the window would hold only the winners of hedges.
             self._add_latency(leaf, elapsed_s)
 
     def on_invalid_reply(self, leaf_id: str, now: float) -> None:
-        """Count a reply that the query could not use as a failure."""
+        """Count an unusable reply or a lost status probe as a failure."""
         leaf = self.leafs_by_id.get(leaf_id)
         if leaf is not None:
             leaf.on_failure(now)
@@ -219,34 +236,52 @@
             if leaf.cold_since is None
             or self.rng.random() < leaf.slow_start_share(now)
         ]
-        pool = warm or ready
+        willing = [leaf for leaf in warm if not leaf.is_paused(now)]
+        pool = willing or warm or ready
         # One of the two is the nearest, so that the local data centre is
         # always considered; the other is random.
         nearest_s = min(leaf.delay_s for leaf in pool)
         near = [leaf for leaf in pool if leaf.delay_s == nearest_s]
-        pair = [self.rng.choice(near), self.rng.choice(pool)]
-        return min(pair, key=lambda leaf: leaf.cost)
+        first = self.rng.choice(near)
+        others = [leaf for leaf in pool if leaf is not first]
+        if not others:
+            return first
+        return min(first, self.rng.choice(others), key=lambda leaf: leaf.cost)
 
     def _slow_bound_s(self, leaf: LeafState) -> float:
+        """Return the time above which a reply of the leaf is an outlier.
+
+        A farther leaf is not an outlier because of its link, and a near one
+        not while it answers as fast as its peers do with their links.
+        """
         group = self.service.groups_by_id[self._group_by_leaf[leaf.leaf_id]]
         peers = [
-            self.leafs_by_id[leaf_id].service_s
+            self.leafs_by_id[leaf_id]
             for leaf_id in group.leafs_by_id
             if leaf_id != leaf.leaf_id
         ]
         if not peers:
             return inf
-        return OUTLIER_FACTOR * min(peers) + OUTLIER_MARGIN_S
+        with_link_s = min(peer.usual_s for peer in peers)
+        service_s = min(peer.service_s for peer in peers)
+        bound_s = max(
+            OUTLIER_FACTOR * with_link_s,
+            leaf.round_trip_s + OUTLIER_FACTOR * service_s,
+        )
+        return bound_s + OUTLIER_MARGIN_S
 
     def _quantile_s(self, leaf_id: str, share: float) -> float:
+        # A group with few calls yet follows the other groups.
+        usual_s = self._service_window.quantile(share, INITIAL_HEDGE_DELAY_S)
         window = self._windows_by_group[self._group_by_leaf[leaf_id]]
-        return max(
-            MIN_HEDGE_DELAY_S, window.quantile(share, INITIAL_HEDGE_DELAY_S)
-        )
+        group_s = window.quantile(share, usual_s)
+        return max(MIN_HEDGE_DELAY_S, min(group_s, MAX_GROUP_FACTOR * usual_s))
 
     def _add_latency(self, leaf: LeafState, elapsed_s: float) -> None:
         window = self._windows_by_group[self._group_by_leaf[leaf.leaf_id]]
-        window.add(max(0, elapsed_s - leaf.round_trip_s))
+        service_s = max(0, elapsed_s - leaf.round_trip_s)
+        window.add(service_s)
+        self._service_window.add(service_s)
 
     def _follow(self, now: float | None) -> None:
         """Keep the state of known leafs; leafs added later are cold."""
@@ -266,6 +301,5 @@
 
     def _set_limits(self, leaf: LeafState) -> None:
         leaf.delay_s = self.delays_by_leaf.get(leaf.leaf_id, 0)
-        # One connection stays free for status probes and cancel messages.
-        leaf.max_in_flight = max(1, self.connection_share - 1)
+        leaf.max_in_flight = self.connection_share
         leaf.limit = min(leaf.limit, leaf.max_in_flight)
--- a/clementinebank/search/_dispatch.py
+++ b/clementinebank/search/_dispatch.py
@@ -18,6 +18,10 @@
 
 # Time until a shard that found no room or no token is tried again.
 RESEND_INTERVAL_S = 0.002
+# A retry always gains a shard, a hedge often gains nothing and a probe never
+# helps its own query: the last tokens are kept in this order.
+HEDGE_RESERVE = 3
+PROBE_RESERVE = 10
 MAX_ATTEMPTS = 6
 MAX_HEDGES = 2
 MAX_TRACE_EVENTS = 1000
@@ -75,7 +79,7 @@
         actions = self._send_or_wait(shard, now)
         probe = self.router.probe_target(shard.group_id, now)
         is_wanted = probe is not None and probe not in shard.excluded
-        if actions and probe and is_wanted and self._take(1):
+        if actions and probe and is_wanted and self._take(1, PROBE_RESERVE):
             # A probe only repeats a request, so that a slow leaf delays no
             # query.
             self.trace(now, 'probe', leaf=probe)
@@ -144,7 +148,10 @@
         return []
 
     def _is_lost(self, shard: Shard, remaining_s: float) -> bool:
-        if shard.sent_count >= MAX_ATTEMPTS:
+        # A service without extra load retries nothing, so that waiting for a
+        # token would only delay the answer.
+        is_retried = self.router.budget.ratio > 0
+        if shard.sent_count >= (MAX_ATTEMPTS if is_retried else 1):
             return True
         if self.router.has_leaf(shard.group_id, remaining_s, shard.unserving):
             return False
@@ -158,7 +165,7 @@
         leaf_id = self.router.choose(
             shard.group_id, now, shard.excluded, self.finish_at - now
         )
-        if leaf_id is None or not self._take(1):
+        if leaf_id is None or not self._take(1, HEDGE_RESERVE):
             self._wake(shard, now + RESEND_INTERVAL_S)
             return []
         check(
@@ -180,6 +187,7 @@
         )
         attempt_id = f'{self.request.request_id}.{self.sent_count}'
         self.sent_count += 1
+        self.trace(now, 'sent', leaf=leaf_id)
         self._set_waiting(shard, is_waiting=False)
         self.router.on_sent(leaf_id, now, self.request.request_id)
         delay_s = self.router.hedge_delay_s(leaf_id)
@@ -202,8 +210,10 @@
         shard.due_at = at
         self.timers.add(at, shard)
 
-    def _take(self, token_count: int) -> bool:
-        return self.router.budget.take(token_count, self.request.request_id)
+    def _take(self, token_count: int, reserve: int = 0) -> bool:
+        return self.router.budget.take(
+            token_count, self.request.request_id, reserve
+        )
 
     def _set_waiting(self, shard: Shard, *, is_waiting: bool) -> None:
         if shard.is_waiting != is_waiting:
--- a/clementinebank/search/_engine.py
+++ b/clementinebank/search/_engine.py
@@ -160,7 +160,10 @@
         reply: LeafReply,
         requested_at: float,
     ) -> None:
-        if pool.is_retired or isinstance(reply.outcome, Err):
+        if pool.is_retired:
+            return
+        if isinstance(reply.outcome, Err):
+            self.router.on_invalid_reply(reply.leaf_id, now())
             return
         status = decode_status(reply.outcome.ok_value.body)
         if isinstance(status, Err):
--- a/clementinebank/search/_snapshots.py
+++ b/clementinebank/search/_snapshots.py
@@ -1,9 +1,13 @@
 """Snapshots of the index and their partition maps."""
 
+from collections import Counter
+
 import attrs
 
 from clementinebank.upstream import ServedSnapshot
 
+MIN_REPLICAS = 2
+
 
 @attrs.frozen
 class PartitionMap:
@@ -21,6 +25,8 @@
         Owner of each partition that any group holds.
     leaf_ids : frozenset of str
         Leafs that reported the snapshot; only they are asked.
+    fewest_replicas : int
+        Replicas that serve the snapshot in the group that has fewest.
     partitions_by_group : dict of str to tuple of int
         Partitions of each owner, in order.
     """
@@ -30,6 +36,7 @@
     partition_count: int
     group_by_partition: dict[int, str]
     leaf_ids: frozenset[str] = frozenset()
+    fewest_replicas: int = 0
     partitions_by_group: dict[str, tuple[int, ...]] = attrs.field(init=False)
 
     @partitions_by_group.default
@@ -99,10 +106,18 @@
         return self._maps
 
     def newest(self) -> PartitionMap | None:
-        """Return the newest complete map, else the newest known one."""
+        """Return the newest complete map, else the newest known one.
+
+        While an index change is under way, a snapshot that a group serves
+        with one replica only is passed over for an older one with more: that
+        replica would have to take the load of the whole group.
+        """
         maps = self.maps()
         complete = [each for each in maps if each.is_complete]
-        return next(iter(complete or maps), None)
+        replicated = [
+            each for each in complete if each.fewest_replicas >= MIN_REPLICAS
+        ]
+        return next(iter(replicated or complete or maps), None)
 
     def _build_maps(self) -> list[PartitionMap]:
         holders: dict[str, list[_Holder]] = {}
@@ -142,4 +157,5 @@
         count,
         owners,
         frozenset(each.leaf_id for each in holders),
+        min(Counter(each.group_id for each in holders).values()),
     )
--- a/clementinebank/search/tests/test_snapshots.py
+++ b/clementinebank/search/tests/test_snapshots.py
@@ -1,6 +1,9 @@
 """Guards against coverage that is claimed and not derived."""
 
+import pytest
+
 from clementinebank.search import SnapshotCatalogue
+from clementinebank.search import _snapshots as snapshots_module
 from clementinebank.upstream import ServedSnapshot
 
 
@@ -17,6 +20,35 @@
     assert catalogue.newest().snapshot == 's-2'
 
 
+def _change_index(leafs, changed):
+    catalogue = SnapshotCatalogue()
+    for number, leaf in enumerate(leafs):
+        sequences = (1, 2) if number < changed else (1,)
+        held = tuple(_served(each, (0, 1), 2) for each in sequences)
+        catalogue.learn(leaf, 'group-0', held)
+    return catalogue
+
+
+def test_snapshot_on_one_replica_waits_for_a_second():
+    """Guard a replica that changes first against the load of its group."""
+    assert _change_index('abc', 1).newest().snapshot == 's-1'
+    assert _change_index('abc', 2).newest().snapshot == 's-2'
+    assert _change_index('a', 1).newest().snapshot == 's-2'
+
+
+def test_variant_without_replica_count_is_caught(monkeypatch):
+    monkeypatch.setattr(snapshots_module, 'MIN_REPLICAS', 0)
+    with pytest.raises(AssertionError):
+        test_snapshot_on_one_replica_waits_for_a_second()
+
+
+def test_withdrawn_snapshot_is_not_pinned():
+    catalogue = _change_index('ab', 2)
+    catalogue.withdraw('a', 's-2')
+    assert catalogue.newest().snapshot == 's-1'
+    assert 'a' not in catalogue.maps()[0].leaf_ids
+
+
 def test_partition_held_twice_has_one_owner():
     catalogue = SnapshotCatalogue()
     catalogue.learn('b', 'group-1', (_served(1, (1, 2, 3)),))
