--- a/benchmarks/tail_simulation.py
+++ b/benchmarks/tail_simulation.py
@@ -95,7 +95,8 @@
             self.index, now
         ):
             respond('snapshot_unavailable')
-        elif not call.is_cancelled:
+        else:
+            # A cancel message that came first found nothing to cancel.
             self.busy += 1
             call.has_slot = True
             self.simulator.at(
--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -29,7 +29,10 @@
 QUEUE_FACTOR = 4.0
 # One decrease for all refusals of the same overload.
 DECREASE_INTERVAL_S = 0.05
-REFUSAL_PAUSE_S = 0.01
+REFUSAL_PAUSE_S = 0.002
+REFUSAL_PAUSE_FACTOR = 8
+# A leaf whose slots are full for a moment is asked again this often at once.
+MAX_QUICK_REFUSALS = 1
 MAX_REFUSAL_PAUSE_S = 1.0
 MAX_COUNTED_REFUSALS = 10
 
@@ -143,9 +146,17 @@
 
     def is_paused(self, now: float) -> bool:
         """Return whether another replica should be asked after refusals."""
-        pause_s = min(MAX_REFUSAL_PAUSE_S, REFUSAL_PAUSE_S * 2**self._refusals)
+        growth = max(0, self._refusals - MAX_QUICK_REFUSALS)
+        pause_s = REFUSAL_PAUSE_S * REFUSAL_PAUSE_FACTOR**growth
+        pause_s = min(MAX_REFUSAL_PAUSE_S, pause_s)
         return now < self._refused_at + pause_s
 
+    def refusal_wait_s(self) -> float | None:
+        """Return when a slot is likely free again, ``None`` if unlikely."""
+        if self._refusals > MAX_QUICK_REFUSALS:
+            return None
+        return max(REFUSAL_PAUSE_S, self.service_s / 2)
+
     def slow_start_share(self, now: float) -> float:
         """Return the share of its requests that a cold leaf gets, 0 to 1."""
         if self.cold_since is None:
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -122,6 +122,29 @@
             return None
         return self._better_of_two(ready, now).leaf_id
 
+    def wait_for_refused_s(
+        self, group_id: str, leaf_id: str, excluded: Collection[str]
+    ) -> float | None:
+        """Return how long to wait for a leaf that refused.
+
+        ``None`` if another replica can be expected to answer sooner. Near
+        leafs with few slots refuse often and for a moment only, while a far
+        replica costs a round trip between data centres.
+        """
+        refusing = self.leafs_by_id.get(leaf_id)
+        wait_s = refusing.refusal_wait_s() if refusing else None
+        if refusing is None or wait_s is None:
+            return None
+        others = [
+            leaf.usual_s
+            for leaf in self._usable(group_id, inf)
+            if not leaf.is_ejected
+            and leaf is not refusing
+            and leaf.leaf_id not in excluded
+        ]
+        expected_s = refusing.usual_s + wait_s
+        return wait_s if expected_s < min(others, default=inf) else None
+
     def probe_target(self, group_id: str, now: float) -> str | None:
         """Return an ejected replica that is due for a probe, or ``None``."""
         for leaf in self._usable(group_id, inf):
@@ -162,10 +185,9 @@
         saved = min(1, self.budget.tokens / FULL_TOKENS)
         span = SCARCE_HEDGE_FACTOR - FULL_HEDGE_FACTOR
         factor = SCARCE_HEDGE_FACTOR - saved * span
-        quantile_s = max(
-            self._quantile_s(leaf_id, HEDGE_QUANTILE),
-            USUAL_SPREAD * leaf.service_s,
-        )
+        # Waiting longer than a peer needs from the start gains nothing.
+        usual_s = min(USUAL_SPREAD * leaf.service_s, self._fastest_peer_s(leaf))
+        quantile_s = max(self._quantile_s(leaf_id, HEDGE_QUANTILE), usual_s)
         return leaf.round_trip_s + factor * quantile_s
 
     def on_sent(self, leaf_id: str, now: float, request_id: str = '') -> None:
@@ -248,24 +270,27 @@
             return first
         return min(first, self.rng.choice(others), key=lambda leaf: leaf.cost)
 
+    def _peers(self, leaf: LeafState) -> list[LeafState]:
+        group = self.service.groups_by_id[self._group_by_leaf[leaf.leaf_id]]
+        return [
+            self.leafs_by_id[leaf_id]
+            for leaf_id in group.leafs_by_id
+            if leaf_id != leaf.leaf_id
+        ]
+
+    def _fastest_peer_s(self, leaf: LeafState) -> float:
+        return min((peer.usual_s for peer in self._peers(leaf)), default=inf)
+
     def _slow_bound_s(self, leaf: LeafState) -> float:
         """Return the time above which a reply of the leaf is an outlier.
 
         A farther leaf is not an outlier because of its link, and a near one
         not while it answers as fast as its peers do with their links.
         """
-        group = self.service.groups_by_id[self._group_by_leaf[leaf.leaf_id]]
-        peers = [
-            self.leafs_by_id[leaf_id]
-            for leaf_id in group.leafs_by_id
-            if leaf_id != leaf.leaf_id
-        ]
-        if not peers:
-            return inf
-        with_link_s = min(peer.usual_s for peer in peers)
-        service_s = min(peer.service_s for peer in peers)
+        peers = self._peers(leaf)
+        service_s = min((peer.service_s for peer in peers), default=inf)
         bound_s = max(
-            OUTLIER_FACTOR * with_link_s,
+            OUTLIER_FACTOR * self._fastest_peer_s(leaf),
             leaf.round_trip_s + OUTLIER_FACTOR * service_s,
         )
         return bound_s + OUTLIER_MARGIN_S
--- a/clementinebank/search/_dispatch.py
+++ b/clementinebank/search/_dispatch.py
@@ -23,6 +23,7 @@
 HEDGE_RESERVE = 3
 PROBE_RESERVE = 10
 MAX_ATTEMPTS = 6
+SHED = 'shed'
 MAX_HEDGES = 2
 MAX_TRACE_EVENTS = 1000
 MS_PER_S = 1000
@@ -107,6 +108,14 @@
         """Retry a shard on another replica after a refusal or a failure."""
         self.trace(now, 'failed', leaf=leaf_id, reason=failure.code)
         shard.missing_reason = failure.code
+        if failure.code == SHED and not shard.attempts_by_id:
+            wait_s = self.router.wait_for_refused_s(
+                shard.group_id, leaf_id, shard.excluded
+            )
+            if wait_s is not None:
+                self._set_waiting(shard, is_waiting=True)
+                self._wake(shard, now + wait_s)
+                return []
         shard.failed.add(leaf_id)
         if shard.attempts_by_id:
             return []
--- /dev/null
+++ b/clementinebank/search/tests/test_query.py
@@ -0,0 +1,253 @@
+"""Guards admission, answer policies, retries, hedges, moves and traces."""
+
+from unittest import mock
+
+import pytest
+
+from clementinebank.errors import Execution
+from clementinebank.routing import LeafState
+from clementinebank.search import ANSWER_POLICIES, Refuse, answer_policy
+from clementinebank.search import _policies as policies_module
+from clementinebank.search import _query as query_module
+from clementinebank.search._dispatch import Dispatcher
+from clementinebank.search.tests.worlds import (
+    DEADLINE_S,
+    GROUPS,
+    PARTITION_COUNT,
+    START_S,
+    make_world,
+)
+
+
+def answer_all(world):
+    for attempt_id in sorted(world.outstanding):
+        if attempt_id in world.outstanding:
+            world.reply(attempt_id)
+
+
+def events(world, name):
+    return [each for each in world.query.trace if each.event == name]
+
+
+def refusal_of(world):
+    assert isinstance(world.endings[0], Refuse)
+    return world.endings[0].failure
+
+
+def check_short_deadline_is_refused_unsent():
+    world = make_world()
+    world.router.leafs_by_id['g0-a'].floor_s = 0.004
+    for leaf in world.router.leafs_by_id.values():
+        leaf.delay_s = 0.02
+    world.start(deadline_s=0.03)
+    failure = refusal_of(world)
+    assert failure.code == 'deadline_too_short'
+    assert failure.execution is Execution.NOT_RUN
+    assert not world.sent
+
+
+def check_passed_deadline_is_refused_unsent():
+    world = make_world().start(deadline_s=-0.01)
+    assert refusal_of(world).code == 'deadline_passed'
+    assert not world.sent
+
+
+def check_service_without_leaf_is_refused_unsent():
+    world = make_world()
+    for leaf_id in world.service.leafs_by_id:
+        world.report(leaf_id, 'draining')
+    world.start()
+    assert refusal_of(world).code == 'no_leaf'
+    assert not world.sent
+
+
+def check_overload_is_refused_unsent():
+    world = make_world()
+    for group_id in GROUPS:
+        world.router.on_waiting(group_id, 1000)
+    world.start()
+    assert refusal_of(world).code == 'overloaded'
+    assert not world.sent
+
+
+ADMISSION_CHECKS = (
+    check_short_deadline_is_refused_unsent,
+    check_passed_deadline_is_refused_unsent,
+    check_service_without_leaf_is_refused_unsent,
+    check_overload_is_refused_unsent,
+)
+
+
+@pytest.mark.parametrize('check', ADMISSION_CHECKS)
+def test_admission(check):
+    check()
+
+
+@pytest.mark.parametrize('check', ADMISSION_CHECKS)
+def test_query_without_admission_is_caught(check):
+    admit = mock.patch.object(query_module, 'refuse_admission', lambda *_: None)
+    with admit, pytest.raises((AssertionError, IndexError)):
+        check()
+
+
+def test_unknown_map_never_claims_completeness():
+    world = make_world(sequences=()).start()
+    coverage = world.endings[0].answer.coverage
+    assert not coverage.is_complete
+    assert not coverage.as_json()['known']
+
+
+def test_answer_names_yards_and_data_centres():
+    world = make_world().start()
+    answer_all(world)
+    coverage = world.endings[0].answer.coverage.as_json()
+    assert coverage['complete']
+    assert coverage['partitions_answered'] == PARTITION_COUNT
+    assert set(coverage['yards']) == {'north', 'south'}
+
+
+def test_refusal_is_not_run_only_if_every_leaf_said_so():
+    for ran, expected in (
+        (False, Execution.NOT_RUN),
+        (True, Execution.UNKNOWN),
+    ):
+        world = make_world().start()
+        for attempt_id in sorted(world.outstanding):
+            world.fail(attempt_id, 'leaf_broken', ran=ran)
+        world.advance(DEADLINE_S)
+        assert refusal_of(world).execution is expected
+
+
+def check_hedge_goes_to_another_leaf_and_loser_is_cancelled():
+    world = make_world(tokens=20).start()
+    first = world.sent[0]
+    for send in world.sent[1:]:
+        world.reply(send.attempt_id)
+    world.advance(0.1 - 0.02)
+    hedge = world.sent[len(GROUPS)]
+    assert hedge.group_id == first.group_id
+    assert hedge.leaf_id != first.leaf_id
+    world.reply(hedge.attempt_id)
+    assert first.attempt_id in world.cancelled
+    assert world.endings[0].answer.coverage.is_complete
+
+
+def test_hedge():
+    check_hedge_goes_to_another_leaf_and_loser_is_cancelled()
+
+
+def test_query_without_hedge_is_caught():
+    silent = mock.patch.object(Dispatcher, '_hedge', lambda *_: [])
+    with silent, pytest.raises((AssertionError, IndexError)):
+        check_hedge_goes_to_another_leaf_and_loser_is_cancelled()
+
+
+def test_empty_budget_allows_no_hedge_and_no_retry():
+    world = make_world(answer_policy='coverage_first').start()
+    world.fail(world.sent[0].attempt_id, 'leaf_broken', ran=True)
+    world.advance(DEADLINE_S)
+    assert len(world.sent) == len(GROUPS)
+
+
+def check_near_leaf_that_refuses_is_asked_again():
+    world = make_world(tokens=20)
+    for leaf in world.router.leafs_by_id.values():
+        leaf.delay_s = 0.0 if leaf.leaf_id.endswith('a') else 0.02
+    world.start()
+    first = world.sent[0]
+    world.fail(first.attempt_id, 'shed')
+    assert len(world.sent) == len(GROUPS)
+    world.advance(0.005)
+    assert world.sent[-1].leaf_id == first.leaf_id
+
+
+def test_near_leaf_that_refuses_is_asked_again():
+    check_near_leaf_that_refuses_is_asked_again()
+
+
+def test_query_that_leaves_the_near_leaf_is_caught():
+    impatient = mock.patch.object(
+        LeafState, 'refusal_wait_s', lambda leaf: None
+    )
+    with impatient, pytest.raises(AssertionError):
+        check_near_leaf_that_refuses_is_asked_again()
+
+
+def test_query_moves_once_and_discards_what_it_received():
+    world = make_world(tokens=20).start()
+    world.reply(world.sent[0].attempt_id)
+    for leaf_id in world.service.leafs_by_id:
+        world.learn(leaf_id, (2, 3))
+    world.fail(world.sent[1].attempt_id, 'snapshot_unavailable')
+    assert [event.facts['refused'] for event in events(world, 'moved')] == [
+        's-1'
+    ]
+    moved = [send for send in world.sent if send.snapshot == 's-3']
+    assert len(moved) == len(GROUPS)
+    for leaf_id in world.service.leafs_by_id:
+        world.learn(leaf_id, (4,))
+    world.fail(moved[0].attempt_id, 'snapshot_unavailable')
+    assert len(events(world, 'moved')) == 1
+    answer_all(world)
+    world.advance(DEADLINE_S)
+    answer = world.endings[0].answer
+    assert answer.snapshot == 's-3'
+    assert answer.records
+    for record in answer.records:
+        assert record.record_id.startswith('s-3/')
+
+
+def test_move_without_tokens_ends_as_a_stated_partial_result():
+    world = make_world().start()
+    for leaf_id in world.service.leafs_by_id:
+        world.learn(leaf_id, (2,))
+    lost = world.sent[0]
+    world.fail(lost.attempt_id, 'snapshot_unavailable')
+    answer_all(world)
+    world.advance(DEADLINE_S)
+    shard = world.endings[0].answer.coverage.shards_by_group[lost.group_id]
+    assert shard.missing_reason == 'snapshot_unavailable'
+
+
+def _ended_after(policy, **changes):
+    world = make_world(answer_policy=policy, **changes).start()
+    for send in world.sent[1:]:
+        world.reply(send.attempt_id)
+    world.advance(1)
+    return world.query.trace[-1].offset_ms / 1000
+
+
+@pytest.mark.parametrize('name', sorted(ANSWER_POLICIES))
+def test_every_policy_answers_before_the_deadline(name):
+    assert 0 < _ended_after(name) < DEADLINE_S
+
+
+def check_coverage_first_waits_longest():
+    assert _ended_after('coverage_first') >= DEADLINE_S - 0.0015
+    assert _ended_after('latency_first') <= DEADLINE_S - 0.0045
+
+
+def test_coverage_first_waits_longest():
+    check_coverage_first_waits_longest()
+
+
+def test_policy_without_reserve_is_caught():
+    reserve = mock.patch.object(policies_module, 'LATENCY_RESERVE_S', 0)
+    with reserve, pytest.raises(AssertionError):
+        check_coverage_first_waits_longest()
+
+
+def test_policy_name_is_registered_once():
+    with pytest.raises(ValueError, match='latency_first'):
+        answer_policy('latency_first')(lambda remaining_s: None)
+
+
+def test_trace_names_snapshot_leafs_and_refusals():
+    world = make_world(tokens=20).start()
+    world.fail(world.sent[0].attempt_id, 'leaf_broken', ran=True)
+    answer_all(world)
+    assert events(world, 'pinned')[0].facts == {'snapshot': 's-1'}
+    assert len(events(world, 'sent')) == len(GROUPS) + 1
+    assert events(world, 'failed')[0].facts['reason'] == 'leaf_broken'
+    assert events(world, 'answered')
+    assert world.now == START_S
