--- a/benchmarks/bench_tail.py
+++ b/benchmarks/bench_tail.py
@@ -12,9 +12,10 @@
 import random
 from pathlib import Path
 
+import yaml
+
 from benchmarks.tail_scenarios import MEDIAN_SERVICE_S, SCENARIOS
 from benchmarks.tail_simulation import INSTANCES, World, is_answered
-from clementinebank.cli._document_commands import split_sections
 from clementinebank.document import parse_document
 from clementinebank.invariants import VIOLATIONS_BY_NAME
 
@@ -38,7 +39,11 @@
 
 def read_document(deployment):
     text = (EXAMPLES / f'{deployment}.yaml').read_text()
-    return parse_document(split_sections(text), 1).unwrap()
+    sections = {
+        name: yaml.safe_dump(section)
+        for name, section in yaml.safe_load(text).items()
+    }
+    return parse_document(sections, 1).unwrap()
 
 
 def run_policy(job):
--- a/clementinebank/search/_engine.py
+++ b/clementinebank/search/_engine.py
@@ -248,7 +248,9 @@
     async def _deliver(self, reply: LeafReply) -> None:
         """Update the routing state, also after the query has ended."""
         is_current = reply.call_id in self.query.dispatcher.shards_by_attempt
-        outcome = reply.outcome.and_then(_shard_reply_of)
+        outcome = reply.outcome.and_then(
+            lambda response: _shard_reply_of(response, reply.call_id)
+        )
         self.engine.router.on_end(
             reply.leaf_id,
             now(),
@@ -273,10 +275,12 @@
     return CallOutcome.GOOD
 
 
-def _shard_reply_of(response: HttpResponse) -> Result[ShardReply, Failure]:
+def _shard_reply_of(
+    response: HttpResponse, call_id: str
+) -> Result[ShardReply, Failure]:
     """Interpret a leaf's response as a shard reply or a refusal."""
     if response.status == 200:
-        return decode_shard_reply(response.body).map_err(
+        return decode_shard_reply(response.body, call_id).map_err(
             lambda problems: Failure(
                 'leaf_malformed',
                 '; '.join(str(problem) for problem in problems),
--- a/clementinebank/search/tests/test_query.py
+++ b/clementinebank/search/tests/test_query.py
@@ -1,5 +1,6 @@
 """Guards admission, answer policies, retries, hedges, moves and traces."""
 
+import json
 from unittest import mock
 
 import pytest
@@ -7,6 +8,7 @@
 from clementinebank.errors import Execution
 from clementinebank.routing import LeafState
 from clementinebank.search import ANSWER_POLICIES, Refuse, answer_policy
+from clementinebank.search import _messages as messages_module
 from clementinebank.search import _policies as policies_module
 from clementinebank.search import _query as query_module
 from clementinebank.search._dispatch import Dispatcher
@@ -251,3 +253,30 @@
     assert events(world, 'failed')[0].facts['reason'] == 'leaf_broken'
     assert events(world, 'answered')
     assert world.now == START_S
+
+
+def check_body_of_another_request_is_refused():
+    decoded = messages_module.decode_shard_reply(
+        json.dumps(
+            {
+                'request_id': 'other.0',
+                'snapshot': 's-1',
+                'partitions': [0],
+                'records': [],
+            }
+        ).encode(),
+        'own.0',
+    )
+    assert decoded.is_err()
+
+
+def test_body_of_another_request_is_refused():
+    check_body_of_another_request_is_refused()
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'{"records": 7', b'[]', b'{}', b'[' * 100_000, b'\xff\xfe'],
+)
+def test_malformed_body_is_an_error_and_never_raises(body):
+    assert messages_module.decode_shard_reply(body, 'own.0').is_err()
