--- a/tests/broken_instance.py
+++ b/tests/broken_instance.py
@@ -4,6 +4,8 @@
 import os
 import sys
 
+import attrs
+
 from clementinebank.http import HttpConnection, HttpServer, ServerConnection
 from clementinebank.http._server_connection import Next
 from clementinebank.search import _engine as engine_module
@@ -59,7 +61,11 @@
     async def receive_as_own(self):
         response = await receive(self)
         response.headers['request-id'] = SENT_IDS[id(self)]
-        return response
+        body = json.loads(response.body or b'null')
+        if not isinstance(body, dict) or 'request_id' not in body:
+            return response
+        body['request_id'] = SENT_IDS[id(self)]
+        return attrs.evolve(response, body=json.dumps(body).encode())
 
     decode = engine_module.decode_shard_reply
     engine_module.decode_shard_reply = lambda body, call_id: decode(
