--- a/clementinebank/search/_messages.py
+++ b/clementinebank/search/_messages.py
@@ -97,13 +97,20 @@
 
 
 def decode_shard_reply(
-    body: bytes,
+    body: bytes, call_id: str
 ) -> Result[ShardReply, list[FieldProblem]]:
-    """Decode and validate the body of a leaf's reply."""
+    """Decode and validate the body of a leaf's reply to one call.
+
+    The body names the call again: a leaf that mixes up its own requests may
+    send the body of one under the header of another.
+    """
     try:
         reader = FieldReader(json.loads(body))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err([FieldProblem('$', f'invalid JSON: {error}')])
+    answered_id = reader.text('request_id')
+    if answered_id != call_id:
+        reader.report('request_id', f'must be {call_id}, got {answered_id}')
     raw_records = reader.data.get('records')
     partitions = reader.data.get('partitions')
     if not isinstance(raw_records, list):
--- a/clementinebank/server/_caller_routes.py
+++ b/clementinebank/server/_caller_routes.py
@@ -41,7 +41,10 @@
     search_request = accepted.ok_value
     engine = instance.engines_by_service[service]
     revision = instance.document_revision
-    answer = await engine.search(search_request)
+    found = await engine.search(search_request)
+    if isinstance(found, Err):
+        return refuse(found.err_value)
+    answer = found.ok_value
     if not check(
         'answer-to-own-request',
         search_request.request_id,
--- a/clementinebank/server/tests/test_caller_routes.py
+++ b/clementinebank/server/tests/test_caller_routes.py
@@ -4,6 +4,7 @@
 
 import attrs
 import pytest
+from result import Ok
 
 from clementinebank.clock import FakeClockKernel
 from clementinebank.document import (
@@ -39,7 +40,7 @@
     async def search(self, request):
         self.requests.append(request)
         request_id = 'another' if self.foreign else request.request_id
-        return Answer(request_id, 's-1', (), Coverage(None, {}))
+        return Ok(Answer(request_id, 's-1', (), Coverage(None, {})))
 
 
 def _instance(engine):
