Add membership and distribution of the document without transport

Ruled out: whole documents in gossip (1 MB per message) and counting heartbeats by arrival, because an old heartbeat can be new to the receiver long after a partition; reports carry the age of the heartbeat instead. Change: packages membership and distribution, adapter of the instance list.

--- /dev/null
+++ b/clementinebank/distribution/__init__.py
@@ -0,0 +1,40 @@
+"""Distribution of the document: state, deltas, recovery and currency."""
+
+from clementinebank.distribution._currency import (
+    CONFIRMED_LIMIT_S,
+    PAUSE_LIMIT_S,
+    Currency,
+    CurrencyState,
+)
+from clementinebank.distribution._digest import (
+    document_digest,
+    section_digest,
+    section_digests,
+)
+from clementinebank.distribution._exchange import Exchange
+from clementinebank.distribution._follower import (
+    DocumentFollower,
+    PeerTransport,
+)
+from clementinebank.distribution._messages import DocumentDelta, SyncMessage
+from clementinebank.distribution._restore import merge_restored
+from clementinebank.distribution._state import DocumentState
+from clementinebank.distribution._status import follower_status
+
+__all__ = (
+    'CONFIRMED_LIMIT_S',
+    'PAUSE_LIMIT_S',
+    'Currency',
+    'CurrencyState',
+    'DocumentDelta',
+    'DocumentFollower',
+    'DocumentState',
+    'Exchange',
+    'PeerTransport',
+    'SyncMessage',
+    'document_digest',
+    'follower_status',
+    'merge_restored',
+    'section_digest',
+    'section_digests',
+)
--- /dev/null
+++ b/clementinebank/distribution/_digest.py
@@ -0,0 +1,32 @@
+"""Digests by which instances compare documents."""
+
+import hashlib
+
+from clementinebank.document import HeadRecord, Section
+
+SECTION_DIGEST_BYTES = 8
+DOCUMENT_DIGEST_BYTES = 16
+
+
+def section_digest(section: Section) -> bytes:
+    """Return the digest of one section."""
+    parts = (section.text, section.revision, section.change_id, section.editor)
+    return hashlib.blake2b(
+        repr(parts).encode(), digest_size=SECTION_DIGEST_BYTES
+    ).digest()
+
+
+def section_digests(head: HeadRecord) -> dict[str, bytes]:
+    """Return the digest of every section by its name."""
+    return {
+        name: section_digest(section)
+        for name, section in head.sections_by_name.items()
+    }
+
+
+def document_digest(revision: int, digests: dict[str, bytes]) -> bytes:
+    """Return the digest of a whole document."""
+    rows = (revision, sorted(digests.items()))
+    return hashlib.blake2b(
+        repr(rows).encode(), digest_size=DOCUMENT_DIGEST_BYTES
+    ).digest()
--- /dev/null
+++ b/clementinebank/distribution/_follower.py
@@ -0,0 +1,221 @@
+"""Keeps the document in force up to date from the service and peers."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import attrs
+import curio
+from eliot import log_message
+from result import Err, Result
+
+from clementinebank.clock import now
+from clementinebank.distribution._exchange import Exchange
+from clementinebank.distribution._head_reader import HeadReader
+from clementinebank.distribution._messages import SyncMessage
+from clementinebank.document import HeadRecord
+from clementinebank.errors import Failure
+from clementinebank.membership import Member
+from clementinebank.platform import InstanceList
+
+SYNC_INTERVAL_S = 1.0
+TICK_INTERVAL_S = 0.25
+LIST_INTERVAL_S = 5.0
+PUSH_PEERS = 3
+LEAVING_PEERS = 5
+# A first message, a delta, and the sections that did not fit.
+MAX_ROUNDS = 3
+# An older reading is refreshed by asking an instance that reads earlier.
+REFRESH_AGE_S = 1.5
+# Every third sync goes to a random peer in any case.
+RANDOM_SYNC_PERIOD = 3
+WATCH_RETRY_S = 0.5
+MAX_WATCH_RETRY_S = 4.0
+# Peers are asked first; 22,000 restarts a day then rarely read the service.
+START_READ_DELAY_S = 2.0
+MAX_START_READ_DELAY_S = 16.0
+
+
+class PeerTransport(Protocol):
+    """What the follower needs of the connections to peers."""
+
+    async def sync(
+        self, member: Member, message: SyncMessage
+    ) -> Result[SyncMessage, Failure]:
+        """Send a message and return the reply."""
+        ...
+
+
+Activated = Callable[[], Awaitable[None]]
+
+
+@attrs.define(eq=False)
+class DocumentFollower:
+    """Loops that follow the document and the fleet.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        View, document and currency of this instance.
+    head_reader : HeadReader
+        Access to the key-value service.
+    instance_list : InstanceList
+        The platform's list.
+    transport : PeerTransport
+        Calls to peers.
+    activated : callable
+        Coroutine function that is called after each activation.
+    """
+
+    exchange: Exchange
+    head_reader: HeadReader
+    instance_list: InstanceList
+    transport: PeerTransport
+    activated: Activated
+    _syncs: int = 0
+    _pushed_revision: int = 0
+    _activated_revision: int = 0
+    _changed: curio.Event = attrs.Factory(curio.Event)
+
+    async def run(self) -> None:
+        """Follow until the task is cancelled."""
+        loops = (
+            self._run_ticks,
+            self._run_syncs,
+            self._run_watch,
+            self._run_list,
+            self._run_changes,
+            self._run_start_reads,
+        )
+        async with curio.TaskGroup() as group:
+            for loop in loops:
+                await group.spawn(loop)
+
+    async def accept(self, head: HeadRecord) -> None:
+        """Put a head record in force that this instance has written."""
+        self.exchange.state.apply(head, self.exchange.view.own.instance_id)
+        await self._notice_change()
+
+    async def answer(self, message: SyncMessage) -> SyncMessage:
+        """Answer the message of a peer."""
+        reply = self.exchange.receive_request(message, now())
+        await self._notice_change()
+        return reply
+
+    async def announce_leaving(self) -> None:
+        """Tell peers that this instance is leaving."""
+        view = self.exchange.view
+        view.announce_leaving()
+        await self._sync_all(view.choose_peers(LEAVING_PEERS, now()))
+
+    async def sync_with(self, member: Member) -> None:
+        """Exchange messages with a peer until neither lacks sections."""
+        message: SyncMessage | None = self.exchange.request(now())
+        for _ in range(MAX_ROUNDS):
+            if message is None:
+                return
+            sent_at = now()
+            outcome = await self.transport.sync(member, message)
+            if isinstance(outcome, Err):
+                self.exchange.view.contact_failed(member.instance_id, now())
+                log_message(
+                    message_type='peer:sync_failed',
+                    reason=str(outcome.err_value),
+                )
+                return
+            message = self.exchange.receive_reply(
+                outcome.ok_value, sent_at, now()
+            )
+            await self._notice_change()
+
+    async def _notice_change(self) -> None:
+        if self.exchange.state.revision > self._activated_revision:
+            await self._changed.set()
+
+    async def _run_ticks(self) -> None:
+        while True:
+            self.exchange.tick(now())
+            await curio.sleep(TICK_INTERVAL_S)
+
+    async def _run_syncs(self) -> None:
+        view = self.exchange.view
+        await curio.sleep(view.rng.random() * SYNC_INTERVAL_S)
+        while True:
+            started = now()
+            view.beat(self.exchange.state.revision, started)
+            for member in self._next_peer(started):
+                await self.sync_with(member)
+            await curio.sleep(max(0, started + SYNC_INTERVAL_S - now()))
+
+    def _next_peer(self, at: float) -> list[Member]:
+        view = self.exchange.view
+        self._syncs += 1
+        age = self.exchange.currency.age_s(at)
+        is_old = age is None or age > REFRESH_AGE_S
+        if is_old and self._syncs % RANDOM_SYNC_PERIOD:
+            sources = view.sources(at)
+            if sources:
+                return [view.rng.choice(sources)]
+        return view.choose_peers(1, at)
+
+    async def _run_watch(self) -> None:
+        view = self.exchange.view
+        retry_s = WATCH_RETRY_S
+        while True:
+            watchers = view.watchers(view.own.data_centre, now())
+            if view.own.instance_id not in watchers:
+                self.head_reader.version = None
+                await curio.sleep(WATCH_RETRY_S)
+            elif await self.head_reader.follow_once():
+                retry_s = WATCH_RETRY_S
+                await self._notice_change()
+                if not self.head_reader.version:
+                    await curio.sleep(WATCH_RETRY_S)
+            else:
+                await curio.sleep(retry_s * (0.5 + view.rng.random()))
+                retry_s = min(2 * retry_s, MAX_WATCH_RETRY_S)
+
+    async def _run_start_reads(self) -> None:
+        """Read the head directly while no peer has a document to give."""
+        delay_s = START_READ_DELAY_S
+        while self.exchange.state.document is None:
+            await curio.sleep(delay_s * (0.5 + self.exchange.view.rng.random()))
+            delay_s = min(2 * delay_s, MAX_START_READ_DELAY_S)
+            if self.exchange.state.document is None:
+                reader = HeadReader(self.head_reader.key_value, self.exchange)
+                await reader.follow_once()
+                await self._notice_change()
+
+    async def _run_list(self) -> None:
+        view = self.exchange.view
+        while True:
+            listed = await self.instance_list.instances()
+            if isinstance(listed, Err):
+                log_message(
+                    message_type='instance_list:failed',
+                    reason=str(listed.err_value),
+                )
+            else:
+                view.merge_list(listed.ok_value, now())
+            is_known = bool(view.entries_by_id)
+            jitter = 0.5 + view.rng.random()
+            await curio.sleep(
+                (LIST_INTERVAL_S if is_known else SYNC_INTERVAL_S) * jitter
+            )
+
+    async def _run_changes(self) -> None:
+        view = self.exchange.view
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            self._activated_revision = self.exchange.state.revision
+            await self.activated()
+            log_message(
+                message_type='document:activated',
+                revision=self._activated_revision,
+            )
+            await self._sync_all(view.choose_peers(PUSH_PEERS, now()))
+
+    async def _sync_all(self, members: list[Member]) -> None:
+        async with curio.TaskGroup() as group:
+            for member in members:
+                await group.spawn(self.sync_with, member)
--- /dev/null
+++ b/clementinebank/distribution/_head_reader.py
@@ -0,0 +1,124 @@
+"""Reading the head from the key-value service and writing it back."""
+
+import attrs
+from eliot import log_message
+from result import Err, Result
+
+from clementinebank.clock import now
+from clementinebank.distribution._digest import (
+    document_digest,
+    section_digests,
+)
+from clementinebank.distribution._exchange import Exchange
+from clementinebank.distribution._restore import merge_restored
+from clementinebank.document import DOCUMENT_KEY, HeadRecord, decode_head
+from clementinebank.errors import Failure
+from clementinebank.platform import Entry, KeyValueService
+
+# A waiting watch counts as one call; a watch that ends without a change
+# confirms the head, so its length bounds the age of the confirmation.
+WATCH_WAIT_MS = 1000
+SERVICE = 'key-value service'
+
+
+@attrs.define(eq=False)
+class HeadReader:
+    """Reads and watches the document's key.
+
+    Parameters
+    ----------
+    key_value : KeyValueService
+        The platform's service.
+    exchange : Exchange
+        Receives what was read.
+    version : int or None
+        Version read last; ``None`` after a failure. The next call is then a
+        read, because a restored service may reuse a version number.
+    """
+
+    key_value: KeyValueService
+    exchange: Exchange
+    version: int | None = None
+    restored_heads: int = 0
+
+    async def follow_once(self) -> bool:
+        """Read or watch once; return whether the service answered."""
+        sent_at = now()
+        if self.version is None:
+            outcome: Result[Entry | None, Failure] = await self.key_value.read(
+                DOCUMENT_KEY
+            )
+        else:
+            outcome = await self.key_value.watch(
+                DOCUMENT_KEY, self.version, WATCH_WAIT_MS
+            )
+        if isinstance(outcome, Err):
+            self.version = None
+            log_message(
+                message_type='document:watch_failed',
+                reason=str(outcome.err_value),
+            )
+            return False
+        entry = outcome.ok_value
+        if entry is None:
+            self._confirm_unchanged(sent_at + WATCH_WAIT_MS / 1000)
+            return True
+        self.version = entry.version
+        return await self._take_entry(entry, sent_at)
+
+    def _confirm_unchanged(self, read_at: float) -> None:
+        if self.version:
+            self.exchange.currency.confirm(min(read_at, now()))
+
+    async def _take_entry(self, entry: Entry, read_at: float) -> bool:
+        state = self.exchange.state
+        if not entry.version:
+            if state.revision:
+                return await self._write_back(HeadRecord(), 0, read_at)
+            return True
+        try:
+            head = decode_head(entry.value)
+        except ValueError as error:
+            state.reject(str(error), SERVICE)
+            self.exchange.currency.confirm(read_at)
+            return True
+        if head.revision <= state.revision and _digest_of(head) != state.digest:
+            return await self._write_back(head, entry.version, read_at)
+        # An invalid head raises the alarm. It confirms the document in force
+        # all the same, as no valid one is newer.
+        state.apply(head, SERVICE)
+        self.exchange.currency.confirm(read_at)
+        return True
+
+    async def _write_back(
+        self, restored: HeadRecord, version: int, read_at: float
+    ) -> bool:
+        state = self.exchange.state
+        merged = merge_restored(state.head, restored)
+        self.restored_heads += 1
+        log_message(
+            message_type='document:restored_head',
+            restored_revision=restored.revision,
+            revision_in_force=state.revision,
+            written_revision=merged.revision,
+        )
+        swapped = await self.key_value.swap(
+            DOCUMENT_KEY, merged.encode(), version
+        )
+        if isinstance(swapped, Err):
+            # Another watcher may have written first, or the outcome is
+            # unknown: the next call reads the head again.
+            self.version = None
+            log_message(
+                message_type='document:write_back_failed',
+                reason=str(swapped.err_value),
+            )
+            return False
+        self.version = swapped.ok_value.version
+        state.apply(merged, SERVICE)
+        self.exchange.currency.confirm(read_at)
+        return True
+
+
+def _digest_of(head: HeadRecord) -> bytes:
+    return document_digest(head.revision, section_digests(head))
--- /dev/null
+++ b/clementinebank/distribution/tests/test_fleet.py
@@ -0,0 +1,410 @@
+"""Guards R8 in a fleet: changes that stay behind, revert or flood the service.
+
+The bound of 12 s is the stated target of the design page.
+"""
+
+import attrs
+import curio
+import pytest
+
+from clementinebank.distribution import DocumentState
+from clementinebank.distribution._head_reader import HeadReader
+from clementinebank.distribution.tests.network import (
+    DATA_CENTRES,
+    changed,
+    first_head,
+    run_network,
+)
+from clementinebank.document import decode_head
+from clementinebank.membership import MembershipView, MemberState
+
+TARGET_S = 12
+WATCHERS = 2
+
+
+async def _accept(network, node, head):
+    """Accept a change at one instance, as the operators' route does."""
+    await network.key_value.store(head)
+    await node.follower.accept(head)
+
+
+@pytest.mark.parametrize('count', [7, 60, 200])
+def test_change_reaches_all_while_service_fails_after_swap(count):
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        head = changed(first_head(), 'desk', 100)
+        network.key_value.down = True
+        await network.nodes[3].follower.accept(head)
+        assert await network.reaches(2, TARGET_S) is not None
+        assert not network.decreases
+
+    run_network(scenario, count=count)
+
+
+@pytest.mark.parametrize('drop', [0, 0.2])
+def test_change_by_another_writer_reaches_all(drop):
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        head = first_head()
+        for deadline_ms in range(100, 105):
+            head = changed(head, 'desk', deadline_ms)
+            await network.key_value.store(head)
+            assert await network.reaches(head.revision, TARGET_S) is not None
+        assert not network.decreases
+
+    run_network(scenario, count=60, drop=drop)
+
+
+def test_instance_cut_off_from_service_follows_and_is_confirmed():
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        view = network.nodes[0].exchange.view
+        watcher = view.watchers('north', curio.kernel.time.monotonic())[0]
+        cut = network.nodes_by_id[watcher]
+        cut.key_value.cut = True
+        head = changed(first_head(), 'desk', 100)
+        await network.key_value.store(head)
+        assert await network.reaches(2, TARGET_S) is not None
+        await curio.sleep(10)
+        for _ in range(40):
+            assert cut.currency() != 'isolated'
+            await curio.sleep(0.25)
+
+    run_network(scenario, count=30)
+
+
+def test_partitioned_data_centre_refuses_and_catches_up():
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        for node in network.in_data_centre('south'):
+            node.key_value.cut = True
+        network.partition(('north', 'central'), ('south',))
+        head = changed(first_head(), 'desk', 100)
+        await network.key_value.store(head)
+        others = [n for n in network.nodes if n.data_centre != 'south']
+        assert await network.reaches(2, TARGET_S, others) is not None
+        await curio.sleep(TARGET_S)
+        assert {n.currency() for n in others} == {'confirmed'}
+        south = network.in_data_centre('south')
+        assert {n.revision for n in south} == {1}
+        assert {n.currency() for n in south} == {'isolated'}
+        assert not any(
+            n.exchange.may_serve(curio.kernel.time.monotonic()) for n in south
+        )
+        network.heal()
+        assert await network.reaches(2, TARGET_S) is not None
+        await curio.sleep(TARGET_S)
+        assert {n.currency() for n in network.nodes} <= {
+            'confirmed',
+            'presumed',
+        }
+        assert not network.decreases
+
+    run_network(scenario, count=45)
+
+
+def test_isolated_instances_serve_if_the_document_says_so():
+    async def scenario(network):
+        await network.start(first_head('serve'))
+        await network.settle()
+        network.key_value.down = True
+        network.partition(*((name,) for name in DATA_CENTRES))
+        await curio.sleep(20)
+        node = network.nodes[0]
+        assert node.currency() == 'isolated'
+        assert node.exchange.may_serve(curio.kernel.time.monotonic())
+
+    run_network(scenario, count=21)
+
+
+def test_two_data_centres_partitioned_and_healed():
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        network.partition(('north',), ('central', 'south'))
+        network.key_value.down = True
+        head = changed(first_head(), 'desk', 100)
+        await network.in_data_centre('north')[0].follower.accept(head)
+        north = network.in_data_centre('north')
+        assert await network.reaches(2, TARGET_S, north) is not None
+        await curio.sleep(30)
+        network.heal()
+        assert await network.reaches(2, TARGET_S) is not None
+        assert not network.decreases
+
+    run_network(scenario, count=45)
+
+
+def test_outage_of_the_service_alone_leaves_instances_presumed():
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        network.key_value.down = True
+        await curio.sleep(TARGET_S)
+        for _ in range(60):
+            assert {n.currency() for n in network.nodes} == {'presumed'}
+            await curio.sleep(1)
+        network.key_value.down = False
+        await curio.sleep(TARGET_S)
+        assert {n.currency() for n in network.nodes} == {'confirmed'}
+
+    run_network(scenario, count=45)
+
+
+def test_restored_older_head_is_put_back():
+    async def scenario(network):
+        old = first_head()
+        head = changed(changed(old, 'desk', 100), 'yard', 200)
+        await network.start(head)
+        await network.settle(3)
+        await network.key_value.store(old)
+        await curio.sleep(TARGET_S)
+        assert network.revisions() == [3]
+        assert decode_head(network.key_value.value) == head
+        assert not network.decreases
+
+    run_network(scenario, count=30)
+
+
+def test_change_on_top_of_restored_head_is_kept():
+    async def scenario(network):
+        old = first_head()
+        head = changed(changed(old, 'desk', 100), 'yard', 200)
+        await network.start(head)
+        await network.settle(3)
+        network.key_value.down = True
+        await network.key_value.store(
+            changed(old, 'orders', 300, change_id='on-top')
+        )
+        await curio.sleep(5)
+        network.key_value.down = False
+        assert await network.reaches(4, TARGET_S) is not None
+        stored = decode_head(network.key_value.value)
+        assert set(stored.sections_by_name) == {
+            'fleet',
+            'service.desk',
+            'service.yard',
+            'service.orders',
+        }
+        assert network.revisions() == [4]
+        assert not network.decreases
+
+    run_network(scenario, count=30)
+
+
+def test_wiped_service_receives_the_document_again():
+    async def scenario(network):
+        head = changed(first_head(), 'desk', 100)
+        await network.start(head)
+        await network.settle(2)
+        network.key_value.value = b''
+        network.key_value.version = 0
+        await curio.sleep(TARGET_S)
+        assert decode_head(network.key_value.value) == head
+
+    run_network(scenario, count=12)
+
+
+@pytest.mark.parametrize('value', [b'not json', None])
+def test_invalid_head_keeps_the_last_valid_one(value):
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        bad = changed(first_head(), 'desk', -5)
+        await network.key_value.store(value or bad)
+        await curio.sleep(TARGET_S)
+        assert network.revisions() == [1]
+        alarms = [n for n in network.nodes if n.exchange.state.alarm]
+        assert len(alarms) >= len(DATA_CENTRES)
+        good = attrs.evolve(changed(first_head(), 'desk', 100), revision=3)
+        await network.key_value.store(good)
+        assert await network.reaches(3, TARGET_S) is not None
+        assert not any(n.exchange.state.alarm for n in network.nodes)
+
+    run_network(scenario, count=12)
+
+
+def test_killed_and_paused_instances_do_not_stop_a_change():
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        stopped = network.nodes[::4]
+        for node in stopped:
+            await node.pause()
+        head = changed(first_head(), 'desk', 100)
+        await network.key_value.store(head)
+        assert await network.reaches(2, TARGET_S) is not None
+        for node in stopped[::2]:
+            await node.boot()
+        for node in stopped[1::2]:
+            await node.resume()
+        assert await network.reaches(2, TARGET_S) is not None
+        assert len(network.running) == network.count
+        assert not network.decreases
+
+    run_network(scenario, count=60)
+
+
+def test_resumed_instance_trusts_nothing_until_renewed():
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        node = network.nodes[0]
+        await node.pause()
+        network.key_value.down = True
+        await curio.sleep(3)
+        assert node.currency() == 'isolated'
+        await node.resume()
+        await curio.sleep(0.1)
+        assert node.currency() == 'isolated'
+        await curio.sleep(TARGET_S)
+        assert node.currency() == 'presumed'
+
+    run_network(scenario, count=30)
+
+
+def test_starting_instances_take_the_document_from_peers_in_an_outage():
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        network.key_value.down = True
+        node = network.add(network.count)
+        await node.boot()
+        assert await network.reaches(1, TARGET_S) is not None
+
+    run_network(scenario, count=30)
+
+
+def test_leaving_sticks_against_the_list_and_ends_with_a_restart():
+    run_network(_leave_and_restart, count=30)
+
+
+async def _leave_and_restart(network):
+    await network.start(first_head())
+    await network.settle()
+    node, observer = network.nodes[4], network.nodes[8]
+    await node.follower.announce_leaving()
+    await curio.sleep(6)
+    await node.pause()
+    for _ in range(60):
+        member = observer.exchange.view.members_by_id[node.instance_id]
+        assert member.state is not MemberState.LIVE
+        await curio.sleep(0.5)
+    assert member.state is MemberState.GONE
+    await node.boot()
+    await curio.sleep(10)
+    member = observer.exchange.view.members_by_id[node.instance_id]
+    assert member.state is MemberState.LIVE
+
+
+def test_instance_list_outage_and_lag_do_not_remove_members():
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        network.instance_list.frozen = await _first_listed(network)
+        late = network.add(network.count)
+        await late.boot()
+        await curio.sleep(40)
+        network.instance_list.down = True
+        await curio.sleep(90)
+        for node in network.nodes:
+            states = {
+                each.state for each in node.exchange.view.members_by_id.values()
+            }
+            assert states == {MemberState.LIVE}
+        assert late.currency() == 'confirmed'
+
+    run_network(scenario, count=21)
+
+
+async def _first_listed(network):
+    listed = await network.instance_list.instances()
+    return listed.ok_value
+
+
+@pytest.mark.parametrize('count', [7, 90])
+def test_two_watchers_per_data_centre(count):
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        network.watching_max.clear()
+        before = network.key_value.calls['watch']
+        await curio.sleep(60)
+        assert max(network.watching_max.values()) <= WATCHERS
+        per_data_centre = (network.key_value.calls['watch'] - before) / 3
+        # Each watcher calls once a second, as a call waits for that time.
+        assert per_data_centre <= WATCHERS * 60 * 1.05
+
+    run_network(scenario, count=count)
+
+
+def test_killed_watchers_are_replaced():
+    async def scenario(network):
+        await network.start(first_head())
+        await network.settle()
+        view = network.nodes[0].exchange.view
+        time = curio.kernel.time.monotonic()
+        for name in DATA_CENTRES:
+            for watcher in view.watchers(name, time):
+                await network.nodes_by_id[watcher].pause()
+        head = changed(first_head(), 'desk', 100)
+        await network.key_value.store(head)
+        assert await network.reaches(2, TARGET_S) is not None
+
+    run_network(scenario, count=60)
+
+
+class LastReadReader(HeadReader):
+    """Broken variant: an older head is put in force."""
+
+    async def _write_back(self, restored, version, read_at):
+        self.exchange.state.apply(restored, 'service')
+        return True
+
+
+class LastReadState(DocumentState):
+    """Broken variant: the head read last is put in force."""
+
+    def apply(self, head, source):
+        if head.revision < self.head.revision:
+            self.head = attrs.evolve(self.head, revision=0)
+        return super().apply(head, source)
+
+    def apply_delta(self, delta, source):
+        if delta.revision < self.head.revision:
+            self.head = attrs.evolve(self.head, revision=delta.revision)
+        return super().apply_delta(delta, source)
+
+
+def test_negative_control_head_read_last_is_caught():
+    async def scenario(network):
+        old = first_head()
+        head = changed(changed(old, 'desk', 100), 'yard', 200)
+        await network.start(head)
+        await network.settle(3)
+        await network.key_value.store(old)
+        await curio.sleep(TARGET_S)
+        return network.decreases
+
+    options = {'state_class': LastReadState, 'reader_class': LastReadReader}
+    assert run_network(scenario, count=12, **options)
+
+
+class IncarnationIgnored(MembershipView):
+    """Broken variant: a restart does not end the states before it."""
+
+    def _merge_other(self, report, heard_at):
+        entry = self.entries_by_id.get(report.instance_id)
+        if entry is not None:
+            incarnation = entry.member.incarnation
+            report = attrs.evolve(report, incarnation=incarnation)
+        super()._merge_other(report, heard_at)
+
+
+def test_negative_control_ignored_incarnations_are_caught():
+    with pytest.raises(AssertionError):
+        run_network(_leave_and_restart, count=30, view_class=IncarnationIgnored)
--- /dev/null
+++ b/clementinebank/membership/__init__.py
@@ -0,0 +1,27 @@
+"""View of the instances, kept from heartbeats, peers' news and the list."""
+
+from clementinebank.membership._choice import rendezvous_order
+from clementinebank.membership._member import (
+    ListedInstance,
+    Member,
+    MemberReport,
+    MemberState,
+    merge_members,
+)
+from clementinebank.membership._table import MAX_NEWS
+from clementinebank.membership._view import (
+    WATCHERS_PER_DATA_CENTRE,
+    MembershipView,
+)
+
+__all__ = (
+    'MAX_NEWS',
+    'WATCHERS_PER_DATA_CENTRE',
+    'ListedInstance',
+    'Member',
+    'MemberReport',
+    'MemberState',
+    'MembershipView',
+    'merge_members',
+    'rendezvous_order',
+)
--- /dev/null
+++ b/clementinebank/membership/_view.py
@@ -0,0 +1,162 @@
+"""One instance's view of the fleet and its choice of peers."""
+
+import heapq
+import math
+from collections import Counter
+
+import attrs
+
+from clementinebank.membership._choice import rendezvous_order
+from clementinebank.membership._member import (
+    Member,
+    MemberReport,
+    MemberState,
+)
+from clementinebank.membership._table import (
+    HEARD_WINDOW_S,
+    MAX_NEWS,
+    NEVER,
+    Entry,
+    MemberTable,
+)
+
+WATCHERS_PER_DATA_CENTRE = 2
+# Shares of the random choices: without the second, the sides of a healed
+# partition, which suspect each other, would not find each other again.
+LOCAL_SHARE = 0.5
+SUSPECT_SHARE = 0.25
+
+
+@attrs.define
+class MembershipView(MemberTable):
+    """View of the instances with the choices made from it; no I/O."""
+
+    def hears_majority(self, now: float) -> bool:
+        """Return whether more than half of the live instances are heard.
+
+        Suspected instances stay in the count, because a partition makes all
+        instances of the other side suspects. In a large fleet a single
+        instance is heard rarely; it counts only while its data centre is
+        heard, so that a partition between data centres shows within
+        ``HEARD_WINDOW_S``.
+        """
+        window_s = self.heard_window_s
+        live = 1
+        heard_by_data_centre: Counter[str] = Counter()
+        present = {self.own.data_centre}
+        for entry in self.entries_by_id.values():
+            if entry.member.state is not MemberState.LIVE:
+                continue
+            live += 1
+            silence = now - entry.heard_at
+            if silence <= window_s:
+                heard_by_data_centre[entry.member.data_centre] += 1
+            if silence <= HEARD_WINDOW_S:
+                present.add(entry.member.data_centre)
+        heard = 1 + sum(heard_by_data_centre[name] for name in present)
+        return self._is_introduced() and 2 * heard > live
+
+    def ranked(self, data_centre: str, now: float) -> list[str]:
+        """Return a data centre's usable instances in rendezvous order."""
+        usable = [
+            instance_id
+            for instance_id, entry in self.entries_by_id.items()
+            if entry.member.data_centre == data_centre
+            and entry.member.state is MemberState.LIVE
+            and not self.is_suspect(entry, now)
+        ]
+        if data_centre == self.own.data_centre:
+            if self.own.state is MemberState.LIVE:
+                usable.append(self.own.instance_id)
+        return rendezvous_order('watcher', usable)
+
+    def watchers(self, data_centre: str, now: float) -> list[str]:
+        """Return the instances that watch the document's key."""
+        return self.ranked(data_centre, now)[:WATCHERS_PER_DATA_CENTRE]
+
+    def sources(self, now: float) -> list[Member]:
+        """Return peers that read the head earlier than this instance does.
+
+        The next ranks after the watchers, about the square root of the data
+        centre's size, ask the watchers; the others ask those ranks. So a
+        reading reaches every instance in two calls, and the calls to one
+        instance grow only with the square root.
+        """
+        ranked = self.ranked(self.own.data_centre, now)
+        watchers = ranked[:WATCHERS_PER_DATA_CENTRE]
+        relays = ranked[: len(watchers) + math.isqrt(len(ranked))]
+        relays = relays[len(watchers) :]
+        own_id = self.own.instance_id
+        if own_id in watchers:
+            return []
+        chosen = watchers if own_id in relays else relays or watchers
+        return [self.entries_by_id[each].member for each in chosen]
+
+    def choose_peers(self, count: int, now: float) -> list[Member]:
+        """Return random peers, about half of them in other data centres."""
+        usable: list[Member] = []
+        present: list[Member] = []
+        for entry in self.entries_by_id.values():
+            if entry.member.state is not MemberState.GONE:
+                present.append(entry.member)
+                if not self.is_suspect(entry, now):
+                    usable.append(entry.member)
+        chosen: dict[str, Member] = {}
+        for _ in range(2 * count):
+            takes_any = self.rng.random() < SUSPECT_SHARE or not usable
+            member = self._choose_one(present if takes_any else usable)
+            if member is not None and len(chosen) < count:
+                chosen[member.instance_id] = member
+        return list(chosen.values())
+
+    def news(self, now: float) -> list[MemberReport]:
+        """Return at most ``MAX_NEWS`` reports for one message.
+
+        Recent changes of state come first, then the instances heard last,
+        then a random sample, which repairs differences in the long run.
+        """
+        entries = [
+            entry
+            for entry in self.entries_by_id.values()
+            if entry.heard_at != NEVER
+            and (
+                entry.member.state is MemberState.GONE
+                or not self.is_suspect(entry, now)
+            )
+        ]
+        if len(entries) > MAX_NEWS:
+            entries = self._bounded(entries)
+        return [
+            MemberReport(entry.member, max(0, now - entry.heard_at))
+            for entry in entries
+        ]
+
+    def _bounded(self, entries: list[Entry]) -> list[Entry]:
+        changed = [entry for entry in entries if entry.sends_left][:MAX_NEWS]
+        for entry in changed:
+            entry.sends_left -= 1
+        recent = heapq.nlargest(MAX_NEWS // 2, entries, key=_heard_at_of)
+        sample = self.rng.sample(entries, MAX_NEWS)
+        chosen = {
+            each.member.instance_id: each
+            for each in (*changed, *recent, *sample)
+        }
+        return list(chosen.values())[:MAX_NEWS]
+
+    def _is_introduced(self) -> bool:
+        # Without the list or a peer, one of one would be a majority.
+        return self.listed_at != NEVER or bool(self.entries_by_id)
+
+    def _choose_one(self, members: list[Member]) -> Member | None:
+        if self.rng.random() < LOCAL_SHARE:
+            local = [
+                each
+                for each in members
+                if each.data_centre == self.own.data_centre
+            ]
+            members = local or members
+        return self.rng.choice(members) if members else None
+
+
+def _heard_at_of(entry: Entry) -> float:
+    return entry.heard_at
--- a/clementinebank/platform/__init__.py
+++ b/clementinebank/platform/__init__.py
@@ -1,5 +1,9 @@
 """Ports and adapters of the platform's services."""
 
+from clementinebank.platform._instance_list import (
+    HttpInstanceList,
+    InstanceList,
+)
 from clementinebank.platform._key_value import (
     MAX_VALUE_BYTES,
     Entry,
@@ -10,6 +14,8 @@
 __all__ = (
     'MAX_VALUE_BYTES',
     'Entry',
+    'HttpInstanceList',
     'HttpKeyValueService',
+    'InstanceList',
     'KeyValueService',
 )
--- /dev/null
+++ b/clementinebank/platform/_instance_list.py
@@ -0,0 +1,93 @@
+"""Port and HTTP adapter of the platform's instance list."""
+
+import json
+from typing import Any, Protocol
+
+import attrs
+import curio
+from result import Err, Ok, Result
+
+from clementinebank.errors import Failure, Step
+from clementinebank.http import HttpProtocolError, HttpRequest, fetch
+from clementinebank.membership import ListedInstance
+from clementinebank.validation import Address, FieldReader
+
+LIST_TIMEOUT_S = 2.0
+LISTED_STATES = ('live', 'leaving')
+
+Listed = Result[list[ListedInstance], Failure]
+
+
+class InstanceList(Protocol):
+    """What the system needs of the instance list, which lags."""
+
+    async def instances(self) -> Listed:
+        """Return the instances that the platform lists."""
+        ...
+
+
+@attrs.define
+class HttpInstanceList:
+    """Adapter that speaks HTTP/1.1 to the list.
+
+    Parameters
+    ----------
+    address : Address
+        Where the list listens.
+    timeout_s : float
+        Longest time of a call in seconds.
+    """
+
+    address: Address
+    timeout_s: float = LIST_TIMEOUT_S
+    calls: int = 0
+
+    async def instances(self) -> Listed:
+        """Return the instances that the platform lists."""
+        self.calls += 1
+        request = HttpRequest('GET', '/v1/instances')
+        host, port = self.address.host, self.address.port
+        try:
+            response = await fetch(host, port, request, self.timeout_s)
+        except curio.TaskTimeout:
+            return self._failed(f'no answer within {self.timeout_s} s')
+        except (OSError, HttpProtocolError) as error:
+            return self._failed(str(error))
+        if response.status != 200:
+            return self._failed(f'status {response.status}')
+        return self._decode(response.body)
+
+    def _decode(self, body: bytes) -> Listed:
+        try:
+            raw = json.loads(body)['instances']
+        except (ValueError, KeyError, TypeError) as error:
+            return self._failed(f'malformed answer: {error!r}')
+        if not isinstance(raw, list):
+            return self._failed('malformed answer: instances is no list')
+        reader = FieldReader({})
+        listed = [
+            _read_instance(FieldReader(each, problems=reader.problems))
+            for each in raw
+        ]
+        if reader.problems:
+            return self._failed(f'malformed answer: {reader.problems[0]}')
+        return Ok(listed)
+
+    def _failed(self, message: str) -> Err[Failure]:
+        return Err(
+            Failure(
+                'instance_list_unavailable',
+                message,
+                Step.PROBE,
+                peer=str(self.address),
+            )
+        )
+
+
+def _read_instance(reader: Any) -> ListedInstance:
+    return ListedInstance(
+        instance_id=reader.text('instance_id'),
+        address=reader.address('address'),
+        data_centre=reader.text('data_centre'),
+        is_leaving=reader.text('state', choices=LISTED_STATES) == 'leaving',
+    )
