Follow the document through peers in every instance

Change: Instance delegates to DocumentFollower; the peers listener serves clementinebank.Peer/Sync; an isolated instance refuses callers (not_run) and is not ready; answers carry revision and currency; /v1/status shows members, currency, digests and calls. Ruled out: reporting the revision before its engines are updated; activation is awaited under a lock. Conclusion: the wiring holds in processes; a lone survivor refuses callers.

--- a/clementinebank/distribution/__init__.py
+++ b/clementinebank/distribution/__init__.py
@@ -1,5 +1,6 @@
 """Distribution of the document: state, deltas, recovery and currency."""
 
+from clementinebank.distribution._create import create_follower
 from clementinebank.distribution._currency import (
     CONFIRMED_LIMIT_S,
     PAUSE_LIMIT_S,
@@ -32,6 +33,7 @@
     'Exchange',
     'PeerTransport',
     'SyncMessage',
+    'create_follower',
     'document_digest',
     'follower_status',
     'merge_restored',
--- /dev/null
+++ b/clementinebank/distribution/_create.py
@@ -0,0 +1,39 @@
+"""Assembly of the parts that follow the document."""
+
+from clementinebank.clock import wall_time
+from clementinebank.distribution._exchange import Exchange
+from clementinebank.distribution._follower import (
+    Activated,
+    DocumentFollower,
+    PeerTransport,
+)
+from clementinebank.distribution._head_reader import HeadReader
+from clementinebank.membership import Member, MembershipView
+from clementinebank.platform import InstanceList, KeyValueService
+from clementinebank.settings import InstanceSettings
+
+MS_PER_S = 1000
+
+
+def create_follower(
+    settings: InstanceSettings,
+    key_value: KeyValueService,
+    instance_list: InstanceList,
+    transport: PeerTransport,
+    activated: Activated,
+) -> DocumentFollower:
+    """Return the follower of a new incarnation of an instance."""
+    own = Member(
+        settings.instance_id,
+        int(wall_time() * MS_PER_S),
+        settings.peers,
+        settings.data_centre,
+    )
+    exchange = Exchange(MembershipView(own))
+    return DocumentFollower(
+        exchange,
+        HeadReader(key_value, exchange),
+        instance_list,
+        transport,
+        activated,
+    )
--- a/clementinebank/distribution/_follower.py
+++ b/clementinebank/distribution/_follower.py
@@ -72,8 +72,8 @@
     transport: PeerTransport
     activated: Activated
     _syncs: int = 0
-    _pushed_revision: int = 0
     _activated_revision: int = 0
+    _activating: curio.Lock = attrs.Factory(curio.Lock)
     _changed: curio.Event = attrs.Factory(curio.Event)
 
     async def run(self) -> None:
@@ -128,8 +128,15 @@
             await self._notice_change()
 
     async def _notice_change(self) -> None:
-        if self.exchange.state.revision > self._activated_revision:
-            await self._changed.set()
+        """Activate what the state took, in one task at a time."""
+        async with self._activating:
+            revision = self.exchange.state.revision
+            if revision <= self._activated_revision:
+                return
+            self._activated_revision = revision
+            await self.activated()
+            log_message(message_type='document:activated', revision=revision)
+        await self._changed.set()
 
     async def _run_ticks(self) -> None:
         while True:
@@ -207,12 +214,6 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
-            self._activated_revision = self.exchange.state.revision
-            await self.activated()
-            log_message(
-                message_type='document:activated',
-                revision=self._activated_revision,
-            )
             await self._sync_all(view.choose_peers(PUSH_PEERS, now()))
 
     async def _sync_all(self, members: list[Member]) -> None:
--- a/clementinebank/platform/_instance_list.py
+++ b/clementinebank/platform/_instance_list.py
@@ -21,6 +21,8 @@
 class InstanceList(Protocol):
     """What the system needs of the instance list, which lags."""
 
+    calls: int
+
     async def instances(self) -> Listed:
         """Return the instances that the platform lists."""
         ...
--- a/clementinebank/platform/_key_value.py
+++ b/clementinebank/platform/_key_value.py
@@ -39,6 +39,8 @@
 class KeyValueService(Protocol):
     """What the system needs of the key-value service."""
 
+    calls: int
+
     async def read(self, key: str) -> Result[Entry, Failure]:
         """Return the entry, with version 0 if the key is absent."""
         ...
--- a/clementinebank/server/_caller_routes.py
+++ b/clementinebank/server/_caller_routes.py
@@ -25,12 +25,18 @@
     instance: Instance, request: HttpRequest, service: str
 ) -> HttpResponse:
     """Answer one search."""
+    isolation = instance.isolation_failure()
+    if isolation is not None:
+        return refuse(isolation)
     accepted = _accept(instance, request, service)
     if isinstance(accepted, Err):
         return refuse(accepted.err_value)
     search_request = accepted.ok_value
     engine = instance.engines_by_service[service]
-    revision = instance.document_revision
+    configuration = {
+        'revision': instance.document_revision,
+        'currency': instance.currency,
+    }
     with start_action(
         action_type='request:search',
         request_id=search_request.request_id,
@@ -42,7 +48,7 @@
         )
     return json_response(
         200,
-        _answer_json(answer, revision),
+        _answer_json(answer, configuration),
         {'request-id': search_request.request_id},
     )
 
@@ -99,7 +105,9 @@
     )
 
 
-def _answer_json(answer: Answer, revision: int) -> dict[str, Any]:
+def _answer_json(
+    answer: Answer, configuration: dict[str, Any]
+) -> dict[str, Any]:
     return {
         'request_id': answer.request_id,
         'snapshot': answer.snapshot,
@@ -113,5 +121,5 @@
             for record in answer.records
         ],
         'coverage': answer.coverage.as_json(),
-        'configuration': {'revision': revision},
+        'configuration': configuration,
     }
--- a/clementinebank/server/_instance.py
+++ b/clementinebank/server/_instance.py
@@ -3,25 +3,23 @@
 import attrs
 import curio
 from eliot import log_message
-from result import Err
-
-from clementinebank.document import (
-    DOCUMENT_KEY,
-    Document,
-    HeadRecord,
-    ServiceSettings,
-    decode_head,
-    parse_document,
-)
+
+from clementinebank.clock import now
+from clementinebank.distribution import DocumentFollower, create_follower
+from clementinebank.document import Document, HeadRecord, ServiceSettings
+from clementinebank.errors import Failure, Step
 from clementinebank.http import HttpRequest, HttpResponse, HttpServer
-from clementinebank.platform import Entry, HttpKeyValueService, KeyValueService
+from clementinebank.peer import PeerClient, PeerServer
+from clementinebank.platform import (
+    HttpInstanceList,
+    HttpKeyValueService,
+    InstanceList,
+    KeyValueService,
+)
 from clementinebank.search import SearchEngine
 from clementinebank.server._routes import Listener, dispatch
 from clementinebank.settings import InstanceSettings
 
-WATCH_WAIT_MS = 5000
-RETRY_DELAY_S = 0.5
-
 
 @attrs.define(eq=False)
 class Instance:
@@ -33,34 +31,72 @@
         Settings of this process.
     key_value : KeyValueService
         The platform's key-value service.
+    instance_list : InstanceList
+        The platform's instance list.
     """
 
     settings: InstanceSettings
     key_value: KeyValueService
-    head: HeadRecord = HeadRecord()
+    instance_list: InstanceList
+    peer_client: PeerClient = attrs.Factory(PeerClient)
+    follower: DocumentFollower = attrs.field(init=False)
     document: Document | None = None
     engines_by_service: dict[str, SearchEngine] = attrs.Factory(dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Create the follower of the document."""
+        self.follower = create_follower(
+            self.settings,
+            self.key_value,
+            self.instance_list,
+            self.peer_client,
+            self._put_in_force,
+        )
+
+    @property
+    def head(self) -> HeadRecord:
+        """Return the head record in force."""
+        return self.follower.exchange.state.head
+
     @property
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this instance."""
-        return self.document is not None
+        return self.document is not None and (
+            self.follower.exchange.may_serve(now())
+        )
 
     @property
     def document_revision(self) -> int:
         """Return the revision in force, 0 for none."""
         return self.document.revision if self.document else 0
 
+    @property
+    def currency(self) -> str:
+        """Return the currency of the document in force."""
+        return self.follower.exchange.currency_state(now()).value
+
     def service(self, name: str) -> ServiceSettings | None:
         """Return the settings of a service, or ``None``."""
         if self.document is None:
             return None
         return self.document.services_by_name.get(name)
 
+    def isolation_failure(self) -> Failure | None:
+        """Return why callers are refused while this instance is isolated."""
+        if self.is_ready:
+            return None
+        message = 'the document of this instance is not known to be current'
+        return Failure(
+            'isolated', message, Step.ADMIT, peer=self.settings.instance_id
+        )
+
     async def run(self) -> None:
         """Serve until the task is cancelled."""
+        peers = self.settings.peers
+        peer_server = PeerServer(peers.host, peers.port, self.follower.answer)
         async with curio.TaskGroup() as group:
-            await group.spawn(self._follow_document)
+            await group.spawn(peer_server.serve)
+            await group.spawn(self.follower.run)
             for listener, server in self._servers().items():
                 await group.spawn(server.serve)
                 log_message(
@@ -70,21 +106,18 @@
                 )
 
     async def activate(self, head: HeadRecord) -> None:
-        """Put a head record in force if its revision is higher."""
-        if head.revision <= self.head.revision:
-            return
-        parsed = parse_document(head.texts_by_section, head.revision)
-        if isinstance(parsed, Err):
-            log_message(
-                message_type='document:invalid',
-                revision=head.revision,
-                problems=[str(problem) for problem in parsed.err_value],
-            )
-            return
-        self.head = head
-        self.document = parsed.ok_value
-        await self._update_engines(parsed.ok_value)
-        log_message(message_type='document:activated', revision=head.revision)
+        """Put a head record in force that this instance has written."""
+        await self.follower.accept(head)
+
+    async def announce_leaving(self) -> None:
+        """Tell peers that this instance is leaving."""
+        await self.follower.announce_leaving()
+
+    async def _put_in_force(self) -> None:
+        document = self.follower.exchange.state.document
+        if document is not None:
+            self.document = document
+            await self._update_engines(document)
 
     async def _update_engines(self, document: Document) -> None:
         for name in list(self.engines_by_service):
@@ -102,33 +135,6 @@
                 self.engines_by_service[name] = engine
             await engine.update(service, document)
 
-    async def _follow_document(self) -> None:
-        version = 0
-        while True:
-            watched = await self.key_value.watch(
-                DOCUMENT_KEY, version, WATCH_WAIT_MS
-            )
-            if isinstance(watched, Err):
-                log_message(
-                    message_type='document:watch_failed',
-                    reason=str(watched.err_value),
-                )
-                await curio.sleep(RETRY_DELAY_S)
-            elif watched.ok_value is not None:
-                version = watched.ok_value.version
-                await self._take_entry(watched.ok_value)
-
-    async def _take_entry(self, entry: Entry) -> None:
-        if not entry.version:
-            await curio.sleep(RETRY_DELAY_S)
-            return
-        try:
-            head = decode_head(entry.value)
-        except ValueError as error:
-            log_message(message_type='document:invalid', problems=[str(error)])
-            return
-        await self.activate(head)
-
     def _servers(self) -> dict[Listener, HttpServer]:
         callers = self.settings.callers
         operators = self.settings.operators
@@ -150,4 +156,8 @@
 
 def create_instance(settings: InstanceSettings) -> Instance:
     """Return an instance with the adapters of its settings."""
-    return Instance(settings, HttpKeyValueService(settings.key_value))
+    return Instance(
+        settings,
+        HttpKeyValueService(settings.key_value),
+        HttpInstanceList(settings.instance_list),
+    )
--- a/clementinebank/server/_operator_routes.py
+++ b/clementinebank/server/_operator_routes.py
@@ -1,5 +1,6 @@
 """Routes of the operators' listener."""
 
+from clementinebank.distribution import follower_status
 from clementinebank.http import HttpRequest, HttpResponse, json_response
 from clementinebank.server._instance import Instance
 from clementinebank.server._routes import Listener, route
@@ -24,10 +25,16 @@
     return json_response(
         200,
         {
+            **follower_status(instance.follower),
             'instance_id': instance.settings.instance_id,
             'data_centre': instance.settings.data_centre,
             'ready': instance.is_ready,
             'revision': instance.document_revision,
             'services': sorted(instance.engines_by_service),
+            'calls': {
+                'key_value': instance.key_value.calls,
+                'instance_list': instance.instance_list.calls,
+                'peers': instance.peer_client.calls,
+            },
         },
     )
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,85 @@
+"""Guards a change of the document against an outage right after its swap."""
+
+from pathlib import Path
+
+import pytest
+import yaml
+
+from tests.harness import Fleet, call, eventually
+
+DOCUMENT = Path(__file__).parent.parent / 'examples' / 'kumagawa-small.yaml'
+INSTANCE_COUNT = 5
+SERVICE = 'pickup-desk'
+
+
+@pytest.fixture
+def wide_fleet(tmp_path):
+    """Five instances in two data centres."""
+    document = yaml.safe_load(DOCUMENT.read_text())
+    for group in document[f'service.{SERVICE}']['groups'].values():
+        for leaf in group['leafs'].values():
+            leaf['data_centre'] = 'kokura-yard'
+    document['fleet']['data_centres'].pop('taniyama-yard')
+    claims = document['service.claim-counter']
+    for leaf in claims.get('leafs', {}).values():
+        leaf['data_centre'] = 'kokura-yard'
+    started = Fleet(tmp_path, document, instance_count=INSTANCE_COUNT)
+    try:
+        started.start()
+        yield started
+    finally:
+        started.stop()
+
+
+def _status(fleet, number):
+    return call(fleet.instances[number].operators, 'GET', '/v1/status').data
+
+
+def _all_at(fleet, revision, currency):
+    found = [_status(fleet, number) for number in range(INSTANCE_COUNT)]
+    return all(
+        each['revision'] == revision and each['currency']['state'] == currency
+        for each in found
+    )
+
+
+def test_change_reaches_all_instances_while_the_service_is_down(wide_fleet):
+    fleet = wide_fleet
+    assert eventually(lambda: _all_at(fleet, 1, 'confirmed'))
+    section = {**fleet.document[f'service.{SERVICE}'], 'deadline_ms': 500}
+    reply = call(
+        fleet.instances[2].operators,
+        'POST',
+        '/v1/document/changes',
+        {'sections': {f'service.{SERVICE}': yaml.safe_dump(section)}},
+    )
+    assert reply.status == 200
+    fleet.control(fleet.key_value_port, down=True)
+    assert eventually(lambda: _all_at(fleet, 2, 'presumed'))
+    digests = {_status(fleet, n)['digest'] for n in range(INSTANCE_COUNT)}
+    assert len(digests) == 1
+    reply = fleet.search(4, SERVICE, **{'Deadline-Ms': '5000'})
+    assert reply.data['configuration'] == {
+        'revision': 2,
+        'currency': 'presumed',
+    }
+    fleet.control(fleet.key_value_port, down=False)
+    assert eventually(lambda: _all_at(fleet, 2, 'confirmed'))
+
+
+def test_instance_that_lost_its_fleet_refuses_callers(wide_fleet):
+    fleet = wide_fleet
+    assert eventually(lambda: _all_at(fleet, 1, 'confirmed'))
+    fleet.control(fleet.key_value_port, down=True)
+    for number in range(1, INSTANCE_COUNT):
+        fleet.processes[f'entry-{number}'].kill()
+
+    def refuses():
+        reply = fleet.search(0, SERVICE)
+        return reply.status == 503 and reply.data['error']
+
+    error = eventually(refuses)
+    assert error['code'] == 'isolated'
+    assert error['execution'] == 'not_run'
+    ready = call(fleet.instances[0].operators, 'GET', '/readyz')
+    assert ready.status == 503
