--- /dev/null
+++ b/clementinebank/cli/_report_command.py
@@ -0,0 +1,80 @@
+"""The ``report burn`` command."""
+
+import argparse
+from functools import partial
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from clementinebank.cli._client import Reply
+from clementinebank.cli._commands import ExitStatus, Report, command
+from clementinebank.cli._instances import add_instances, read_each
+from clementinebank.clock import wall_time
+from clementinebank.errors import Failure, Step
+from clementinebank.metrics import (
+    BurnReport,
+    InstanceRecord,
+    burn_data,
+    burn_html,
+    burn_report,
+    burn_text,
+    decode_instance_record,
+)
+
+
+def _configure(parser: argparse.ArgumentParser) -> None:
+    add_instances(parser)
+    parser.add_argument(
+        '--html', type=Path, metavar='FILE', help='write an HTML page as well'
+    )
+
+
+@command(
+    'report burn',
+    'report how fast each service spends its error budgets',
+    'clementinebank report burn --operators 127.0.0.1:9002 --html burn.html',
+    _configure,
+)
+def burn(options: argparse.Namespace) -> Result[Report, Failure]:
+    """Collect the records of the instances and report on them."""
+    records = []
+    unreachable = []
+    for address, reply in read_each(options, '/v1/burn').items():
+        record = reply.and_then(partial(_decode, address))
+        if isinstance(record, Err):
+            unreachable.append(f'{address} ({record.err_value.message})')
+        else:
+            records.append(record.ok_value)
+    if not records:
+        return Err(
+            Failure('instance_unreachable', '; '.join(unreachable), Step.READ)
+        )
+    report = burn_report(records, unreachable, wall_time())
+    if options.html is not None:
+        written = _write(options.html, report)
+        if isinstance(written, Err):
+            return written
+    status = ExitStatus.UNREACHABLE if unreachable else ExitStatus.DONE
+    return Ok(Report(burn_text(report), burn_data(report), status))
+
+
+def _decode(address: str, reply: Reply) -> Result[InstanceRecord, Failure]:
+    record = decode_instance_record(reply.data)
+    return record.map_err(
+        lambda problems: Failure(
+            'invalid_reply',
+            '; '.join(str(problem) for problem in problems[:3]),
+            Step.READ,
+            peer=address,
+        )
+    )
+
+
+def _write(path: Path, report: BurnReport) -> Result[None, Failure]:
+    try:
+        path.write_text(burn_html(report))
+    except OSError as error:
+        return Err(
+            Failure('invalid_argument', str(error), Step.READ, field='html')
+        )
+    return Ok(None)
--- a/clementinebank/server/_caller_routes.py
+++ b/clementinebank/server/_caller_routes.py
@@ -4,20 +4,30 @@
 import uuid
 from typing import Any
 
-from eliot import start_action
 from result import Err, Ok, Result
 
 from clementinebank.clock import now
 from clementinebank.document import ServiceSettings
-from clementinebank.errors import Failure, Step
+from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpRequest, HttpResponse, json_response
+from clementinebank.invariants import check, invariant
 from clementinebank.search import Answer, SearchRequest, read_search_body
 from clementinebank.server._instance import Instance
+from clementinebank.server._observer import current_observation
 from clementinebank.server._routes import Listener, refuse, route
 
 MS_PER_S = 1000
 MAX_DEADLINE_MS = 60_000
 REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
+DEADLINE_PATTERN = re.compile(r'0*[1-9][0-9]{0,9}')
+
+
+@invariant('answer-to-own-request', 'R3')
+def _is_own_answer(request: SearchRequest, answer: Answer) -> bool:
+    return (
+        answer.request_id == request.request_id
+        and len(answer.records) <= request.limit
+    )
 
 
 @route(Listener.CALLERS, 'POST', '/v1/services/{service}/search')
@@ -37,15 +47,15 @@
         'revision': instance.document_revision,
         'currency': instance.currency,
     }
-    with start_action(
-        action_type='request:search',
-        request_id=search_request.request_id,
-        service=service,
-    ) as action:
-        answer = await engine.search(search_request)
-        action.add_success_fields(
-            snapshot=answer.snapshot, complete=answer.coverage.is_complete
-        )
+    answer = await engine.search(search_request)
+    if not check(
+        'answer-to-own-request',
+        search_request.request_id,
+        request=search_request,
+        answer=answer,
+    ):
+        return refuse(_withheld())
+    current_observation().take_answer(answer)
     return json_response(
         200,
         _answer_json(answer, configuration),
@@ -53,6 +63,16 @@
     )
 
 
+def _withheld() -> Failure:
+    return Failure(
+        'answer_withheld',
+        'the answer does not belong to this request',
+        Step.RESPOND,
+        execution=Execution.UNKNOWN,
+        status=500,
+    )
+
+
 def _accept(
     instance: Instance, request: HttpRequest, service: str
 ) -> Result[SearchRequest, Failure]:
@@ -73,7 +93,10 @@
     deadline_ms = _deadline_ms(instance, request, settings)
     if isinstance(deadline_ms, Err):
         return deadline_ms
-    body = read_search_body(request.body)
+    try:
+        body = read_search_body(request.body)
+    except RecursionError:
+        return _invalid('body', 'the JSON is nested too deeply')
     if isinstance(body, Err):
         problem = body.err_value[0]
         return _invalid(problem.field, problem.message)
@@ -87,9 +110,9 @@
 ) -> Result[float, Failure]:
     """Return the time for the answer, less the delay back to the caller."""
     raw = request.headers.get('deadline-ms', str(settings.deadline_ms))
-    if not (raw.isascii() and raw.isdigit() and 0 < int(raw)):
+    if not DEADLINE_PATTERN.fullmatch(raw):
         return _invalid(
-            'Deadline-Ms', f'must be a positive integer, got {raw!r}'
+            'Deadline-Ms', f'must be a positive integer, got {raw[:80]!r}'
         )
     deadline_ms = min(int(raw), MAX_DEADLINE_MS)
     document = instance.document
--- a/clementinebank/server/_instance.py
+++ b/clementinebank/server/_instance.py
@@ -2,13 +2,12 @@
 
 import attrs
 import curio
-from eliot import log_message
 
 from clementinebank.clock import now
 from clementinebank.distribution import DocumentFollower, create_follower
 from clementinebank.document import Document, HeadRecord, ServiceSettings
 from clementinebank.errors import Failure, Step
-from clementinebank.http import HttpRequest, HttpResponse, HttpServer
+from clementinebank.http import HttpServer
 from clementinebank.peer import PeerClient, PeerServer
 from clementinebank.platform import (
     HttpInstanceList,
@@ -17,7 +16,12 @@
     KeyValueService,
 )
 from clementinebank.search import SearchEngine
-from clementinebank.server._routes import Listener, dispatch
+from clementinebank.server._life_cycle import LifeCycle
+from clementinebank.server._listeners import create_listeners
+from clementinebank.server._loop_monitor import LoopMonitor
+from clementinebank.server._observer import Observer
+from clementinebank.server._routes import Listener
+from clementinebank.server._telemetry import add_sources, on_loop_delay
 from clementinebank.settings import InstanceSettings
 
 
@@ -37,14 +41,27 @@
 
     settings: InstanceSettings
     key_value: KeyValueService
-    instance_list: InstanceList
+    instance_list: InstanceList = attrs.field()
     peer_client: PeerClient = attrs.Factory(PeerClient)
     follower: DocumentFollower = attrs.field(init=False)
+    peer_server: PeerServer = attrs.field(init=False)
     document: Document | None = None
     engines_by_service: dict[str, SearchEngine] = attrs.Factory(dict)
+    observer: Observer = attrs.Factory(Observer)
+    life_cycle: LifeCycle = attrs.field(init=False)
+    loop_monitor: LoopMonitor = attrs.field(init=False)
+    listeners: dict[Listener, HttpServer] = attrs.field(init=False)
+
+    @instance_list.default
+    def _create_instance_list(self) -> InstanceList:
+        return HttpInstanceList(self.settings.instance_list)
 
     def __attrs_post_init__(self) -> None:
-        """Create the follower of the document."""
+        """Create the parts that depend on the settings."""
+        self.life_cycle = LifeCycle(self.settings)
+        self.loop_monitor = LoopMonitor(on_loop_delay(self.observer.metrics))
+        self.listeners = create_listeners(self)
+        add_sources(self)
         self.follower = create_follower(
             self.settings,
             self.key_value,
@@ -52,6 +69,11 @@
             self.peer_client,
             self._put_in_force,
         )
+        peers = self.settings.peers
+        self.peer_server = PeerServer(
+            peers.host, peers.port, self.follower.answer
+        )
+        self.life_cycle.on_leaving(self.follower.announce_leaving)
 
     @property
     def head(self) -> HeadRecord:
@@ -61,8 +83,10 @@
     @property
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this instance."""
-        return self.document is not None and (
-            self.follower.exchange.may_serve(now())
+        return (
+            self.life_cycle.is_serving
+            and self.listeners[Listener.CALLERS].is_listening
+            and self.isolation_failure() is None
         )
 
     @property
@@ -83,36 +107,38 @@
 
     def isolation_failure(self) -> Failure | None:
         """Return why callers are refused while this instance is isolated."""
-        if self.is_ready:
+        if self.document is not None and (
+            self.follower.exchange.may_serve(now())
+        ):
             return None
         message = 'the document of this instance is not known to be current'
         return Failure(
             'isolated', message, Step.ADMIT, peer=self.settings.instance_id
         )
 
-    async def run(self) -> None:
-        """Serve until the task is cancelled."""
-        peers = self.settings.peers
-        peer_server = PeerServer(peers.host, peers.port, self.follower.answer)
-        async with curio.TaskGroup() as group:
-            await group.spawn(peer_server.serve)
+    async def run(self) -> int:
+        """Serve until a signal and return the exit status.
+
+        The group ends with the shutdown or with the first failure.
+        """
+        group = curio.TaskGroup(wait=object)
+        async with group:
+            await group.spawn(self.peer_server.serve)
             await group.spawn(self.follower.run)
-            for listener, server in self._servers().items():
+            await group.spawn(self.loop_monitor.run)
+            for server in self.listeners.values():
                 await group.spawn(server.serve)
-                log_message(
-                    message_type='listener:started',
-                    listener=listener.value,
-                    address=f'{server.host}:{server.port}',
-                )
+            await group.spawn(
+                self.life_cycle.run,
+                self.listeners[Listener.CALLERS],
+                self.listeners[Listener.OPERATORS],
+            )
+        return int(group.result)
 
     async def activate(self, head: HeadRecord) -> None:
         """Put a head record in force that this instance has written."""
         await self.follower.accept(head)
 
-    async def announce_leaving(self) -> None:
-        """Tell peers that this instance is leaving."""
-        await self.follower.announce_leaving()
-
     async def _put_in_force(self) -> None:
         document = self.follower.exchange.state.document
         if document is not None:
@@ -135,29 +161,7 @@
                 self.engines_by_service[name] = engine
             await engine.update(service, document)
 
-    def _servers(self) -> dict[Listener, HttpServer]:
-        callers = self.settings.callers
-        operators = self.settings.operators
-        return {
-            Listener.CALLERS: HttpServer(
-                callers.host, callers.port, self._handle_caller
-            ),
-            Listener.OPERATORS: HttpServer(
-                operators.host, operators.port, self._handle_operator
-            ),
-        }
-
-    async def _handle_caller(self, request: HttpRequest) -> HttpResponse:
-        return await dispatch(self, Listener.CALLERS, request)
-
-    async def _handle_operator(self, request: HttpRequest) -> HttpResponse:
-        return await dispatch(self, Listener.OPERATORS, request)
-
 
 def create_instance(settings: InstanceSettings) -> Instance:
     """Return an instance with the adapters of its settings."""
-    return Instance(
-        settings,
-        HttpKeyValueService(settings.key_value),
-        HttpInstanceList(settings.instance_list),
-    )
+    return Instance(settings, HttpKeyValueService(settings.key_value))
