--- a/clementinebank/booking/_engine.py
+++ b/clementinebank/booking/_engine.py
@@ -73,7 +73,11 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the routing state."""
-        self.router = Router(self.service)
+        self.router = Router(
+            self.service,
+            delays_by_leaf=self._delays_by_leaf(),
+            connection_share=self.document.connection_share(self.service),
+        )
 
     async def update(
         self, service: ServiceSettings, document: Document
@@ -81,8 +85,10 @@
         """Follow a new revision; running attempts keep their pools."""
         self.service = service
         self.document = document
-        self.router.update_service(service)
         share = document.connection_share(service)
+        self.router.update_service(
+            service, now(), self._delays_by_leaf(), share
+        )
         leafs = service.leafs_by_id
         for leaf_id, pool in list(self.pools_by_leaf.items()):
             if leafs.get(leaf_id) != pool.leaf or pool.share != share:
@@ -123,6 +129,9 @@
         """Return the answer above the write budget."""
         return _answers.over_budget(self.budget.bookings_per_second)
 
+    def _delays_by_leaf(self) -> dict[str, float]:
+        return self.document.delays_by_leaf(self.service, self.data_centre)
+
     async def _open_pool(self, leaf: LeafSettings, share: int) -> None:
         pool = self.create_pool(leaf, share)
         self.pools_by_leaf[leaf.leaf_id] = pool
--- a/clementinebank/booking/_run.py
+++ b/clementinebank/booking/_run.py
@@ -6,7 +6,7 @@
 import attrs
 import curio
 from eliot import log_message
-from result import Err, Ok, Result
+from result import Err, Result
 
 from clementinebank.booking._booking import Booking
 from clementinebank.booking._budget import WRITES_PER_BOOKING
@@ -20,6 +20,7 @@
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpRequest
 from clementinebank.platform import MAX_VALUE_BYTES, Entry
+from clementinebank.routing import OUTCOMES_BY_CODE, CallOutcome
 from clementinebank.upstream import LeafCall, LeafReply
 
 if TYPE_CHECKING:
@@ -180,10 +181,6 @@
     """Wait for the end of the call, from the first byte on."""
     reply = await _await_reply(run)
     run.reply = reply
-    is_good = isinstance(reply.outcome, Ok)
-    run.engine.router.on_reply(
-        reply.leaf_id, now(), reply.elapsed_s, is_good=is_good
-    )
     return Step.REPLY_READ
 
 
@@ -197,6 +194,9 @@
         lambda response: decode_leaf_reply(response, leaf_id)
     )
     run.call = None
+    run.engine.router.on_end(
+        leaf_id, now(), run.reply.elapsed_s, _call_outcome(interpreted)
+    )
     if (
         isinstance(interpreted, Err)
         and interpreted.err_value.execution is Execution.NOT_RUN
@@ -284,3 +284,10 @@
         request.body,
     )
     return LeafCall(call_id, message, deadline, run.replies.put)
+
+
+def _call_outcome(interpreted: Result[Outcome, Failure]) -> CallOutcome:
+    if isinstance(interpreted, Err):
+        code = interpreted.err_value.code
+        return OUTCOMES_BY_CODE.get(code, CallOutcome.FAILED)
+    return CallOutcome.GOOD
--- a/clementinebank/document/_model.py
+++ b/clementinebank/document/_model.py
@@ -5,6 +5,7 @@
 from clementinebank.validation import Address
 
 DEFAULT_MAX_INSTANCES = 8
+MS_PER_S = 1000
 DEFAULT_EXTRA_LOAD = 0.05
 DEFAULT_DEADLINE_MS = 110
 DEFAULT_RETENTION_HOURS = 24
@@ -181,3 +182,21 @@
     def connection_share(self, service: ServiceSettings) -> int:
         """Return the connections of one instance to one leaf."""
         return max(1, service.connections // self.fleet.max_instances)
+
+    def delays_by_leaf(
+        self, service: ServiceSettings, data_centre: str
+    ) -> dict[str, float]:
+        """Return the one-way delay to each leaf in seconds.
+
+        Parameters
+        ----------
+        service : ServiceSettings
+            Service of the leafs.
+        data_centre : str
+            Data centre from which the delay counts.
+        """
+        return {
+            leaf_id: self.fleet.delay_ms(data_centre, leaf.data_centre)
+            / MS_PER_S
+            for leaf_id, leaf in service.leafs_by_id.items()
+        }
--- a/clementinebank/search/_engine.py
+++ b/clementinebank/search/_engine.py
@@ -123,10 +123,7 @@
         return delay_ms / MS_PER_S
 
     def _delays_by_leaf(self) -> dict[str, float]:
-        return {
-            leaf_id: self.delay_to(leaf)
-            for leaf_id, leaf in self.service.leafs_by_id.items()
-        }
+        return self.document.delays_by_leaf(self.service, self.data_centre)
 
     async def _open_pool(
         self, group_id: str, leaf: LeafSettings, share: int
--- a/clementinebank/server/_booking_routes.py
+++ b/clementinebank/server/_booking_routes.py
@@ -38,6 +38,9 @@
     instance: Instance, request: HttpRequest, service: str
 ) -> HttpResponse:
     """Run one request at most once."""
+    isolation = instance.isolation_failure()
+    if isolation is not None:
+        return refuse(isolation)
     accepted = _accept(instance, request, service)
     if isinstance(accepted, Err):
         return refuse(accepted.err_value)
--- a/clementinebank/server/_instance.py
+++ b/clementinebank/server/_instance.py
@@ -2,20 +2,20 @@
 
 import attrs
 import curio
-from eliot import log_message
-from result import Err
 
 from clementinebank.booking import BookingEngines
-from clementinebank.document import (
-    DOCUMENT_KEY,
-    Document,
-    HeadRecord,
-    ServiceSettings,
-    decode_head,
-    parse_document,
-)
+from clementinebank.clock import now
+from clementinebank.distribution import DocumentFollower, create_follower
+from clementinebank.document import Document, HeadRecord, ServiceSettings
+from clementinebank.errors import Failure, Step
 from clementinebank.http import HttpServer
-from clementinebank.platform import Entry, HttpKeyValueService, KeyValueService
+from clementinebank.peer import PeerClient, PeerServer
+from clementinebank.platform import (
+    HttpInstanceList,
+    HttpKeyValueService,
+    InstanceList,
+    KeyValueService,
+)
 from clementinebank.search import SearchEngine
 from clementinebank.server._life_cycle import LifeCycle
 from clementinebank.server._listeners import create_listeners
@@ -25,9 +25,6 @@
 from clementinebank.server._telemetry import add_sources, on_loop_delay
 from clementinebank.settings import InstanceSettings
 
-WATCH_WAIT_MS = 5000
-RETRY_DELAY_S = 0.5
-
 
 @attrs.define(eq=False)
 class Instance:
@@ -39,11 +36,16 @@
         Settings of this process.
     key_value : KeyValueService
         The platform's key-value service.
+    instance_list : InstanceList
+        The platform's instance list.
     """
 
     settings: InstanceSettings
     key_value: KeyValueService
-    head: HeadRecord = HeadRecord()
+    instance_list: InstanceList = attrs.field()
+    peer_client: PeerClient = attrs.Factory(PeerClient)
+    follower: DocumentFollower = attrs.field(init=False)
+    peer_server: PeerServer = attrs.field(init=False)
     document: Document | None = None
     engines_by_service: dict[str, SearchEngine] = attrs.Factory(dict)
     bookings: BookingEngines = attrs.field(init=False)
@@ -52,6 +54,10 @@
     loop_monitor: LoopMonitor = attrs.field(init=False)
     listeners: dict[Listener, HttpServer] = attrs.field(init=False)
 
+    @instance_list.default
+    def _create_instance_list(self) -> InstanceList:
+        return HttpInstanceList(self.settings.instance_list)
+
     def __attrs_post_init__(self) -> None:
         """Create the parts that depend on the settings."""
         self.bookings = BookingEngines(
@@ -63,6 +69,24 @@
         self.loop_monitor = LoopMonitor(on_loop_delay(self.observer.metrics))
         self.listeners = create_listeners(self)
         add_sources(self)
+        self.follower = create_follower(
+            self.settings,
+            self.key_value,
+            self.instance_list,
+            self.peer_client,
+            self._put_in_force,
+        )
+        peers = self.settings.peers
+        self.peer_server = PeerServer(
+            peers.host, peers.port, self.follower.answer
+        )
+        self.life_cycle.on_leaving(self.follower.announce_leaving)
+        self.loop_monitor.on_pause(self._distrust)
+
+    @property
+    def head(self) -> HeadRecord:
+        """Return the head record in force."""
+        return self.follower.exchange.state.head
 
     @property
     def is_ready(self) -> bool:
@@ -70,7 +94,7 @@
         return (
             self.life_cycle.is_serving
             and self.listeners[Listener.CALLERS].is_listening
-            and self.document is not None
+            and self.isolation_failure() is None
         )
 
     @property
@@ -78,12 +102,28 @@
         """Return the revision in force, 0 for none."""
         return self.document.revision if self.document else 0
 
+    @property
+    def currency(self) -> str:
+        """Return the currency of the document in force."""
+        return self.follower.exchange.currency_state(now()).value
+
     def service(self, name: str) -> ServiceSettings | None:
         """Return the settings of a service, or ``None``."""
         if self.document is None:
             return None
         return self.document.services_by_name.get(name)
 
+    def isolation_failure(self) -> Failure | None:
+        """Return why callers are refused while this instance is isolated."""
+        if self.document is not None and (
+            self.follower.exchange.may_serve(now())
+        ):
+            return None
+        message = 'the document of this instance is not known to be current'
+        return Failure(
+            'isolated', message, Step.ADMIT, peer=self.settings.instance_id
+        )
+
     async def run(self) -> int:
         """Serve until a signal and return the exit status.
 
@@ -91,7 +131,8 @@
         """
         group = curio.TaskGroup(wait=object)
         async with group:
-            await group.spawn(self._follow_document)
+            await group.spawn(self.peer_server.serve)
+            await group.spawn(self.follower.run)
             await group.spawn(self.loop_monitor.run)
             for server in self.listeners.values():
                 await group.spawn(server.serve)
@@ -103,22 +144,19 @@
         return int(group.result)
 
     async def activate(self, head: HeadRecord) -> None:
-        """Put a head record in force if its revision is higher."""
-        if head.revision <= self.head.revision:
-            return
-        parsed = parse_document(head.texts_by_section, head.revision)
-        if isinstance(parsed, Err):
-            log_message(
-                message_type='document:invalid',
-                revision=head.revision,
-                problems=[str(problem) for problem in parsed.err_value],
-            )
-            return
-        self.head = head
-        self.document = parsed.ok_value
-        await self._update_engines(parsed.ok_value)
-        await self.bookings.update(parsed.ok_value)
-        log_message(message_type='document:activated', revision=head.revision)
+        """Put a head record in force that this instance has written."""
+        await self.follower.accept(head)
+
+    async def _put_in_force(self) -> None:
+        document = self.follower.exchange.state.document
+        if document is not None:
+            self.document = document
+            await self._update_engines(document)
+            await self.bookings.update(document)
+
+    def _distrust(self, pause_s: float) -> None:
+        """Renew what is derived from time before the next request."""
+        self.follower.exchange.tick(now())
 
     async def _update_engines(self, document: Document) -> None:
         for name in list(self.engines_by_service):
@@ -131,38 +169,14 @@
             engine = self.engines_by_service.get(name)
             if engine is None:
                 engine = SearchEngine(
-                    service, document, self.settings.data_centre
+                    service,
+                    document,
+                    self.settings.data_centre,
+                    self.observer.on_trace,
                 )
                 self.engines_by_service[name] = engine
             await engine.update(service, document)
 
-    async def _follow_document(self) -> None:
-        version = 0
-        while True:
-            watched = await self.key_value.watch(
-                DOCUMENT_KEY, version, WATCH_WAIT_MS
-            )
-            if isinstance(watched, Err):
-                log_message(
-                    message_type='document:watch_failed',
-                    reason=str(watched.err_value),
-                )
-                await curio.sleep(RETRY_DELAY_S)
-            elif watched.ok_value is not None:
-                version = watched.ok_value.version
-                await self._take_entry(watched.ok_value)
-
-    async def _take_entry(self, entry: Entry) -> None:
-        if not entry.version:
-            await curio.sleep(RETRY_DELAY_S)
-            return
-        try:
-            head = decode_head(entry.value)
-        except ValueError as error:
-            log_message(message_type='document:invalid', problems=[str(error)])
-            return
-        await self.activate(head)
-
 
 def create_instance(settings: InstanceSettings) -> Instance:
     """Return an instance with the adapters of its settings."""
--- a/clementinebank/server/tests/test_caller_routes.py
+++ b/clementinebank/server/tests/test_caller_routes.py
@@ -6,7 +6,7 @@
 import pytest
 from result import Ok
 
-from clementinebank.clock import FakeClockKernel
+from clementinebank.clock import FakeClockKernel, now
 from clementinebank.document import (
     Document,
     FleetSettings,
@@ -48,6 +48,9 @@
     settings = InstanceSettings('entry-0', 'kokura', *[address] * 5)
     instance = Instance(settings, None)
     instance.document = DOCUMENT
+    exchange = instance.follower.exchange
+    exchange.state.document = DOCUMENT
+    exchange.currency.confirm(now())
     instance.engines_by_service = {'desk': engine}
     return instance
 
@@ -134,3 +137,23 @@
     instance, response, data = _call(_search())
     assert response.headers['request-id'] == data['request_id']
     assert instance.observer.traces.find(data['request_id'])
+
+
+def test_isolated_instance_refuses_and_is_not_ready():
+    with FakeClockKernel() as kernel:
+        instance = _instance(_Engine())
+        kernel.clock.advance(6)
+        handler = instance.listeners[Listener.CALLERS].handler
+        response = kernel.run(handler, _search())
+    error = json.loads(response.body)['error']
+    assert response.status == 503
+    assert error['code'] == 'isolated'
+    assert error['execution'] == 'not_run'
+    assert not instance.is_ready
+
+
+def test_answer_states_revision_and_currency():
+    _, response, data = _call(_search())
+    assert response.status == 200
+    assert data['configuration']['currency'] == 'confirmed'
+    assert data['configuration']['revision'] == DOCUMENT.revision
