--- a/tests/broken_instance.py
+++ b/tests/broken_instance.py
@@ -8,7 +8,6 @@
 
 from clementinebank.http import HttpConnection, HttpServer, ServerConnection
 from clementinebank.http._server_connection import Next
-from clementinebank.search import _engine as engine_module
 from clementinebank.server import main
 from clementinebank.server._life_cycle import LifeCycle
 
@@ -67,10 +66,6 @@
         body['request_id'] = SENT_IDS[id(self)]
         return attrs.evolve(response, body=json.dumps(body).encode())
 
-    decode = engine_module.decode_shard_reply
-    engine_module.decode_shard_reply = lambda body, call_id: decode(
-        body, json.loads(body)['request_id']
-    )
     HttpConnection.send = send_and_note
     HttpConnection.receive = receive_as_own
 
