--- a/clementinebank/cli/_main.py
+++ b/clementinebank/cli/_main.py
@@ -9,6 +9,7 @@
 
 from clementinebank.cli import (
     _apply_command,
+    _booking_commands,
     _document_commands,
     _explain_command,
     _report_command,
@@ -22,6 +23,7 @@
 # Importing these modules registers their commands.
 COMMAND_MODULES = (
     _apply_command,
+    _booking_commands,
     _document_commands,
     _explain_command,
     _report_command,
