--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -80,19 +80,14 @@
     def update_service(
         self,
         service: ServiceSettings,
-        now: float | None = None,
-        delays_by_leaf: Mapping[str, float] | None = None,
-        connection_share: int | None = None,
+        now: float,
+        delays_by_leaf: Mapping[str, float],
+        connection_share: int,
     ) -> None:
-        """Follow a new revision; what is not given stays as it is.
-
-        Leafs that are added start cold if the time is given.
-        """
+        """Follow a new revision of the service's section."""
         self.service = service
-        if delays_by_leaf is not None:
-            self.delays_by_leaf = delays_by_leaf
-        if connection_share is not None:
-            self.connection_share = connection_share
+        self.delays_by_leaf = delays_by_leaf
+        self.connection_share = connection_share
         self.budget.ratio = service.extra_load
         self._follow(now)
 
@@ -215,13 +210,6 @@
         if outcome is CallOutcome.GOOD:
             self._add_latency(leaf, elapsed_s)
 
-    def on_reply(
-        self, leaf_id: str, now: float, elapsed_s: float, *, is_good: bool
-    ) -> None:
-        """Record the end of a request that is either good or failed."""
-        outcome = CallOutcome.GOOD if is_good else CallOutcome.FAILED
-        self.on_end(leaf_id, now, elapsed_s, outcome)
-
     def on_cancel(self, leaf_id: str, now: float, elapsed_s: float) -> None:
         """Record that a request is cancelled; its end is still reported."""
         leaf = self.leafs_by_id.get(leaf_id)
