Let an applied file be edited on, and print a readable status

Cause: after an accepted apply the file still recorded its old base, so the operator's next edit of the same section conflicted with the operator's own change; the text of status was one line of raw JSON values. Ruled out: recording the new base always. When another change came between, a later apply of the file could then undo it without a conflict. Change: apply records the accepted revision only if no other change came after the base; otherwise it says to show the document again. status prints a block for each instance; bookings appear among the services.

--- a/clementinebank/cli/_apply_command.py
+++ b/clementinebank/cli/_apply_command.py
@@ -26,7 +26,7 @@
     operators_of,
     read_first,
 )
-from clementinebank.document import DocumentFile
+from clementinebank.document import DocumentFile, record_base
 from clementinebank.errors import Execution, Failure, FieldProblem, Step
 
 # Above the time within which an instance settles a change.
@@ -115,6 +115,8 @@
     }
     settled = _send(addresses, change, dry_run=options.dry_run)
     report = _report(settled, edits, file)
+    if settled['result'] == 'accepted' and file.base is not None:
+        report = _with_new_base(report, options.file, edits, found.ok_value)
     if options.wait is None or settled['result'] != 'accepted':
         return Ok(report)
     return Ok(confirm(report, addresses, options.wait))
@@ -201,6 +203,27 @@
     return Report(text, settled, status)
 
 
+def _with_new_base(
+    report: Report, path: Path, edits: Edits, before: dict[str, Any]
+) -> Report:
+    """Record the accepted revision in the file, so that it can be edited on.
+
+    This is right only while no other change came between the base of the
+    file and the accepted revision; otherwise a later apply of this file
+    could undo the other change.
+    """
+    revision = report.data.get('revision')
+    if edits.stale_sections or revision != before['revision'] + 1:
+        hint = 'other sections changed; run `clementinebank document show`'
+        return attrs.evolve(report, text=f'{report.text}\n{hint}')
+    try:
+        path.write_bytes(record_base(path.read_text(), revision).encode())
+    except OSError as error:
+        hint = f'the base revision was not recorded in {path}: {error}'
+        return attrs.evolve(report, text=f'{report.text}\n{hint}')
+    return report
+
+
 def _report_rejected(
     settled: dict[str, Any], file: DocumentFile, status: ExitStatus
 ) -> Report:
--- a/clementinebank/cli/_status_command.py
+++ b/clementinebank/cli/_status_command.py
@@ -1,6 +1,7 @@
 """The ``status`` command."""
 
 import argparse
+from collections.abc import Iterator
 from typing import Any
 
 import curio
@@ -69,17 +70,31 @@
     if isinstance(reply, Err):
         return f'{address}: {reply.err_value}'
     entry = _entry(address, reply)
-    parts = [
-        f'{name} {_plain(entry[name])}'
-        for name in sorted(entry)
-        if name not in {'address', 'ready', 'revision'}
-    ]
     ready = 'ready' if entry.get('ready') else 'NOT READY'
-    revision = f'revision {entry.get("revision", "unknown")}'
-    return f'{address}: {", ".join([ready, revision, *parts])}'
+    lines = [
+        f'{address}: {entry.get("instance_id")} in '
+        f'{entry.get("data_centre")}, {ready}, {entry.get("phase")}, '
+        f'revision {entry.get("revision", "unknown")}, '
+        f'{_currency(entry)}',
+        f'  services: {", ".join(entry.get("services") or ["none"])}',
+    ]
+    lines.extend(_member_lines(entry))
+    if entry.get('alarm'):
+        lines.append(f'  ALARM: {entry["alarm"]}')
+    return '\n'.join(lines)
+
 
+def _currency(entry: dict[str, Any]) -> str:
+    currency = entry.get('currency') or {}
+    age_s = currency.get('head_age_s')
+    read = 'head not read' if age_s is None else f'head read {age_s} s ago'
+    return f'{currency.get("state", "currency unknown")} ({read})'
 
-def _plain(value: Any) -> str:
-    if isinstance(value, list):
-        return '/'.join(str(each) for each in value) or 'none'
-    return str(value)
+
+def _member_lines(entry: dict[str, Any]) -> Iterator[str]:
+    for instance_id, member in (entry.get('members') or {}).items():
+        heard = 'heard' if member['heard'] else 'NOT HEARD'
+        yield (
+            f'  member {instance_id} in {member["data_centre"]}: '
+            f'{member["state"]}, {heard}, revision {member["revision"]}'
+        )
--- a/clementinebank/cli/tests/test_document_commands.py
+++ b/clementinebank/cli/tests/test_document_commands.py
@@ -173,6 +173,44 @@
         check_stale_file_reverts_nothing(fleet, run, shown)
 
 
+def check_applied_file_can_be_edited_on(fleet, run, shown):
+    """Check that a second edit of an applied file is no conflict."""
+    edit(shown, 'slots: 2 ', 'slots: 3 ')
+    assert run('apply', shown, '--editor', 'ana')[0] == 0
+    for instance in fleet.instances.values():
+        instance.head = decode_head(
+            fleet.key_value.entries_by_key[DOCUMENT_KEY].value
+        )
+    edit(shown, 'slots: 3 ', 'slots: 4 ')
+    status, text = run('apply', shown, '--editor', 'ana')
+    assert status == 0, text
+    assert 'slots: 4 ' in fleet.texts['service.desk']
+
+
+def test_applied_file_can_be_edited_on(fleet, run, shown):
+    check_applied_file_can_be_edited_on(fleet, run, shown)
+
+
+def test_file_with_its_old_base_cannot_be_edited_on(
+    fleet, run, shown, monkeypatch
+):
+    monkeypatch.setattr(
+        _apply_command, 'record_base', lambda text, revision: text
+    )
+    with pytest.raises(AssertionError, match='conflict'):
+        check_applied_file_can_be_edited_on(fleet, run, shown)
+
+
+def test_base_is_kept_when_another_change_came_between(fleet, run, shown):
+    before = shown.read_text().splitlines()[0]
+    other_change(fleet, orders=orders(9))
+    edit(shown, 'slots: 2 ', 'slots: 3 ')
+    status, text = run('apply', shown, '--editor', 'ana')
+    assert status == 0
+    assert 'document show' in text
+    assert shown.read_text().splitlines()[0] == before
+
+
 def test_unedited_file_changes_nothing(fleet, run, shown):
     calls = len(fleet.key_value.calls)
     assert run('apply', shown)[0] == 0
--- a/clementinebank/document/__init__.py
+++ b/clementinebank/document/__init__.py
@@ -14,6 +14,7 @@
     FileBase,
     FileSection,
     parse_file,
+    record_base,
     render_file,
 )
 from clementinebank.document._head import (
@@ -66,6 +67,7 @@
     'parse_document',
     'parse_file',
     'read_change',
+    'record_base',
     'render_file',
     'text_digest',
 )
--- a/clementinebank/document/_file.py
+++ b/clementinebank/document/_file.py
@@ -136,6 +136,23 @@
         texts_by_section, key=lambda name: (name != FLEET_SECTION, name)
     )
     body = '\n'.join(_rendered(name, texts_by_section[name]) for name in names)
+    return record_base(f'\n{body}', revision)
+
+
+def record_base(text: str, revision: int) -> str:
+    """Return a file with the base revision in its first line.
+
+    Parameters
+    ----------
+    text : str
+        Text of the file, with or without a recorded base.
+    revision : int
+        Revision whose sections the file holds.
+    """
+    lines = text.splitlines(keepends=True)
+    if _base_of(lines) is not None:
+        lines = lines[1:]
+    body = ''.join(lines)
     base = f'{BASE_PREFIX}{revision}'
     parsed = parse_file(body)
     if isinstance(parsed, Ok):
@@ -146,7 +163,7 @@
             for name, section_text in parsed.ok_value.texts_by_section.items()
         ]
         base = ' '.join([base, *digests])
-    return f'{base}\n\n{body}'
+    return f'{base}\n{body}'
 
 
 def _base_of(lines: list[str]) -> FileBase | None:
--- a/clementinebank/server/_operator_routes.py
+++ b/clementinebank/server/_operator_routes.py
@@ -31,7 +31,12 @@
             'ready': instance.is_ready,
             'phase': instance.life_cycle.phase.value,
             'revision': instance.document_revision,
-            'services': sorted(instance.engines_by_service),
+            'services': sorted(
+                {
+                    *instance.engines_by_service,
+                    *instance.bookings.engines_by_service,
+                }
+            ),
             'calls': {
                 'key_value': instance.key_value.calls,
                 'instance_list': instance.instance_list.calls,
