Measure the slopes that the capacity page needs

Cause: docs/CAPACITY.md needs memory and probe costs per member, leaf and trace. Change: benchmarks/bench_capacity.py.

--- /dev/null
+++ b/benchmarks/bench_capacity.py
@@ -0,0 +1,179 @@
+"""Measure the slopes of memory and probes that docs/CAPACITY.md uses.
+
+Run with ``python -m benchmarks.bench_capacity``. Prints one JSON object per
+line: the quantity, its unit, the two sizes and the slope between them.
+Memory is counted by tracemalloc; the probe's processor time is that of this
+process against leaf stand-ins in other processes.
+"""
+
+import argparse
+import json
+import time
+import tracemalloc
+from pathlib import Path
+
+import curio
+import yaml
+
+from benchmarks.bench_throughput import (
+    _all_listen,
+    build_sections,
+    leaf_processes,
+)
+from clementinebank.booking import ClaimRecord
+from clementinebank.clock import run_service
+from clementinebank.document import parse_document
+from clementinebank.membership import Member, MemberReport, MembershipView
+from clementinebank.routing import Router
+from clementinebank.search import SearchEngine, SnapshotCatalogue
+from clementinebank.server._traces import RequestTrace, TraceLog
+from clementinebank.upstream import LeafPool, ServedSnapshot
+from clementinebank.validation import Address
+from tests.harness import eventually, free_ports
+
+DATA_CENTRES = 10
+PROBE_SECONDS = 10
+EXAMPLES = Path(__file__).parent.parent / 'examples'
+DIGEST_CHARACTERS = 64
+
+
+def allocated_bytes(build):
+    """Return the bytes held by what a function builds."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = build()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert kept is not None
+    return after - before
+
+
+def slope(quantity, unit, small, large, measure):
+    """Print the slope of a measure between two sizes."""
+    low, high = measure(small), measure(large)
+    line = {
+        'quantity': quantity,
+        'unit': unit,
+        'sizes': [small, large],
+        'slope': float(f'{(high - low) / (large - small):.3g}'),
+    }
+    print(json.dumps(line), flush=True)
+
+
+def build_view(count):
+    """Return a view of a number of members."""
+    members = [
+        Member(
+            f'entry-{number:05d}',
+            1_800_000_000_000 + number,
+            Address('127.0.0.1', 1024 + number % 60_000),
+            f'data-centre-{number % DATA_CENTRES}',
+        )
+        for number in range(count)
+    ]
+    view = MembershipView(members[0])
+    for member in members[1:]:
+        view.merge((MemberReport(member, 0),), 1000)
+    return view
+
+
+def build_routing(count):
+    """Return the state of the leafs of a service, without connections."""
+    document = build_document(count)
+    service = document.services_by_name['catalogue']
+    pools = [LeafPool(leaf, 3) for leaf in service.leafs_by_id.values()]
+    return Router(service), pools
+
+
+def build_document(count):
+    """Return a parsed document with a number of leafs."""
+    sections = build_sections([1024 + each for each in range(count)])
+    texts = {name: yaml.safe_dump(part) for name, part in sections.items()}
+    return parse_document(texts, 1).unwrap()
+
+
+def build_catalogue(count):
+    """Return a catalogue of one snapshot over a number of leafs."""
+    catalogue = SnapshotCatalogue()
+    for number in range(count):
+        held = (2 * number, 2 * number + 1)
+        served = ServedSnapshot('s-1', 1, 2 * count, held)
+        catalogue.learn(f'leaf-{number}', f'group-{number}', (served,))
+    return catalogue, catalogue.maps()
+
+
+def build_traces(count):
+    """Return a log of a number of request traces without events."""
+    log = TraceLog(count)
+    for number in range(count):
+        log.add(
+            RequestTrace(
+                f'request-{number}', 'pickup-desk', 1.0, 5.0, 'answered', 200
+            )
+        )
+    return log
+
+
+def document_bytes(count):
+    """Return the size of a document's text with a number of leafs."""
+    sections = build_sections([10_000 + each for each in range(count)])
+    return len(yaml.safe_dump(sections, sort_keys=False))
+
+
+def claim_bytes():
+    """Return the size of one claim record before its outcome."""
+    record = ClaimRecord(
+        key='019af0a0-0000-7000-8000-000000000000',
+        service='claim-counter',
+        digest='0' * DIGEST_CHARACTERS,
+        attempt_id='0' * 32,
+        instance_id='entry-1',
+        claimed_at=1_800_000_000.0,
+    )
+    return len(record.encode())
+
+
+def probe_cpu_s(count):
+    """Return the processor time a second of probing a number of leafs."""
+    ports = free_ports(count)
+    sections = build_sections(ports)
+    texts = {name: yaml.safe_dump(part) for name, part in sections.items()}
+    document = parse_document(texts, 1).unwrap()
+    with leaf_processes(sections):
+        if not eventually(lambda: _all_listen(ports)):
+            raise RuntimeError('the leafs did not start')
+        return run_service(_probe_only, document)
+
+
+async def _probe_only(document):
+    service = document.services_by_name['catalogue']
+    engine = SearchEngine(service, document, 'north-a')
+    await engine.start()
+    await curio.sleep(2)
+    started = time.process_time()
+    await curio.sleep(PROBE_SECONDS)
+    return (time.process_time() - started) / PROBE_SECONDS
+
+
+def main():
+    """Print every slope."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.parse_args()
+    build_view(10)
+    build_routing(10)
+
+    def bytes_of(build):
+        return lambda size: allocated_bytes(lambda: build(size))
+
+    slope('view', 'bytes per member', 200, 3700, bytes_of(build_view))
+    slope('leaf state', 'bytes per leaf', 100, 2000, bytes_of(build_routing))
+    slope('document', 'bytes per leaf', 100, 2000, bytes_of(build_document))
+    slope('catalogue', 'bytes per leaf', 100, 2000, bytes_of(build_catalogue))
+    slope('traces', 'bytes per trace', 100, 1000, bytes_of(build_traces))
+    slope('document text', 'bytes per leaf', 100, 2000, document_bytes)
+    print(json.dumps({'quantity': 'claim record', 'bytes': claim_bytes()}))
+    slope('status probe', 'core seconds per leaf', 20, 120, probe_cpu_s)
+
+
+if __name__ == '__main__':
+    main()
