--- a/clementinebank/cli/_explain_command.py
+++ b/clementinebank/cli/_explain_command.py
@@ -2,6 +2,7 @@
 
 import argparse
 import re
+from collections.abc import Iterator
 from typing import Any
 
 from result import Err, Ok, Result
@@ -80,9 +81,7 @@
             f'with status {trace["status"]} after '
             f'{trace["elapsed_ms"]:.1f} ms'
         )
-        lines.extend(
-            f'  {name}: {trace[name]}' for name in DETAILS if trace.get(name)
-        )
+        lines.extend(_detail_lines(trace))
         lines.extend(f'  {_event_text(event)}' for event in trace['events'])
     if not found:
         lines.append('no instance that answered knows this request')
@@ -90,6 +89,29 @@
     return '\n'.join(lines)
 
 
+def _detail_lines(trace: dict[str, Any]) -> Iterator[str]:
+    for name in DETAILS:
+        detail = trace.get(name)
+        if detail and name == 'coverage':
+            yield f'  coverage: {_coverage_text(detail)}'
+        elif detail:
+            yield f'  {name}: {detail}'
+
+
+def _coverage_text(coverage: dict[str, Any]) -> str:
+    state = 'complete' if coverage['complete'] else 'PARTIAL'
+    missing = ''.join(
+        f'; missing {shard["group"]} of {shard["yard"]}: {shard["reason"]}'
+        for shard in coverage['missing']
+    )
+    return (
+        f'{state}, {coverage["shards_answered"]} of '
+        f'{coverage["shards_asked"]} shards, '
+        f'{coverage["partitions_answered"]} of {coverage["partitions"]} '
+        f'partitions{missing}'
+    )
+
+
 def _event_text(event: dict[str, Any]) -> str:
     offset_ms = event.get('offset_ms', 0)
     facts = event.get('facts') or {}
