Wait for replies without warnings of curio

Cause: a query whose wake-up had passed, a booking past its deadline and a leaf call with little time gave curio a zero or past timeout, and curio logs a warning for each block that ends normally after its time.

Ruled out: a zero timeout is not the only source. A block that started in time also logs when the loop was busy meanwhile, so a check for a positive rest does not suffice; a filter of the log would hide other faults.

Change: clock.run_before leaves the timeout by an exception, which curio does not report, and clock.get_before takes an item that is there first. The search engine, the booking engine and the leaf pool use them.

Conclusion: tests show no record and a complete answer for replies that were delivered late, with negative controls for a plain timeout and for a decision before the replies.

--- a/clementinebank/booking/_engine.py
+++ b/clementinebank/booking/_engine.py
@@ -1,5 +1,6 @@
 """Runs bookings of one service over its leafs."""
 
+import contextlib
 import uuid
 from typing import Any
 
@@ -15,7 +16,7 @@
 from clementinebank.booking._messages import BookingAnswer, BookingRequest
 from clementinebank.booking._record import ClaimRecord
 from clementinebank.booking._run import BookingRun, Observer, observe_nothing
-from clementinebank.clock import now, wall_time
+from clementinebank.clock import now, run_before, wall_time
 from clementinebank.document import Document, LeafSettings, ServiceSettings
 from clementinebank.http import HttpRequest
 from clementinebank.platform import KeyValueService
@@ -111,9 +112,8 @@
         """
         run = BookingRun(self._new_booking(request), self)
         await curio.spawn(run.run, daemon=True)
-        await curio.ignore_after(
-            max(0, request.deadline - now()), run.answered.wait
-        )
+        with contextlib.suppress(curio.TaskTimeout):
+            await run_before(request.deadline, run.answered.wait)
         answer = run.answer_now()
         log_message(
             message_type='booking:answered',
--- a/clementinebank/booking/_run.py
+++ b/clementinebank/booking/_run.py
@@ -16,7 +16,7 @@
 )
 from clementinebank.booking._record import Outcome, storage_key
 from clementinebank.booking._steps import BOOKING_STEPS, booking_step
-from clementinebank.clock import now, wall_time
+from clementinebank.clock import get_before, now, wall_time
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpRequest
 from clementinebank.platform import MAX_VALUE_BYTES, Entry
@@ -237,7 +237,7 @@
     if call is None:
         raise RuntimeError('first_byte follows dispatch')
     wait_s = max(0, call.deadline - now()) + CALL_GRACE_S
-    reply: LeafReply | None = await curio.ignore_after(wait_s, run.replies.get)
+    reply: LeafReply | None = await get_before(now() + wait_s, run.replies)
     if reply is not None:
         return reply
     call.is_cancelled = True
--- a/clementinebank/search/_engine.py
+++ b/clementinebank/search/_engine.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from clementinebank.clock import now
+from clementinebank.clock import get_before, now
 from clementinebank.document import Document, LeafSettings, ServiceSettings
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpRequest, HttpResponse, json_request
@@ -199,8 +199,9 @@
     async def _drive(self) -> Result[Answer, Failure]:
         await self._perform(self.query.start(now()))
         while self.ending is None:
-            wait_s = max(0, self.query.next_wakeup - now())
-            delivered = await curio.ignore_after(wait_s, self.replies.get)
+            # A reply that was delivered late still counts, so the replies
+            # that wait are taken before the time is looked at.
+            delivered = await get_before(self.query.next_wakeup, self.replies)
             if delivered is None:
                 await self._perform(self.query.on_time(now()))
             else:
--- /dev/null
+++ b/clementinebank/search/tests/test_engine.py
@@ -0,0 +1,92 @@
+"""Guards against replies lost at the deadline and floods of log records."""
+
+import json
+import logging
+from types import SimpleNamespace
+
+import curio
+import pytest
+
+from clementinebank.clock import FakeClockKernel, now
+from clementinebank.http import HttpResponse
+from clementinebank.search import Query, SearchRequest
+from clementinebank.search import _engine as engine_module
+from clementinebank.search.tests.worlds import DEADLINE_S, make_world
+from clementinebank.upstream import LeafReply
+
+
+class _Pools(dict):
+    """Pools of leafs whose calls wait until the test delivers them."""
+
+    def __init__(self):
+        super().__init__()
+        self.calls = []
+
+    def __missing__(self, leaf_id):
+        async def submit(call):
+            self.calls.append((leaf_id, call))
+
+        async def cancel(call_id):
+            """Ignore it: the reply is read all the same."""
+
+        return SimpleNamespace(leaf=None, submit=submit, cancel=cancel)
+
+    async def deliver_after(self, kernel, pause_s):
+        """Deliver every reply when the process has been paused."""
+        await curio.sleep(DEADLINE_S / 10)
+        kernel.clock.advance(pause_s)
+        for leaf_id, call in self.calls:
+            asked = json.loads(call.request.body)
+            body = {
+                'request_id': call.call_id,
+                'snapshot': call.request.headers['snapshot'],
+                'partitions': asked['partitions'],
+                'records': [],
+            }
+            response = HttpResponse(200, {}, json.dumps(body).encode())
+            outcome = engine_module.Ok(response)
+            await call.deliver(LeafReply(call.call_id, leaf_id, outcome, 0.01))
+
+
+async def _search(kernel, pause_s):
+    world = make_world(answer_policy='coverage_first')
+    request = SearchRequest('r', '*', 10, now() + DEADLINE_S)
+    query = Query(request, world.service, world.router, world.catalogue)
+    engine = SimpleNamespace(router=world.router, delay_to=lambda leaf: 0)
+    pools = _Pools()
+    run = engine_module._QueryRun(query, pools, engine)
+    await curio.spawn(pools.deliver_after, kernel, pause_s, daemon=True)
+    return await run.run()
+
+
+def _is_complete(pause_s):
+    with FakeClockKernel() as kernel:
+        found = kernel.run(_search, kernel, pause_s)
+    return found.is_ok() and found.ok_value.coverage.is_complete
+
+
+@pytest.mark.parametrize('pause_s', [0, DEADLINE_S, 5])
+def test_late_but_delivered_reply_counts_without_a_warning(pause_s, caplog):
+    with caplog.at_level(logging.WARNING):
+        assert _is_complete(pause_s)
+    assert not caplog.records
+
+
+def test_check_catches_a_plain_timeout_of_curio(monkeypatch, caplog):
+    async def get_before(deadline, queue):
+        return await curio.ignore_after(max(0, deadline - now()), queue.get)
+
+    monkeypatch.setattr(engine_module, 'get_before', get_before)
+    with caplog.at_level(logging.WARNING):
+        _is_complete(5)
+    assert 'longer than an enclosing timeout' in caplog.text
+
+
+def test_check_catches_a_decision_before_the_replies(monkeypatch):
+    async def get_before(deadline, queue):
+        if deadline <= now():
+            return None
+        return await curio.ignore_after(deadline - now(), queue.get)
+
+    monkeypatch.setattr(engine_module, 'get_before', get_before)
+    assert not _is_complete(5)
--- a/clementinebank/upstream/_pool.py
+++ b/clementinebank/upstream/_pool.py
@@ -7,7 +7,7 @@
 import curio
 from result import Err, Ok, Result
 
-from clementinebank.clock import now
+from clementinebank.clock import now, run_before
 from clementinebank.document import LeafSettings
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import (
@@ -188,18 +188,12 @@
             return Err(self._expired(call))
         step = Step.DISPATCH
         try:
-            async with curio.timeout_after(call.deadline - now()):
-                if not connection.is_reusable:
-                    await connection.connect()
-                # Connecting takes time, in which the call can end.
-                if call.is_cancelled or now() >= call.deadline:
-                    return Err(self._expired(call))
-                call.is_sent = True
-                await connection.send(call.request)
+            if not await self._send(connection, call):
+                return Err(self._expired(call))
             step = Step.READ
-            limit_s = call.deadline - now() + LATE_REPLY_LIMIT_S
-            async with curio.timeout_after(limit_s):
-                response = await connection.receive()
+            response = await run_before(
+                call.deadline + LATE_REPLY_LIMIT_S, connection.receive
+            )
         except curio.TaskTimeout:
             message = 'no reply in time'
             return Err(self._failure('leaf_timeout', message, step, call))
@@ -210,6 +204,17 @@
             return Err(self._failure('leaf_mismatch', message, step, call))
         return Ok(response)
 
+    async def _send(self, connection: HttpConnection, call: LeafCall) -> bool:
+        """Send the request, or return that the call has ended before."""
+        if not connection.is_reusable:
+            await run_before(call.deadline, connection.connect)
+            # Connecting takes time, in which the call can end.
+            if call.is_cancelled or now() >= call.deadline:
+                return False
+        call.is_sent = True
+        await run_before(call.deadline, connection.send, call.request)
+        return True
+
     def _expired(self, call: LeafCall) -> Failure:
         message = 'cancelled or expired before it was sent'
         return self._failure('expired', message, Step.DISPATCH, call)
