Make the throughput benchmark start reliably and run whole queries

Cause: ports freed by the benchmark lay in the range of outgoing connections and were taken before the leafs bound them; the default answer policy ended queries early; an error printed a whole coverage object.

Change: ports below the ephemeral range, up to three starts, a start ends at once when a leaf process exits; coverage_first with a deadline of 60 s; the error states the number of missing shards.

Before, the run ended with an incomplete answer at 45 shards.

--- a/benchmarks/bench_throughput.py
+++ b/benchmarks/bench_throughput.py
@@ -15,6 +15,8 @@
 import argparse
 import contextlib
 import json
+import random
+import socket
 import subprocess
 import sys
 import tempfile
@@ -28,11 +30,17 @@
 from clementinebank.document import parse_document
 from clementinebank.http import HttpConnection, json_request
 from clementinebank.search import SearchEngine, SearchRequest
-from tests.harness import eventually, free_ports
 
 LEAF_PROCESSES = 5
 DEADLINE_S = 60
 WARM_UP_QUERIES = 3
+# Below the ports that Linux gives to outgoing connections, which could take
+# a free port before its leaf binds it.
+LEAF_PORTS = range(10_000, 30_000)
+START_ATTEMPTS = 3
+# Five interpreters have started within this time on a machine at full load.
+START_LIMIT_S = 120
+POLL_INTERVAL_S = 0.1
 
 
 def build_sections(ports):
@@ -58,6 +66,9 @@
         'service.catalogue': {
             'owner': 'bench',
             'kind': 'search',
+            # A query that ends early would cost less than its calls.
+            'answer_policy': 'coverage_first',
+            'deadline_ms': DEADLINE_S * 1000,
             'slots': 64,
             'connections': 64,
             'groups': groups,
@@ -91,7 +102,7 @@
                 )
             )
         try:
-            yield
+            yield processes
         finally:
             for process in processes:
                 process.kill()
@@ -143,7 +154,8 @@
     answer = await engine.search(request)
     answer = answer.unwrap() if hasattr(answer, 'unwrap') else answer
     if not answer.coverage.is_complete:
-        raise RuntimeError(f'incomplete: {answer.coverage.as_json()}')
+        missing = len(answer.coverage.as_json()['missing'])
+        raise RuntimeError(f'incomplete: {missing} shards are missing')
 
 
 async def _run_engine(document, queries, concurrency):
@@ -186,13 +198,7 @@
 def measure(shards, calls):
     """Yield the lines of all variants for one number of shards."""
     queries = max(4, calls // shards)
-    ports = free_ports(shards)
-    sections = build_sections(ports)
-    texts = {name: yaml.safe_dump(part) for name, part in sections.items()}
-    document = parse_document(texts, 1).unwrap()
-    with leaf_processes(sections):
-        if not eventually(lambda: _all_listen(ports)):
-            raise RuntimeError('the leafs did not start')
+    with started_leafs(shards) as (ports, document):
         bare_s = run_service(_run_bare, ports, queries)
         yield _line('bare', shards, queries, bare_s, bare_s)
         cpu_s = run_service(_run_task_per_call, ports, queries)
@@ -201,13 +207,56 @@
         yield _line('engine', shards, queries, cpu_s, bare_s)
 
 
-def _all_listen(ports):
-    async def connect():
-        for connection in await _connect_all(ports):
-            await connection.close()
-        return True
-
-    return curio.run(connect)
+@contextlib.contextmanager
+def started_leafs(shards):
+    """Run the leafs and return their ports and document once all listen."""
+    for attempt in range(START_ATTEMPTS):
+        ports = _free_ports(shards)
+        sections = build_sections(ports)
+        with leaf_processes(sections) as processes:
+            if not _all_listen(ports, processes):
+                print(f'start {attempt + 1} failed', file=sys.stderr)
+                continue
+            texts = {
+                name: yaml.safe_dump(part) for name, part in sections.items()
+            }
+            yield ports, parse_document(texts, 1).unwrap()
+            return
+    raise RuntimeError(f'the leafs did not start in {START_ATTEMPTS} attempts')
+
+
+def _free_ports(count):
+    ports = []
+    with contextlib.ExitStack() as stack:
+        for port in random.sample(LEAF_PORTS, len(LEAF_PORTS)):
+            sock = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                sock.bind(('127.0.0.1', port))
+                ports.append(port)
+            if len(ports) == count:
+                return ports
+    raise RuntimeError(f'fewer than {count} ports are free')
+
+
+def _all_listen(ports, processes):
+    """Wait until all ports accept; false if a process ended before."""
+    end = time.monotonic() + START_LIMIT_S
+    waiting = list(ports)
+    while waiting and time.monotonic() < end:
+        if any(process.poll() is not None for process in processes):
+            return False
+        waiting = [port for port in waiting if not _listens(port)]
+        if waiting:
+            time.sleep(POLL_INTERVAL_S)
+    return not waiting
+
+
+def _listens(port):
+    try:
+        with socket.create_connection(('127.0.0.1', port), POLL_INTERVAL_S):
+            return True
+    except OSError:
+        return False
 
 
 def main():
