Count the delay of the caller and of the leaf in both directions

The call of a booking to its leaf had the same fault: the leaf counts the stated time from the arrival.

Ruled out: the call of a search to its leaf already counts both ways, and the document already refuses a deadline within the round trip.

Change: one function for both routes of callers; the leaf call of a booking subtracts the round trip.

--- a/clementinebank/booking/_run.py
+++ b/clementinebank/booking/_run.py
@@ -263,14 +263,15 @@
 
 
 def _leaf_call(run: BookingRun, leaf_id: str) -> LeafCall:
-    """Return the call, whose deadline leaves time for the way back."""
+    """Return the call, whose deadline leaves time for both ways."""
     request = run.booking.request
     claim = run.booking.claim
     leaf = run.engine.pools_by_leaf[leaf_id].leaf
     delay_ms = run.engine.document.fleet.delay_ms(
         run.engine.data_centre, leaf.data_centre
     )
-    deadline = request.deadline - delay_ms / MS_PER_S
+    # The leaf counts the stated time from the arrival of the request.
+    deadline = request.deadline - 2 * delay_ms / MS_PER_S
     call_id = f'{claim.attempt_id}-{len(run.booking.leafs_tried)}'
     message = HttpRequest(
         'POST',
--- a/clementinebank/server/_booking_routes.py
+++ b/clementinebank/server/_booking_routes.py
@@ -22,12 +22,12 @@
 from clementinebank.clock import now, wall_time
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpRequest, HttpResponse, json_response
+from clementinebank.server._deadlines import time_to_answer_ms
 from clementinebank.server._instance import Instance
 from clementinebank.server._routes import Listener, refuse, route
 from clementinebank.validation import FieldReader
 
 MS_PER_S = 1000
-MAX_DEADLINE_MS = 60_000
 REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
 DEADLINE_PATTERN = re.compile(r'0*[1-9][0-9]{0,9}')
 RESOLUTIONS = ('ran', 'not_run')
@@ -121,7 +121,7 @@
         engine.service.retention_hours,
     )
     caller_delay_ms = engine.document.fleet.caller_delay_ms
-    deadline_ms = min(int(raw), MAX_DEADLINE_MS) - caller_delay_ms
+    deadline_ms = time_to_answer_ms(int(raw), caller_delay_ms)
     deadline = now() + deadline_ms / MS_PER_S
     return key.map(
         lambda valid: BookingRequest(
--- a/clementinebank/server/_caller_routes.py
+++ b/clementinebank/server/_caller_routes.py
@@ -12,12 +12,12 @@
 from clementinebank.http import HttpRequest, HttpResponse, json_response
 from clementinebank.invariants import check, invariant
 from clementinebank.search import Answer, SearchRequest, read_search_body
+from clementinebank.server._deadlines import time_to_answer_ms
 from clementinebank.server._instance import Instance
 from clementinebank.server._observer import current_observation
 from clementinebank.server._routes import Listener, refuse, route
 
 MS_PER_S = 1000
-MAX_DEADLINE_MS = 60_000
 REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
 DEADLINE_PATTERN = re.compile(r'0*[1-9][0-9]{0,9}')
 
@@ -111,16 +111,15 @@
 def _deadline_ms(
     instance: Instance, request: HttpRequest, settings: ServiceSettings
 ) -> Result[float, Failure]:
-    """Return the time for the answer, less the delay back to the caller."""
+    """Return the time for the answer without the delays of the caller."""
     raw = request.headers.get('deadline-ms', str(settings.deadline_ms))
     if not DEADLINE_PATTERN.fullmatch(raw):
         return _invalid(
             'Deadline-Ms', f'must be a positive integer, got {raw[:80]!r}'
         )
-    deadline_ms = min(int(raw), MAX_DEADLINE_MS)
     document = instance.document
     delay_ms = document.fleet.caller_delay_ms if document else 0
-    return Ok(deadline_ms - delay_ms)
+    return Ok(time_to_answer_ms(int(raw), delay_ms))
 
 
 def _invalid(field: str, message: str) -> Err[Failure]:
