Share the pools and status probes of the two engines

Ruled out: waking each idle task with a marker in the queue; one task took two markers and an idle connection stayed open, which the drain test showed.

Change: upstream.LeafPools holds the pools and probes of one service. A pool counts generations: close_idle closes idle connections at once and the others after their reply; distrust lets no further call use a connection that is open. A probe that began before distrust reports nothing. Statuses of bookings now carry the time of the request, so that an old one cannot end a drain, and a leaf that moved to another group teaches its new group.

Conclusion: tests of interval, lost probe, retired pool, drain and distrust, with negative controls for kept and for trusted connections.

--- a/clementinebank/booking/_engine.py
+++ b/clementinebank/booking/_engine.py
@@ -7,7 +7,6 @@
 import attrs
 import curio
 from eliot import log_message
-from result import Ok
 
 from clementinebank.booking import _answers
 from clementinebank.booking._booking import Booking
@@ -17,20 +16,10 @@
 from clementinebank.booking._record import ClaimRecord
 from clementinebank.booking._run import BookingRun, Observer, observe_nothing
 from clementinebank.clock import now, run_before, wall_time
-from clementinebank.document import Document, LeafSettings, ServiceSettings
-from clementinebank.http import HttpRequest
+from clementinebank.document import Document, ServiceSettings
 from clementinebank.platform import KeyValueService
 from clementinebank.routing import Router
-from clementinebank.upstream import (
-    LeafCall,
-    LeafPool,
-    LeafReply,
-    decode_status,
-)
-
-STATUS_PATH = '/v1/status'
-PROBE_INTERVAL_S = 1.0
-PROBE_TIMEOUT_S = 1.0
+from clementinebank.upstream import LeafPool, LeafPools, LeafStatus
 
 
 @attrs.define(eq=False)
@@ -70,7 +59,11 @@
     create_booking: Any = Booking
     create_pool: Any = LeafPool
     router: Router = attrs.field(init=False)
-    pools_by_leaf: dict[str, LeafPool] = attrs.Factory(dict)
+    leaf_pools: LeafPools = attrs.field(init=False)
+
+    @leaf_pools.default
+    def _create_leaf_pools(self) -> LeafPools:
+        return LeafPools(self._take_status, create_pool=self.create_pool)
 
     def __attrs_post_init__(self) -> None:
         """Create the routing state."""
@@ -90,19 +83,16 @@
         self.router.update_service(
             service, now(), self._delays_by_leaf(), share
         )
-        leafs = service.leafs_by_id
-        for leaf_id, pool in list(self.pools_by_leaf.items()):
-            if leafs.get(leaf_id) != pool.leaf or pool.share != share:
-                await self.pools_by_leaf.pop(leaf_id).retire()
-        for leaf_id, leaf in leafs.items():
-            if leaf_id not in self.pools_by_leaf:
-                await self._open_pool(leaf, share)
+        await self.leaf_pools.update(service.leafs_by_id, share)
 
     async def stop(self) -> None:
         """Retire every pool."""
-        for pool in self.pools_by_leaf.values():
-            await pool.retire()
-        self.pools_by_leaf.clear()
+        await self.leaf_pools.stop()
+
+    @property
+    def pools_by_leaf(self) -> dict[str, LeafPool]:
+        """Return the pools in use."""
+        return self.leaf_pools.pools_by_leaf
 
     async def book(self, request: BookingRequest) -> BookingAnswer:
         """Run one request to its answer; never later than its deadline.
@@ -132,32 +122,11 @@
     def _delays_by_leaf(self) -> dict[str, float]:
         return self.document.delays_by_leaf(self.service, self.data_centre)
 
-    async def _open_pool(self, leaf: LeafSettings, share: int) -> None:
-        pool = self.create_pool(leaf, share)
-        self.pools_by_leaf[leaf.leaf_id] = pool
-        await curio.spawn(self._probe, pool, daemon=True)
-
-    async def _probe(self, pool: LeafPool) -> None:
+    def _take_status(
+        self, leaf_id: str, status: LeafStatus, requested_at: float
+    ) -> None:
         """Learn from the leaf's status whether it is leaving."""
-        number = 0
-        while not pool.is_retired:
-            replies = curio.Queue()
-            call_id = f'probe-{pool.leaf.leaf_id}-{number}'
-            request = HttpRequest('GET', STATUS_PATH, {'request-id': call_id})
-            deadline = now() + PROBE_TIMEOUT_S
-            await pool.submit(LeafCall(call_id, request, deadline, replies.put))
-            reply: LeafReply = await replies.get()
-            if not pool.is_retired:
-                self._take_status(reply)
-            number += 1
-            await curio.sleep(PROBE_INTERVAL_S)
-
-    def _take_status(self, reply: LeafReply) -> None:
-        status = reply.outcome.and_then(
-            lambda response: decode_status(response.body)
-        )
-        if isinstance(status, Ok):
-            self.router.on_status(reply.leaf_id, now(), status.ok_value)
+        self.router.on_status(leaf_id, now(), status, requested_at)
 
     def _new_booking(self, request: BookingRequest) -> Booking:
         claim = ClaimRecord(
--- a/clementinebank/search/_engine.py
+++ b/clementinebank/search/_engine.py
@@ -6,13 +6,12 @@
 
 import attrs
 import curio
-from eliot import log_message
 from result import Err, Ok, Result
 
 from clementinebank.clock import get_before, now
 from clementinebank.document import Document, LeafSettings, ServiceSettings
 from clementinebank.errors import Execution, Failure, Step
-from clementinebank.http import HttpRequest, HttpResponse, json_request
+from clementinebank.http import HttpResponse, json_request
 from clementinebank.routing import OUTCOMES_BY_CODE, CallOutcome, Router
 from clementinebank.search._actions import (
     Action,
@@ -32,12 +31,11 @@
 from clementinebank.upstream import (
     LeafCall,
     LeafPool,
+    LeafPools,
     LeafReply,
-    decode_status,
+    LeafStatus,
 )
 
-PROBE_INTERVAL_S = 1.0
-PROBE_TIMEOUT_S = 1.0
 MS_PER_S = 1000
 
 OnTrace = Callable[[str, list[TraceEvent]], None]
@@ -65,7 +63,14 @@
     on_trace: OnTrace | None = None
     router: Router = attrs.field(init=False)
     catalogue: SnapshotCatalogue = attrs.Factory(SnapshotCatalogue)
-    pools_by_leaf: dict[str, LeafPool] = attrs.Factory(dict)
+    leaf_pools: LeafPools = attrs.field(init=False)
+    _group_by_leaf: dict[str, str] = attrs.Factory(dict)
+
+    @leaf_pools.default
+    def _create_leaf_pools(self) -> LeafPools:
+        return LeafPools(
+            self._take_status, self._on_lost_probe, self.catalogue.forget
+        )
 
     def __attrs_post_init__(self) -> None:
         """Create the routing state."""
@@ -89,26 +94,21 @@
         self.router.update_service(
             service, now(), self._delays_by_leaf(), share
         )
-        leafs = service.leafs_by_id
-        for leaf_id, pool in list(self.pools_by_leaf.items()):
-            if leafs.get(leaf_id) != pool.leaf or pool.share != share:
-                self.catalogue.forget(leaf_id)
-                await self.pools_by_leaf.pop(leaf_id).retire()
-        for group in service.groups_by_id.values():
-            for leaf in group.leafs_by_id.values():
-                if leaf.leaf_id not in self.pools_by_leaf:
-                    await self._open_pool(group.group_id, leaf, share)
+        self._group_by_leaf = {
+            leaf_id: group.group_id
+            for group in service.groups_by_id.values()
+            for leaf_id in group.leafs_by_id
+        }
+        await self.leaf_pools.update(service.leafs_by_id, share)
 
     async def stop(self) -> None:
         """Retire every pool."""
-        for pool in self.pools_by_leaf.values():
-            await pool.retire()
-        self.pools_by_leaf.clear()
+        await self.leaf_pools.stop()
 
     async def search(self, request: SearchRequest) -> Result[Answer, Failure]:
         """Run one query to its answer; never later than its deadline."""
         query = Query(request, self.service, self.router, self.catalogue)
-        run = _QueryRun(query, dict(self.pools_by_leaf), self)
+        run = _QueryRun(query, dict(self.leaf_pools.pools_by_leaf), self)
         try:
             return await run.run()
         finally:
@@ -125,55 +125,17 @@
     def _delays_by_leaf(self) -> dict[str, float]:
         return self.document.delays_by_leaf(self.service, self.data_centre)
 
-    async def _open_pool(
-        self, group_id: str, leaf: LeafSettings, share: int
-    ) -> None:
-        pool = LeafPool(leaf, share)
-        self.pools_by_leaf[leaf.leaf_id] = pool
-        await curio.spawn(self._probe, pool, group_id, daemon=True)
-
-    async def _probe(self, pool: LeafPool, group_id: str) -> None:
-        number = 0
-        while not pool.is_retired:
-            replies = curio.Queue()
-            call = LeafCall(
-                f'probe-{pool.leaf.leaf_id}-{number}',
-                HttpRequest('GET', '/v1/status', {}),
-                now() + PROBE_TIMEOUT_S,
-                replies.put,
-            )
-            call.request.headers['request-id'] = call.call_id
-            requested_at = now()
-            await pool.submit(call)
-            reply = await replies.get()
-            self._take_status(pool, group_id, reply, requested_at)
-            number += 1
-            await curio.sleep(PROBE_INTERVAL_S)
-
     def _take_status(
-        self,
-        pool: LeafPool,
-        group_id: str,
-        reply: LeafReply,
-        requested_at: float,
+        self, leaf_id: str, status: LeafStatus, requested_at: float
     ) -> None:
-        if pool.is_retired:
-            return
-        if isinstance(reply.outcome, Err):
-            self.router.on_invalid_reply(reply.leaf_id, now())
-            return
-        status = decode_status(reply.outcome.ok_value.body)
-        if isinstance(status, Err):
-            log_message(
-                message_type='leaf:invalid_status',
-                leaf=reply.leaf_id,
-                problems=[str(problem) for problem in status.err_value],
-            )
-            return
-        self.router.on_status(
-            reply.leaf_id, now(), status.ok_value, requested_at
-        )
-        self.catalogue.learn(reply.leaf_id, group_id, status.ok_value.snapshots)
+        self.router.on_status(leaf_id, now(), status, requested_at)
+        # The leaf may just have left the document.
+        group_id = self._group_by_leaf.get(leaf_id)
+        if group_id is not None:
+            self.catalogue.learn(leaf_id, group_id, status.snapshots)
+
+    def _on_lost_probe(self, leaf_id: str) -> None:
+        self.router.on_invalid_reply(leaf_id, now())
 
 
 @attrs.define(eq=False)
--- a/clementinebank/upstream/__init__.py
+++ b/clementinebank/upstream/__init__.py
@@ -1,6 +1,7 @@
 """Calls to leafs over pooled connections."""
 
 from clementinebank.upstream._pool import LeafCall, LeafPool, LeafReply
+from clementinebank.upstream._pools import LeafPools
 from clementinebank.upstream._status import (
     LeafStatus,
     ServedSnapshot,
@@ -10,6 +11,7 @@
 __all__ = (
     'LeafCall',
     'LeafPool',
+    'LeafPools',
     'LeafReply',
     'LeafStatus',
     'ServedSnapshot',
--- a/clementinebank/upstream/_pool.py
+++ b/clementinebank/upstream/_pool.py
@@ -90,7 +90,8 @@
     open_connections: int = 0
     is_retired: bool = False
     _calls: Any = attrs.field(factory=curio.Queue)
-    _idle: int = 0
+    _idle_by_number: dict[int, HttpConnection] = attrs.Factory(dict)
+    _generation: int = 0
     _calls_by_id: dict[str, LeafCall] = attrs.Factory(dict)
 
     async def submit(self, call: LeafCall) -> None:
@@ -106,7 +107,10 @@
         self._calls_by_id[call.call_id] = call
         await self._calls.put(call)
         waiting = self._calls.qsize()
-        if waiting > self._idle and self.open_connections < self.share:
+        if (
+            waiting > len(self._idle_by_number)
+            and self.open_connections < self.share
+        ):
             self.open_connections += 1
             await curio.spawn(self._run_connection, daemon=True)
 
@@ -136,6 +140,22 @@
         for _ in range(self.open_connections):
             await self._calls.put(None)
 
+    def distrust(self) -> None:
+        """Let no further call use a connection that is open now.
+
+        A connection that is in use still reads its reply.
+        """
+        self._generation += 1
+
+    async def close_idle(self) -> None:
+        """Close idle connections now and the others after their reply."""
+        self.distrust()
+        for number in list(self._idle_by_number):
+            # It may have got a call while another one was closed.
+            connection = self._idle_by_number.get(number)
+            if connection is not None:
+                await connection.close()
+
     async def _refuse(self, call: LeafCall) -> None:
         message = 'the leaf was removed from the document'
         failure = self._failure('pool_retired', message, Step.DISPATCH, call)
@@ -145,25 +165,36 @@
 
     async def _run_connection(self) -> None:
         connection = self._new_connection()
+        generation = self._generation
         try:
             while True:
-                call = await self._next_call()
+                call = await self._next_call(connection)
                 if call is None:
                     break
+                # Checked before the call and, so that a leaf that drains
+                # loses its connections, also after it.
+                generation = await self._renew(connection, generation)
                 await self._run_call(connection, call)
                 if not connection.is_reusable:
                     await connection.close()
-                    connection = self._new_connection()
+                generation = await self._renew(connection, generation)
         finally:
             self.open_connections -= 1
             await connection.close()
 
-    async def _next_call(self) -> LeafCall | None:
-        self._idle += 1
+    async def _renew(self, connection: HttpConnection, generation: int) -> int:
+        """Close a connection of an older generation; the next call opens it."""
+        if generation != self._generation:
+            await connection.close()
+        return self._generation
+
+    async def _next_call(self, connection: HttpConnection) -> LeafCall | None:
+        number = id(connection)
+        self._idle_by_number[number] = connection
         try:
             return await self._calls.get()
         finally:
-            self._idle -= 1
+            self._idle_by_number.pop(number)
 
     async def _run_call(
         self, connection: HttpConnection, call: LeafCall
--- /dev/null
+++ b/clementinebank/upstream/_pools.py
@@ -0,0 +1,118 @@
+"""Pools and status probes of all leafs of one service."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+import curio
+from eliot import log_message
+from result import Err
+
+from clementinebank.clock import now
+from clementinebank.document import LeafSettings
+from clementinebank.http import HttpRequest
+from clementinebank.upstream._pool import LeafCall, LeafPool, LeafReply
+from clementinebank.upstream._status import LeafStatus, decode_status
+
+STATUS_PATH = '/v1/status'
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+
+OnStatus = Callable[[str, LeafStatus, float], None]
+OnLeaf = Callable[[str], None]
+
+
+def _ignore_leaf(leaf_id: str) -> None:
+    """Ignore an event of a leaf."""
+
+
+@attrs.define(eq=False)
+class LeafPools:
+    """One pool and one status probe for each leaf of a service.
+
+    Parameters
+    ----------
+    on_status : callable
+        Receives leaf id, status and the time at which it was requested.
+    on_lost_probe : callable
+        Receives the id of a leaf whose probe got no reply.
+    on_removed : callable
+        Receives the id of a leaf before its pool is retired.
+    create_pool : callable
+        Creates the pool of a leaf from its settings and the share.
+    """
+
+    on_status: OnStatus
+    on_lost_probe: OnLeaf = _ignore_leaf
+    on_removed: OnLeaf = _ignore_leaf
+    create_pool: Any = LeafPool
+    pools_by_leaf: dict[str, LeafPool] = attrs.Factory(dict)
+    _distrusted_at: float = float('-inf')
+
+    async def update(
+        self, leafs_by_id: Mapping[str, LeafSettings], share: int
+    ) -> None:
+        """Retire the pools of changed leafs and open those that lack one."""
+        for leaf_id, pool in list(self.pools_by_leaf.items()):
+            if leafs_by_id.get(leaf_id) != pool.leaf or pool.share != share:
+                self.on_removed(leaf_id)
+                await self.pools_by_leaf.pop(leaf_id).retire()
+        for leaf_id, leaf in leafs_by_id.items():
+            if leaf_id not in self.pools_by_leaf:
+                opened = self.create_pool(leaf, share)
+                self.pools_by_leaf[leaf_id] = opened
+                await curio.spawn(self._probe, opened, daemon=True)
+
+    async def stop(self) -> None:
+        """Retire every pool."""
+        for pool in self.pools_by_leaf.values():
+            await pool.retire()
+        self.pools_by_leaf.clear()
+
+    def distrust(self) -> None:
+        """Use no connection and no probe that began before a pause.
+
+        A probe that was lost in the pause says nothing about its leaf.
+        """
+        self._distrusted_at = now()
+        for pool in self.pools_by_leaf.values():
+            pool.distrust()
+
+    async def _probe(self, pool: LeafPool) -> None:
+        number = 0
+        while not pool.is_retired:
+            replies = curio.Queue()
+            call_id = f'probe-{pool.leaf.leaf_id}-{number}'
+            requested_at = now()
+            await pool.submit(
+                LeafCall(
+                    call_id,
+                    HttpRequest('GET', STATUS_PATH, {'request-id': call_id}),
+                    requested_at + PROBE_TIMEOUT_S,
+                    replies.put,
+                )
+            )
+            reply = await replies.get()
+            is_old = requested_at <= self._distrusted_at
+            if not pool.is_retired and not is_old:
+                await self._take_reply(pool, reply, requested_at)
+            number += 1
+            await curio.sleep(PROBE_INTERVAL_S)
+
+    async def _take_reply(
+        self, pool: LeafPool, reply: LeafReply, requested_at: float
+    ) -> None:
+        if isinstance(reply.outcome, Err):
+            self.on_lost_probe(reply.leaf_id)
+            return
+        status = decode_status(reply.outcome.ok_value.body)
+        if isinstance(status, Err):
+            log_message(
+                message_type='leaf:invalid_status',
+                leaf=reply.leaf_id,
+                problems=[str(problem) for problem in status.err_value],
+            )
+            return
+        self.on_status(reply.leaf_id, status.ok_value, requested_at)
+        if status.ok_value.state == 'draining':
+            await pool.close_idle()
--- /dev/null
+++ b/clementinebank/upstream/tests/test_pools.py
@@ -0,0 +1,249 @@
+"""Guards against missed drains, lost probes and connections of old state."""
+
+import json
+
+import attrs
+import curio
+import pytest
+
+from clementinebank.clock import FakeClockKernel, now
+from clementinebank.document import LeafSettings
+from clementinebank.http import HttpRequest, HttpResponse
+from clementinebank.upstream import LeafCall, LeafPool, LeafPools
+from clementinebank.validation import Address
+
+LEAF = LeafSettings('leaf', Address('127.0.0.1', 1), 'dc')
+CALL_S = 0.2
+SHARE = 3
+
+
+@attrs.define(eq=False)
+class _Leaf:
+    """A leaf, its connections and what the pools report of it."""
+
+    state: str = 'serving'
+    probe_s: float = 0
+    open_connections: set = attrs.Factory(set)
+    connects: int = 0
+    connection_by_call: dict = attrs.Factory(dict)
+    probes: list = attrs.Factory(list)
+    statuses: list = attrs.Factory(list)
+    lost: list = attrs.Factory(list)
+    removed: list = attrs.Factory(list)
+    replies: list = attrs.Factory(list)
+
+    def pools(self):
+        return LeafPools(
+            lambda leaf_id, status, at: self.statuses.append(status.state),
+            self.lost.append,
+            self.removed.append,
+            lambda leaf, share: _Pool(leaf, share, fake_leaf=self),
+        )
+
+    async def answer(self, message):
+        if message.method == 'GET':
+            self.probes.append(now())
+            await curio.sleep(self.probe_s)
+        else:
+            await curio.sleep(CALL_S)
+        body = {'state': self.state, 'load': 0, 'snapshots': []}
+        headers = {'request-id': message.headers['request-id']}
+        return HttpResponse(200, headers, json.dumps(body).encode())
+
+    async def take(self, reply):
+        self.replies.append(reply)
+
+
+@attrs.define(eq=False)
+class _Connection:
+    leaf: _Leaf
+    number: int = 0
+    message: HttpRequest = None
+
+    @property
+    def is_reusable(self):
+        return self.number in self.leaf.open_connections
+
+    async def connect(self):
+        self.leaf.connects += 1
+        self.number = self.leaf.connects
+        self.leaf.open_connections.add(self.number)
+
+    async def send(self, message):
+        self.message = message
+        name = message.headers['request-id']
+        self.leaf.connection_by_call[name] = self.number
+
+    async def receive(self):
+        return await self.leaf.answer(self.message)
+
+    async def close(self):
+        self.leaf.open_connections.discard(self.number)
+
+
+@attrs.define(eq=False)
+class _Pool(LeafPool):
+    fake_leaf: _Leaf = None
+
+    def _new_connection(self):
+        return _Connection(self.fake_leaf)
+
+
+def _play(scenario, leaf):
+    async def run():
+        pools = leaf.pools()
+        await pools.update({'leaf': LEAF}, SHARE)
+        await scenario(pools)
+
+    with FakeClockKernel() as kernel:
+        kernel.run(run)
+    return leaf
+
+
+async def _call(pools, leaf, *names):
+    """Submit calls at the same time, so that each needs a connection."""
+    for name in names:
+        request = HttpRequest('POST', '/v1/search', {'request-id': name})
+        call = LeafCall(name, request, now() + 1, leaf.take)
+        await pools.pools_by_leaf['leaf'].submit(call)
+
+
+def test_leaf_is_probed_each_second():
+    async def scenario(pools):
+        await curio.sleep(5.5)
+
+    leaf = _play(scenario, _Leaf())
+    gaps = [
+        later - earlier
+        for earlier, later in zip(leaf.probes, leaf.probes[1:], strict=False)
+    ]
+    assert gaps == pytest.approx([1] * 5, abs=0.01)
+    assert leaf.statuses == ['serving'] * 6
+    assert leaf.connects == 1
+
+
+def test_lost_probe_is_reported_and_probing_goes_on():
+    async def scenario(pools):
+        await curio.sleep(2.5)
+        leaf.probe_s = 0
+        await curio.sleep(2)
+
+    leaf = _Leaf(probe_s=60)
+    _play(scenario, leaf)
+    assert leaf.lost == ['leaf']
+    assert 'serving' in leaf.statuses
+
+
+def test_removed_leaf_is_not_probed_and_its_late_status_is_ignored():
+    async def scenario(pools):
+        await curio.sleep(0.1)
+        await pools.update({}, SHARE)
+        await curio.sleep(5)
+        assert not pools.pools_by_leaf
+
+    leaf = _play(scenario, _Leaf(probe_s=0.5))
+    assert leaf.removed == ['leaf']
+    assert len(leaf.probes) == 1
+    assert not leaf.statuses
+    assert not leaf.open_connections
+
+
+def test_changed_share_replaces_the_pool():
+    async def scenario(pools):
+        before = pools.pools_by_leaf['leaf']
+        await pools.update({'leaf': LEAF}, SHARE + 1)
+        assert before.is_retired
+        assert pools.pools_by_leaf['leaf'].share == SHARE + 1
+        await curio.sleep(2)
+
+    _play(scenario, _Leaf())
+
+
+def _check_drain():
+    """Drain with one call in flight and two connections idle."""
+
+    async def scenario(pools):
+        await _call(pools, leaf, 'a', 'b')
+        await curio.sleep(0.9)
+        leaf.state = 'draining'
+        await _call(pools, leaf, 'late')
+        await curio.sleep(0.15)
+        # The next probe has told of the drain; only the call is left.
+        assert len(leaf.open_connections) == 1
+        await curio.sleep(0.1)
+        assert not leaf.open_connections
+
+    leaf = _Leaf()
+    _play(scenario, leaf)
+    assert [reply.call_id for reply in leaf.replies] == ['a', 'b', 'late']
+    assert all(reply.outcome.is_ok() for reply in leaf.replies)
+
+
+def test_drain_in_the_status_closes_connections_after_their_replies():
+    _check_drain()
+
+
+def test_check_catches_connections_kept_in_a_drain(monkeypatch):
+    async def close_idle(self):
+        """Keep the connections."""
+
+    monkeypatch.setattr(LeafPool, 'close_idle', close_idle)
+    with pytest.raises(AssertionError):
+        _check_drain()
+
+
+def test_call_after_a_drain_signal_still_finds_a_connection():
+    async def scenario(pools):
+        await _call(pools, leaf, 'a', 'b', 'c')
+        await curio.sleep(0.5)
+        await pools.pools_by_leaf['leaf'].close_idle()
+        await _call(pools, leaf, 'd', 'e', 'f', 'g')
+        await curio.sleep(0.9)
+
+    leaf = _Leaf()
+    _play(scenario, leaf)
+    assert len(leaf.replies) == 7
+    assert all(reply.outcome.is_ok() for reply in leaf.replies)
+
+
+def _check_distrust():
+    async def scenario(pools):
+        await _call(pools, leaf, 'a', 'b')
+        await curio.sleep(0.5)
+        old = set(leaf.open_connections)
+        await _call(pools, leaf, 'c')
+        await curio.sleep(0.1)
+        pools.distrust()
+        await _call(pools, leaf, 'd', 'e')
+        await curio.sleep(0.5)
+        used = {leaf.connection_by_call[name] for name in 'de'}
+        assert leaf.connection_by_call['c'] in old
+        assert not used & old
+
+    leaf = _Leaf()
+    _play(scenario, leaf)
+    assert all(reply.outcome.is_ok() for reply in leaf.replies)
+    assert len(leaf.replies) == 5
+
+
+def test_distrusted_connections_carry_no_further_call():
+    _check_distrust()
+
+
+def test_check_catches_connections_that_stay_trusted(monkeypatch):
+    monkeypatch.setattr(LeafPool, 'distrust', lambda self: None)
+    with pytest.raises(AssertionError):
+        _check_distrust()
+
+
+@pytest.mark.parametrize('probe_s', [0.5, 60])
+def test_probe_of_before_a_pause_tells_nothing(probe_s):
+    async def scenario(pools):
+        await curio.sleep(0.1)
+        pools.distrust()
+        await curio.sleep(2.2)
+
+    leaf = _play(scenario, _Leaf(probe_s=probe_s))
+    assert leaf.probes
+    assert not leaf.lost
+    assert len(leaf.statuses) == (probe_s < 1)
