Distrust leaf states after a process pause

Cause: Instance._distrust renewed only the currency; pooled connections and reported statuses from before the pause were used as if they were new.

Change: SearchEngine, BookingEngine and BookingEngines have distrust, called by Instance._distrust: connections are opened anew before their next call, the reported status is unknown, latencies and drains are kept.

--- a/clementinebank/booking/_engine.py
+++ b/clementinebank/booking/_engine.py
@@ -89,6 +89,16 @@
         """Retire every pool."""
         await self.leaf_pools.stop()
 
+    def distrust(self) -> None:
+        """Trust no connection and no reported status until it is renewed.
+
+        Measured latencies are kept. A drain stays in force until a newer
+        status ends it.
+        """
+        self.leaf_pools.distrust()
+        for leaf in self.router.leafs_by_id.values():
+            leaf.reported = None
+
     @property
     def pools_by_leaf(self) -> dict[str, LeafPool]:
         """Return the pools in use."""
--- a/clementinebank/booking/_engines.py
+++ b/clementinebank/booking/_engines.py
@@ -67,6 +67,11 @@
             self._is_removing = True
             await curio.spawn(self._remove_forever, daemon=True)
 
+    def distrust(self) -> None:
+        """Trust no state of a leaf until it is renewed."""
+        for engine in self.engines_by_service.values():
+            engine.distrust()
+
     async def remove_expired(self, service: ServiceSettings) -> int:
         """Remove expired settled claims of one page; return their number.
 
--- a/clementinebank/search/_engine.py
+++ b/clementinebank/search/_engine.py
@@ -105,6 +105,16 @@
         """Retire every pool."""
         await self.leaf_pools.stop()
 
+    def distrust(self) -> None:
+        """Trust no connection and no reported status until it is renewed.
+
+        Measured latencies are kept. A drain stays in force until a newer
+        status ends it.
+        """
+        self.leaf_pools.distrust()
+        for leaf in self.router.leafs_by_id.values():
+            leaf.reported = None
+
     async def search(self, request: SearchRequest) -> Result[Answer, Failure]:
         """Run one query to its answer; never later than its deadline."""
         query = Query(request, self.service, self.router, self.catalogue)
--- a/clementinebank/server/_instance.py
+++ b/clementinebank/server/_instance.py
@@ -157,6 +157,9 @@
     def _distrust(self, pause_s: float) -> None:
         """Renew what is derived from time before the next request."""
         self.follower.exchange.tick(now())
+        for engine in self.engines_by_service.values():
+            engine.distrust()
+        self.bookings.distrust()
 
     async def _update_engines(self, document: Document) -> None:
         for name in list(self.engines_by_service):
