Connect to leafs without a lookup in a thread

Cause: curio.open_connection calls getaddrinfo in a worker thread for each connect, also for an IP number; in the profile of the engine at 190 shards connects were 10 % of the time, and a cold connect waited for a thread.

Change: the client opens the socket itself; addresses are IP numbers by design. A refused or cancelled connect closes its socket.

Conclusion: tests that no lookup runs and that no socket stays open; the first fails with the former connect.

--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -50,7 +50,7 @@
             If the other side does not accept it.
         """
         await self.close()
-        self._sock = await curio.open_connection(self.host, self.port)
+        self._sock = await _connect(self.host, self.port)
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_REPLY_HEADER_BYTES
         )
@@ -160,6 +160,21 @@
             self._http.receive_data(await self._sock.recv(READ_SIZE_BYTES))
 
 
+async def _connect(host: str, port: int) -> Any:
+    """Connect to an IP number.
+
+    ``curio.open_connection`` would resolve it in a thread, which cost more
+    than the rest of the connect.
+    """
+    sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
+    try:
+        await sock.connect((host, port))
+    except BaseException:
+        await sock.close()
+        raise
+    return sock
+
+
 async def fetch(
     host: str, port: int, message: HttpRequest, timeout_s: float
 ) -> HttpResponse:
--- a/clementinebank/http/tests/test_client.py
+++ b/clementinebank/http/tests/test_client.py
@@ -94,3 +94,47 @@
 @pytest.mark.parametrize('moment', ['with', 'after', 'closed'])
 def test_check_catches_reuse(moment):
     assert run_on_fake_clock(_unread, _TrustsTheState, moment)
+
+
+class _FakeSocket:
+    """Socket that refuses its connection or accepts it."""
+
+    is_refused = False
+    opened = ()
+
+    def __init__(self, *call_args):
+        self.is_closed = False
+        _FakeSocket.opened = (*_FakeSocket.opened, self)
+
+    async def connect(self, address):
+        assert address == ('127.0.0.1', 1)
+        if self.is_refused:
+            raise ConnectionRefusedError('refused')
+
+    async def close(self):
+        self.is_closed = True
+
+
+@pytest.fixture(name='fake_socket')
+def _fake_socket(monkeypatch):
+    async def getaddrinfo(*call_args):
+        raise AssertionError('an IP number was looked up')
+
+    monkeypatch.setattr(curio.socket, 'getaddrinfo', getaddrinfo)
+    monkeypatch.setattr(curio.socket, 'socket', _FakeSocket)
+    monkeypatch.setattr(_FakeSocket, 'opened', ())
+    return _FakeSocket
+
+
+def test_connect_starts_no_lookup_in_a_thread(fake_socket):
+    run_on_fake_clock(HttpConnection('127.0.0.1', 1).connect)
+    assert [each.is_closed for each in fake_socket.opened] == [False]
+
+
+def test_refused_connect_leaves_no_socket_open(fake_socket, monkeypatch):
+    monkeypatch.setattr(fake_socket, 'is_refused', True)
+    connection = HttpConnection('127.0.0.1', 1)
+    with pytest.raises(ConnectionRefusedError):
+        run_on_fake_clock(connection.connect)
+    assert [each.is_closed for each in fake_socket.opened] == [True]
+    assert not connection.is_reusable
