--- a/clementinebank/booking/_run.py
+++ b/clementinebank/booking/_run.py
@@ -16,7 +16,7 @@
 )
 from clementinebank.booking._record import Outcome, storage_key
 from clementinebank.booking._steps import BOOKING_STEPS, booking_step
-from clementinebank.clock import now, wall_time
+from clementinebank.clock import get_before, now, wall_time
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpRequest
 from clementinebank.platform import MAX_VALUE_BYTES, Entry
@@ -237,7 +237,7 @@
     if call is None:
         raise RuntimeError('first_byte follows dispatch')
     wait_s = max(0, call.deadline - now()) + CALL_GRACE_S
-    reply: LeafReply | None = await curio.ignore_after(wait_s, run.replies.get)
+    reply: LeafReply | None = await get_before(now() + wait_s, run.replies)
     if reply is not None:
         return reply
     call.is_cancelled = True
@@ -263,14 +263,15 @@
 
 
 def _leaf_call(run: BookingRun, leaf_id: str) -> LeafCall:
-    """Return the call, whose deadline leaves time for the way back."""
+    """Return the call, whose deadline leaves time for both ways."""
     request = run.booking.request
     claim = run.booking.claim
     leaf = run.engine.pools_by_leaf[leaf_id].leaf
     delay_ms = run.engine.document.fleet.delay_ms(
         run.engine.data_centre, leaf.data_centre
     )
-    deadline = request.deadline - delay_ms / MS_PER_S
+    # The leaf counts the stated time from the arrival of the request.
+    deadline = request.deadline - 2 * delay_ms / MS_PER_S
     call_id = f'{claim.attempt_id}-{len(run.booking.leafs_tried)}'
     message = HttpRequest(
         'POST',
