Ask a leaf that refuses repeatedly again later

A leaf that shed was asked again after 2, 2, 16 and 128 ms, each time for a token. The first retry came after half a service time, often before a slot was free.

Earlier hedges (1 to 1.6 times the quantile, trial) empty the budget and lose shards.

Change: the pause after further refusals in a row grows by 64 instead of 8, and the first retry waits for a whole service time.

--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -31,7 +31,9 @@
 # One decrease for all refusals of the same overload.
 DECREASE_INTERVAL_S = 0.05
 REFUSAL_PAUSE_S = 0.002
-REFUSAL_PAUSE_FACTOR = 8
+# A leaf that sheds for seconds would use up the budget if it were asked again
+# every few milliseconds.
+REFUSAL_PAUSE_FACTOR = 64
 # A leaf whose slots are full for a moment is asked again this often at once.
 MAX_QUICK_REFUSALS = 1
 MAX_REFUSAL_PAUSE_S = 1.0
@@ -164,7 +166,7 @@
         """Return when a slot is likely free again, ``None`` if unlikely."""
         if self._refusals > MAX_QUICK_REFUSALS:
             return None
-        return max(REFUSAL_PAUSE_S, self.service_s / 2)
+        return max(REFUSAL_PAUSE_S, self.service_s)
 
     def slow_start_share(self, now: float) -> float:
         """Return the share of its requests that a cold leaf gets, 0 to 1."""
--- a/clementinebank/routing/tests/test_router.py
+++ b/clementinebank/routing/tests/test_router.py
@@ -78,6 +78,16 @@
     assert chosen in {'g0-b', 'g0-c'}
 
 
+def check_repeated_refusals_pause_a_leaf():
+    # Without it a leaf that sheds uses up the budget of the retries.
+    router = make_router(NEAR)
+    run_call(router, 'g0-a', NOW, 0, CallOutcome.REFUSED)
+    assert shares(router, NOW + 0.005)['a'] > 0.9
+    run_call(router, 'g0-a', NOW, 0, CallOutcome.REFUSED)
+    assert shares(router, NOW + 0.1)['a'] == 0
+    assert shares(router, NOW + 0.2)['a'] > 0.9
+
+
 def check_reports_only_lower_the_rank():
     router = make_router()
     plain = router.leafs_by_id['g0-a'].cost
@@ -250,6 +260,11 @@
         '_is_wait_shorter',
         lambda *_: True,
     ),
+    check_repeated_refusals_pause_a_leaf: (
+        leaf_module,
+        'REFUSAL_PAUSE_FACTOR',
+        8,
+    ),
     check_reports_only_lower_the_rank: (
         LeafState,
         'cost',
