--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -1,6 +1,7 @@
 """What an instance knows of one leaf, and the rules that follow from it."""
 
 import enum
+from math import inf
 
 import attrs
 
@@ -30,7 +31,9 @@
 # One decrease for all refusals of the same overload.
 DECREASE_INTERVAL_S = 0.05
 REFUSAL_PAUSE_S = 0.002
-REFUSAL_PAUSE_FACTOR = 8
+# A leaf that sheds for seconds would use up the budget if it were asked again
+# every few milliseconds.
+REFUSAL_PAUSE_FACTOR = 64
 # A leaf whose slots are full for a moment is asked again this often at once.
 MAX_QUICK_REFUSALS = 1
 MAX_REFUSAL_PAUSE_S = 1.0
@@ -134,13 +137,21 @@
         """Return the shortest time in which an answer can be expected."""
         return self.round_trip_s + self.floor_s
 
-    def has_room(self, now: float) -> bool:
-        """Return whether one more request is within the limits."""
+    def has_room(self, now: float, shared_limit: float = inf) -> bool:
+        """Return whether one more request is within the limits.
+
+        Parameters
+        ----------
+        now : float
+            Runtime time in seconds.
+        shared_limit : float
+            Slots that this instance may hold while others need the rest.
+        """
         # A request occupies a slot only while it is served, not on the link.
         on_link = 1 + self.round_trip_s / max(self.service_s, MIN_SERVICE_S)
         return (
             self.in_flight < self.max_in_flight
-            and self.in_flight < max(1, self.limit) * on_link
+            and self.in_flight < max(1, min(self.limit, shared_limit)) * on_link
             and now >= self._refused_at + REFUSAL_PAUSE_S
         )
 
@@ -155,7 +166,7 @@
         """Return when a slot is likely free again, ``None`` if unlikely."""
         if self._refusals > MAX_QUICK_REFUSALS:
             return None
-        return max(REFUSAL_PAUSE_S, self.service_s / 2)
+        return max(REFUSAL_PAUSE_S, self.service_s)
 
     def slow_start_share(self, now: float) -> float:
         """Return the share of its requests that a cold leaf gets, 0 to 1."""
