Refuse document changes until the record in force is known

Cause: a new process accepted changes before it had heard a peer.

Change: distribution.Introduction counts the peers that answered with the digest of the own record since the start or the last pause. AcceptChange takes a refusal callable and answers `record_unknown` (refused, not_run) to changes and dry runs. The fake instance of the command tests got the new call.

--- a/clementinebank/cli/tests/test_document_commands.py
+++ b/clementinebank/cli/tests/test_document_commands.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from types import SimpleNamespace
 
 import attrs
 import curio
@@ -47,6 +48,13 @@
     head: HeadRecord = HeadRecord()
     document_revision: int = 0
 
+    @property
+    def follower(self):
+        """Return one that knows the record in force."""
+        return SimpleNamespace(
+            exchange=SimpleNamespace(change_failure=lambda time: None)
+        )
+
     async def activate(self, head):
         if head.revision > self.head.revision:
             self.head = head
--- a/clementinebank/distribution/_exchange.py
+++ b/clementinebank/distribution/_exchange.py
@@ -7,8 +7,10 @@
 from result import Err
 
 from clementinebank.distribution._currency import Currency, CurrencyState
+from clementinebank.distribution._introduction import Introduction
 from clementinebank.distribution._messages import DocumentDelta, SyncMessage
 from clementinebank.distribution._state import DocumentState
+from clementinebank.errors import Failure
 from clementinebank.membership import MemberReport, MembershipView
 
 MAJORITY_INTERVAL_S = 1.0
@@ -26,17 +28,22 @@
         Document in force.
     currency : Currency
         When the head was last read.
+    introduction : Introduction
+        What peers told since the start.
     """
 
     view: MembershipView
     state: DocumentState = attrs.Factory(DocumentState)
     currency: Currency = attrs.Factory(Currency)
+    introduction: Introduction = attrs.Factory(Introduction)
     hears_majority: bool = False
     _counted_at: float = -math.inf
 
     def tick(self, now: float) -> None:
         """Note that the loop runs and refresh what is derived from time."""
         is_resumed = self.currency.tick(now)
+        if is_resumed or self.introduction.started_at is None:
+            self.introduction.start(now)
         if is_resumed:
             log_message(message_type='instance:paused')
             self.view.distrust(now)
@@ -61,6 +68,12 @@
             or self.currency_state(now) is not CurrencyState.ISOLATED
         )
 
+    def change_failure(self, now: float) -> Failure | None:
+        """Return why document changes are refused here, or ``None``."""
+        if self.currency.is_paused(now):
+            self.tick(now)
+        return self.introduction.failure(self.view, now)
+
     def request(self, now: float) -> SyncMessage:
         """Return the first message to a peer."""
         return self._message(now)
@@ -89,6 +102,7 @@
         """
         self._merge_members(reply, sent_at)
         digests = self._take_delta(reply)
+        self.introduction.on_reply(reply, sent_at, self.state)
         if digests:
             return self._message(now, None, digests)
         if reply.head_age_s is not None and (
--- a/clementinebank/distribution/_follower.py
+++ b/clementinebank/distribution/_follower.py
@@ -18,6 +18,7 @@
 from clementinebank.platform import InstanceList
 
 SYNC_INTERVAL_S = 1.0
+INTRODUCTION_INTERVAL_S = 0.5
 TICK_INTERVAL_S = 0.25
 LIST_INTERVAL_S = 5.0
 PUSH_PEERS = 3
@@ -81,6 +82,7 @@
         loops = (
             self._run_ticks,
             self._run_syncs,
+            self._run_introduction,
             self._run_watch,
             self._run_list,
             self._run_changes,
@@ -164,6 +166,14 @@
                 return [view.rng.choice(sources)]
         return view.choose_peers(1, at)
 
+    async def _run_introduction(self) -> None:
+        """Ask peers after a start or a pause for the record in force."""
+        exchange = self.exchange
+        while True:
+            pending = exchange.introduction.pending(exchange.view, now())
+            await self._sync_all(pending)
+            await curio.sleep(INTRODUCTION_INTERVAL_S)
+
     async def _run_watch(self) -> None:
         view = self.exchange.view
         retry_s = WATCH_RETRY_S
--- a/clementinebank/distribution/tests/network.py
+++ b/clementinebank/distribution/tests/network.py
@@ -14,6 +14,7 @@
     Exchange,
 )
 from clementinebank.distribution._head_reader import HeadReader
+from clementinebank.distribution._introduction import Introduction
 from clementinebank.document import AcceptedChange, HeadRecord, Section
 from clementinebank.errors import Failure, Step
 from clementinebank.membership import ListedInstance, Member, MembershipView
@@ -195,6 +196,9 @@
     def is_running(self):
         return self.task is not None
 
+    def accepts_changes(self):
+        return self.exchange.change_failure(now()) is None
+
     def currency(self):
         return self.exchange.currency_state(now()).value
 
@@ -208,7 +212,11 @@
         )
         seed = f'{self.network.seed}/{self.instance_id}/{own.incarnation}'
         view = self.network.view_class(own, random.Random(seed))
-        exchange = Exchange(view, self.network.state_class())
+        exchange = Exchange(
+            view,
+            self.network.state_class(),
+            introduction=self.network.introduction_class(),
+        )
         self.follower = DocumentFollower(
             exchange,
             self.network.reader_class(self.key_value, exchange),
@@ -268,6 +276,7 @@
     state_class: type = DocumentState
     reader_class: type = HeadReader
     view_class: type = MembershipView
+    introduction_class: type = Introduction
     on_message: object = None
     key_value: FakeKeyValue = attrs.Factory(FakeKeyValue)
     nodes_by_id: dict = attrs.Factory(dict)
--- a/clementinebank/document/_accept.py
+++ b/clementinebank/document/_accept.py
@@ -307,13 +307,21 @@
         The platform's key-value service.
     head_in_force : callable
         Returns the record that this instance has in force.
+    refusal : callable
+        Returns why this instance does not know the record in force, or
+        ``None``. Before it has heard its peers it could contradict a change
+        that another process holds after a restore.
     """
 
     key_value: KeyValueService
     head_in_force: Callable[[], HeadRecord]
+    refusal: Callable[[], Failure | None]
 
     async def preview(self, change: Change) -> ChangeResult | None:
         """Return why the change would not be accepted now, else ``None``."""
+        refused = self._refused(change)
+        if refused is not None:
+            return refused
         decision = ChangeDecision(change)
         action = None
         while action is None:
@@ -328,6 +336,9 @@
         reports the result, so that this instance restores the head if the
         key-value service loses it.
         """
+        refused = self._refused(change)
+        if refused is not None:
+            return refused
         decision = ChangeDecision(change)
         limit = now() + ACCEPT_LIMIT_S
         while now() < limit:
@@ -345,3 +356,9 @@
             if settled is not None:
                 return settled
         return decision.on_time_limit()
+
+    def _refused(self, change: Change) -> ChangeResult | None:
+        failure = self.refusal()
+        if failure is None:
+            return None
+        return ChangeResult(Outcome.REFUSED, change.change_id, failure=failure)
--- a/clementinebank/document/tests/test_accept.py
+++ b/clementinebank/document/tests/test_accept.py
@@ -32,7 +32,7 @@
     next_head,
     orders,
 )
-from clementinebank.errors import Step
+from clementinebank.errors import Execution, Failure, Step
 from clementinebank.platform.tests.fakes import FakeKeyValueService, Fault
 
 
@@ -83,6 +83,8 @@
 
     service: FakeKeyValueService
     in_force: HeadRecord
+    # Why the instance does not know the record in force.
+    refusal: Failure | None = None
 
     @classmethod
     def start(cls):
@@ -122,8 +124,13 @@
 
         self.service.hooks_by_call[call] = hook
 
+    def use_case(self):
+        return AcceptChange(
+            self.service, lambda: self.in_force, lambda: self.refusal
+        )
+
     def apply(self, applied):
-        use_case = AcceptChange(self.service, lambda: self.in_force)
+        use_case = self.use_case()
         with FakeClockKernel() as kernel:
             return kernel.run(use_case.run, applied)
 
@@ -325,7 +332,7 @@
 
 def test_dry_run_writes_nothing():
     operators = Operators.start()
-    use_case = AcceptChange(operators.service, lambda: operators.in_force)
+    use_case = operators.use_case()
     with FakeClockKernel() as kernel:
         assert kernel.run(use_case.preview, _applied()) is None
         invalid = kernel.run(use_case.preview, change(5, 2, fleet=None))
@@ -362,6 +369,23 @@
     assert operators.service.calls == ['read']
 
 
+UNHEARD = Failure('record_unknown', 'no peer has answered', Step.ACCEPT)
+
+
+def test_instance_without_the_record_in_force_writes_nothing():
+    # It would contradict what another process holds.
+    operators = Operators.start()
+    operators.refusal = UNHEARD
+    settled = operators.apply(_applied())
+    assert settled.outcome is REFUSED
+    assert settled.failure.code == 'record_unknown'
+    assert settled.failure.execution is Execution.NOT_RUN
+    with FakeClockKernel() as kernel:
+        previewed = kernel.run(operators.use_case().preview, _applied())
+    assert previewed.failure.code == 'record_unknown'
+    assert operators.service.calls == []
+
+
 def test_repeat_at_a_process_that_only_saw_the_restored_head():
     # Another process has the change in force and will write it back, so that
     # a conflict is untrue.
@@ -372,8 +396,37 @@
     other_process = operators.stored
     operators.service.restore(DOCUMENT_KEY)
     operators.in_force = HeadRecord()
+    operators.refusal = UNHEARD
     operators.put(next_head(operators.stored, 8, 'bo', desk=desk(9)))
     settled = operators.apply(_applied())
     merged = merge_restored(operators.stored, other_process)
     assert merged.find_change(change_id(4)) is not None
     assert settled.outcome is not CONFLICT
+
+
+class IgnoresRefusal(AcceptChange):
+    """Broken: accepts changes without the record in force."""
+
+    def _refused(self, applied):
+        return None
+
+
+@pytest.mark.parametrize(
+    'guard',
+    [
+        test_repeat_at_a_process_that_only_saw_the_restored_head,
+        test_instance_without_the_record_in_force_writes_nothing,
+    ],
+)
+def test_negative_control_ignored_refusal_is_caught(guard, monkeypatch):
+    monkeypatch.setattr(Operators, 'use_case', _use_case_that_ignores)
+    with pytest.raises(AssertionError):
+        guard()
+
+
+def _use_case_that_ignores(operators):
+    return IgnoresRefusal(
+        operators.service,
+        lambda: operators.in_force,
+        lambda: operators.refusal,
+    )
--- a/clementinebank/document/tests/test_races.py
+++ b/clementinebank/document/tests/test_races.py
@@ -306,7 +306,9 @@
         told = Told(applied, Outcome.UNKNOWN)
         is_new = applied.change_id not in self.told_by_id
         told = self.told_by_id.setdefault(applied.change_id, told)
-        use_case = AcceptChange(self.service, lambda: self.heads[instance])
+        use_case = AcceptChange(
+            self.service, lambda: self.heads[instance], lambda: None
+        )
         settled = await use_case.run(applied)
         SEEN[settled.outcome.value] += 1
         told.outcome = settled.outcome
--- a/clementinebank/server/_document_routes.py
+++ b/clementinebank/server/_document_routes.py
@@ -8,6 +8,7 @@
 import attrs
 from result import Err
 
+from clementinebank.clock import now
 from clementinebank.document import (
     AcceptChange,
     ChangeResult,
@@ -73,7 +74,11 @@
     read = read_change(raw)
     if isinstance(read, Err):
         return _refuse_body(read.err_value)
-    use_case = AcceptChange(instance.key_value, lambda: instance.head)
+    use_case = AcceptChange(
+        instance.key_value,
+        lambda: instance.head,
+        lambda: instance.follower.exchange.change_failure(now()),
+    )
     if parse_qs(request.query).get('dry_run') == ['1']:
         rejected = await use_case.preview(read.ok_value)
         if rejected is None:
