Parse only the changed sections of a document

Ruled out: a key of name and text alone. Keeping the parsed YAML as well would make a change of the fleet cheaper, but holds several times the memory of the document.

Change: each section is read on its own; the result is kept by name, text and ServiceLimits, which is all that the validation of a service receives from the fleet section. Results of the document being read and of the one before are kept. The reading of services moved to _parse_service.py.

A change of max_instances, of the data centres or of the caller delay still parses every service.

--- a/clementinebank/document/_parse.py
+++ b/clementinebank/document/_parse.py
@@ -1,35 +1,30 @@
 """Strict reading of the document's sections."""
 
 import re
-from collections import Counter
 from collections.abc import Mapping
+from typing import cast
 
 import attrs
 from result import Err, Ok, Result
 
 from clementinebank.document._model import (
-    DEFAULT_DEADLINE_MS,
-    DEFAULT_EXTRA_LOAD,
     DEFAULT_MAX_INSTANCES,
-    DEFAULT_RETENTION_HOURS,
-    SINGLE_GROUP,
     Document,
     FleetSettings,
-    GroupSettings,
-    LeafSettings,
-    Objectives,
     ServiceSettings,
 )
+from clementinebank.document._parse_service import (
+    ServiceLimits,
+    read_service,
+)
+from clementinebank.document._section_cache import SectionCache
 from clementinebank.errors import FieldProblem
 from clementinebank.validation import FieldReader, parse_yaml
 
 SERVICE_PREFIX = 'service.'
 FLEET_SECTION = 'fleet'
 SERVICE_SECTION = re.compile(r'service\.[A-Za-z0-9][A-Za-z0-9_.-]*')
-KINDS = ('search', 'booking')
 ISOLATION_CHOICES = ('refuse', 'serve')
-ANSWER_POLICY_NAMES = ('latency_first', 'coverage_first')
-MAX_DEADLINE_MS = 60_000
 # The key-value service supports several hundred writes a second; 50 of them
 # are reserved for the document.
 MAX_BOOKING_WRITES_PER_SECOND = 450
@@ -39,8 +34,29 @@
 Parsed = Result[Document, list[FieldProblem]]
 
 
+@attrs.frozen
+class ReadSection:
+    """One section that was read.
+
+    Parameters
+    ----------
+    settings : FleetSettings, ServiceSettings or None
+        Typed content; ``None`` for a section of another name.
+    problems : tuple of FieldProblem
+        What is invalid.
+    """
+
+    settings: FleetSettings | ServiceSettings | None
+    problems: tuple[FieldProblem, ...]
+
+
+RECENT_SECTIONS = SectionCache()
+
+
 def parse_document(
-    texts_by_section: Mapping[str, str], revision: int
+    texts_by_section: Mapping[str, str],
+    revision: int,
+    cache: SectionCache | None = None,
 ) -> Parsed:
     """Parse and validate all sections.
 
@@ -50,25 +66,87 @@
         YAML text of each section by its name.
     revision : int
         Revision of the head record.
+    cache : SectionCache, optional
+        Results to reuse; by default those of this process. Sections with the
+        same text are not parsed again.
 
     Returns
     -------
     Result
         The document, or every problem found.
     """
-    readers = {
-        name: _section_reader(name, text)
+    cache = RECENT_SECTIONS if cache is None else cache
+    cache.start_document()
+    fleet = None
+    limits = None
+    if FLEET_SECTION in texts_by_section:
+        text = texts_by_section[FLEET_SECTION]
+        read = cache.get((FLEET_SECTION, text), lambda: _read_fleet_text(text))
+        fleet = cast(FleetSettings, read.settings)
+        limits = _limits_of(fleet)
+    sections = {
+        name: _read_section(cache, name, text, limits)
         for name, text in texts_by_section.items()
     }
-    if FLEET_SECTION not in readers:
-        problem = FieldProblem('$', 'missing section', None, FLEET_SECTION)
-        return Err([problem, *_problems_of(readers)])
-    document = _read_document(readers, revision)
-    problems = _problems_of(readers)
-    return Err(problems) if problems else Ok(document)
+    problems = [
+        attrs.evolve(problem, section=name)
+        for name, read in sections.items()
+        for problem in read.problems
+    ]
+    if fleet is None:
+        missing = FieldProblem('$', 'missing section', None, FLEET_SECTION)
+        return Err([missing, *problems])
+    if problems:
+        return Err(problems)
+    services = {
+        read.settings.name: read.settings
+        for read in sections.values()
+        if isinstance(read.settings, ServiceSettings)
+    }
+    return Ok(Document(revision, fleet, services))
+
+
+def _limits_of(fleet: FleetSettings) -> ServiceLimits:
+    return ServiceLimits(
+        frozenset(fleet.regions_by_data_centre),
+        fleet.max_instances,
+        fleet.caller_delay_ms,
+    )
+
+
+def _read_section(
+    cache: SectionCache, name: str, text: str, limits: ServiceLimits | None
+) -> ReadSection:
+    if name == FLEET_SECTION:
+        return cache.get((name, text), lambda: _read_fleet_text(text))
+    return cache.get(
+        (name, text, limits), lambda: _read_service_text(name, text, limits)
+    )
+
+
+def _read_fleet_text(text: str) -> ReadSection:
+    reader = _section_reader(text)
+    return ReadSection(_read_fleet(reader), _problems_of(reader))
+
+
+def _read_service_text(
+    section: str, text: str, limits: ServiceLimits | None
+) -> ReadSection:
+    reader = _section_reader(text)
+    settings = None
+    # Without the fleet section only the syntax is checked.
+    if limits is not None:
+        if SERVICE_SECTION.fullmatch(section):
+            name = section.removeprefix(SERVICE_PREFIX)
+            settings = read_service(name, reader, limits)
+        else:
+            reader.report(
+                '', 'unknown section; sections are fleet and service.<name>'
+            )
+    return ReadSection(settings, _problems_of(reader))
 
 
-def _section_reader(name: str, text: str) -> FieldReader:
+def _section_reader(text: str) -> FieldReader:
     marker = FILE_MARKER.search(text)
     if marker is not None:
         line = len(text[: marker.start()].splitlines()) + 1
@@ -86,33 +164,9 @@
     return FieldReader({}, problems=[problem])
 
 
-def _problems_of(readers: Mapping[str, FieldReader]) -> list[FieldProblem]:
-    return [
-        attrs.evolve(problem, section=name)
-        for name, reader in readers.items()
-        for problem in _root_problems(reader)
-    ]
-
-
-def _root_problems(reader: FieldReader) -> list[FieldProblem]:
+def _problems_of(reader: FieldReader) -> tuple[FieldProblem, ...]:
     # Of a section that is no YAML mapping, the missing fields are no news.
-    if reader.data:
-        return reader.problems
-    return reader.problems[:1]
-
-
-def _read_document(readers: dict[str, FieldReader], revision: int) -> Document:
-    fleet = _read_fleet(readers[FLEET_SECTION])
-    services: dict[str, ServiceSettings] = {}
-    for section, reader in readers.items():
-        name = section.removeprefix(SERVICE_PREFIX)
-        if SERVICE_SECTION.fullmatch(section):
-            services[name] = _read_service(name, reader, fleet)
-        elif section != FLEET_SECTION:
-            reader.report(
-                '', 'unknown section; sections are fleet and service.<name>'
-            )
-    return Document(revision, fleet, services)
+    return tuple(reader.problems if reader.data else reader.problems[:1])
 
 
 def _read_fleet(reader: FieldReader) -> FleetSettings:
@@ -147,148 +201,3 @@
         )
     reader.finish()
     return fleet
-
-
-def _read_service(
-    name: str, reader: FieldReader, fleet: FleetSettings
-) -> ServiceSettings:
-    kind = reader.text('kind', choices=KINDS)
-    groups = (
-        _read_groups(reader, fleet)
-        if kind == 'search'
-        else _read_single_group(reader, fleet)
-    )
-    service = ServiceSettings(
-        name=name,
-        owner=reader.text('owner'),
-        kind=kind,
-        groups_by_id=groups,
-        slots=reader.integer('slots', minimum=1),
-        connections=reader.integer('connections', minimum=1),
-        connect_ms=reader.integer('connect_ms', 6),
-        deadline_ms=reader.integer(
-            'deadline_ms',
-            DEFAULT_DEADLINE_MS,
-            minimum=1,
-            maximum=MAX_DEADLINE_MS,
-        ),
-        answer_policy=reader.text(
-            'answer_policy', 'latency_first', ANSWER_POLICY_NAMES
-        ),
-        extra_load=reader.number('extra_load', DEFAULT_EXTRA_LOAD, maximum=1),
-        retention_hours=reader.integer(
-            'retention_hours', DEFAULT_RETENTION_HOURS, minimum=1
-        ),
-        objectives=_read_objectives(reader),
-    )
-    _report_sizes(reader, service, fleet)
-    _report_shared_addresses(reader, groups)
-    reader.finish()
-    return service
-
-
-def _report_sizes(
-    reader: FieldReader, service: ServiceSettings, fleet: FleetSettings
-) -> None:
-    if service.connections < fleet.max_instances:
-        reader.report(
-            'connections',
-            f'{service.connections} cannot be divided among '
-            f'{fleet.max_instances} instances (fleet.max_instances); the '
-            'shares would exceed the limit of the leaf',
-        )
-    if service.slots > service.connections:
-        reader.report(
-            'slots',
-            f'{service.slots} slots cannot be used over '
-            f'{service.connections} connections, which carry one request each',
-        )
-    round_trip_ms = 2 * fleet.caller_delay_ms
-    if service.deadline_ms <= round_trip_ms:
-        reader.report(
-            'deadline_ms',
-            f'{service.deadline_ms} ms is not longer than the round trip to '
-            f'the caller of {round_trip_ms} ms (fleet.caller_delay_ms)',
-        )
-
-
-def _read_objectives(reader: FieldReader) -> Objectives:
-    child = reader.child('objectives', required=False)
-    objectives = Objectives(
-        latency_ms=child.integer('latency_ms', DEFAULT_DEADLINE_MS, minimum=1),
-        latency_ratio=child.number('latency_ratio', 0.99, maximum=1),
-        coverage_ratio=child.number('coverage_ratio', 0.999, maximum=1),
-    )
-    child.finish()
-    return objectives
-
-
-def _read_groups(
-    reader: FieldReader, fleet: FleetSettings
-) -> dict[str, GroupSettings]:
-    groups: dict[str, GroupSettings] = {}
-    for group_id, group in reader.children('groups'):
-        groups[group_id] = GroupSettings(
-            group_id, group.text('yard'), _read_leafs(group, fleet)
-        )
-        group.finish()
-    if not groups:
-        reader.report('groups', 'must name at least one group')
-    _report_shared_leafs(reader, groups)
-    return groups
-
-
-def _report_shared_leafs(
-    reader: FieldReader, groups: dict[str, GroupSettings]
-) -> None:
-    counts = Counter(
-        leaf_id for group in groups.values() for leaf_id in group.leafs_by_id
-    )
-    for leaf_id, count in counts.items():
-        if count > 1:
-            reader.report('groups', f'leaf {leaf_id} is in {count} groups')
-
-
-def _report_shared_addresses(
-    reader: FieldReader, groups: dict[str, GroupSettings]
-) -> None:
-    leaf_ids_by_address: dict[str, str] = {}
-    for group in groups.values():
-        for leaf in group.leafs_by_id.values():
-            address = str(leaf.address)
-            other = leaf_ids_by_address.setdefault(address, leaf.leaf_id)
-            if other != leaf.leaf_id and leaf.address.port:
-                path = f'leafs.{leaf.leaf_id}.address'
-                if group.group_id != SINGLE_GROUP:
-                    path = f'groups.{group.group_id}.{path}'
-                reader.report(path, f'{address} is also leaf {other}')
-
-
-def _read_single_group(
-    reader: FieldReader, fleet: FleetSettings
-) -> dict[str, GroupSettings]:
-    leafs = _read_leafs(reader, fleet)
-    return {SINGLE_GROUP: GroupSettings(SINGLE_GROUP, '', leafs)}
-
-
-def _read_leafs(
-    reader: FieldReader, fleet: FleetSettings
-) -> dict[str, LeafSettings]:
-    leafs: dict[str, LeafSettings] = {}
-    for leaf_id, leaf in reader.children('leafs'):
-        data_centre = leaf.text('data_centre')
-        regions = fleet.regions_by_data_centre
-        # Without any data centre the fault is in the fleet section.
-        if regions and data_centre not in regions:
-            leaf.report(
-                'data_centre', f'not in fleet.data_centres: {data_centre!r}'
-            )
-        leafs[leaf_id] = LeafSettings(
-            leaf_id, leaf.address('address'), data_centre
-        )
-        if not leafs[leaf_id].address.port and leaf.has('address'):
-            leaf.report('address', 'must have a port above 0')
-        leaf.finish()
-    if not leafs:
-        reader.report('leafs', 'must name at least one leaf')
-    return leafs
--- /dev/null
+++ b/clementinebank/document/_parse_service.py
@@ -0,0 +1,199 @@
+"""Strict reading of a service section."""
+
+from collections import Counter
+
+import attrs
+
+from clementinebank.document._model import (
+    DEFAULT_DEADLINE_MS,
+    DEFAULT_EXTRA_LOAD,
+    DEFAULT_RETENTION_HOURS,
+    SINGLE_GROUP,
+    GroupSettings,
+    LeafSettings,
+    Objectives,
+    ServiceSettings,
+)
+from clementinebank.validation import FieldReader
+
+KINDS = ('search', 'booking')
+ANSWER_POLICY_NAMES = ('latency_first', 'coverage_first')
+MAX_DEADLINE_MS = 60_000
+
+
+@attrs.frozen
+class ServiceLimits:
+    """All that the validation of a service takes from the fleet section.
+
+    It is part of the key of a cached result, so that a change of the fleet
+    section that can make a service invalid validates it again.
+
+    Parameters
+    ----------
+    data_centres : frozenset of str
+        Names of the data centres.
+    max_instances : int
+        Number that divides the connections.
+    caller_delay_ms : float
+        One-way delay to a caller in milliseconds.
+    """
+
+    data_centres: frozenset[str]
+    max_instances: int
+    caller_delay_ms: float
+
+
+def read_service(
+    name: str, reader: FieldReader, limits: ServiceLimits
+) -> ServiceSettings:
+    """Read and validate a service section.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    reader : FieldReader
+        Fields of the section; receives the problems.
+    limits : ServiceLimits
+        What the fleet section requires of a service.
+    """
+    kind = reader.text('kind', choices=KINDS)
+    groups = (
+        _read_groups(reader, limits)
+        if kind == 'search'
+        else _read_single_group(reader, limits)
+    )
+    service = ServiceSettings(
+        name=name,
+        owner=reader.text('owner'),
+        kind=kind,
+        groups_by_id=groups,
+        slots=reader.integer('slots', minimum=1),
+        connections=reader.integer('connections', minimum=1),
+        connect_ms=reader.integer('connect_ms', 6),
+        deadline_ms=reader.integer(
+            'deadline_ms',
+            DEFAULT_DEADLINE_MS,
+            minimum=1,
+            maximum=MAX_DEADLINE_MS,
+        ),
+        answer_policy=reader.text(
+            'answer_policy', 'latency_first', ANSWER_POLICY_NAMES
+        ),
+        extra_load=reader.number('extra_load', DEFAULT_EXTRA_LOAD, maximum=1),
+        retention_hours=reader.integer(
+            'retention_hours', DEFAULT_RETENTION_HOURS, minimum=1
+        ),
+        objectives=_read_objectives(reader),
+    )
+    _report_sizes(reader, service, limits)
+    _report_shared_addresses(reader, groups)
+    reader.finish()
+    return service
+
+
+def _report_sizes(
+    reader: FieldReader, service: ServiceSettings, limits: ServiceLimits
+) -> None:
+    if service.connections < limits.max_instances:
+        reader.report(
+            'connections',
+            f'{service.connections} cannot be divided among '
+            f'{limits.max_instances} instances (fleet.max_instances); the '
+            'shares would exceed the limit of the leaf',
+        )
+    if service.slots > service.connections:
+        reader.report(
+            'slots',
+            f'{service.slots} slots cannot be used over '
+            f'{service.connections} connections, which carry one request each',
+        )
+    round_trip_ms = 2 * limits.caller_delay_ms
+    if service.deadline_ms <= round_trip_ms:
+        reader.report(
+            'deadline_ms',
+            f'{service.deadline_ms} ms is not longer than the round trip to '
+            f'the caller of {round_trip_ms} ms (fleet.caller_delay_ms)',
+        )
+
+
+def _read_objectives(reader: FieldReader) -> Objectives:
+    child = reader.child('objectives', required=False)
+    objectives = Objectives(
+        latency_ms=child.integer('latency_ms', DEFAULT_DEADLINE_MS, minimum=1),
+        latency_ratio=child.number('latency_ratio', 0.99, maximum=1),
+        coverage_ratio=child.number('coverage_ratio', 0.999, maximum=1),
+    )
+    child.finish()
+    return objectives
+
+
+def _read_groups(
+    reader: FieldReader, limits: ServiceLimits
+) -> dict[str, GroupSettings]:
+    groups: dict[str, GroupSettings] = {}
+    for group_id, group in reader.children('groups'):
+        groups[group_id] = GroupSettings(
+            group_id, group.text('yard'), _read_leafs(group, limits)
+        )
+        group.finish()
+    if not groups:
+        reader.report('groups', 'must name at least one group')
+    _report_shared_leafs(reader, groups)
+    return groups
+
+
+def _report_shared_leafs(
+    reader: FieldReader, groups: dict[str, GroupSettings]
+) -> None:
+    counts = Counter(
+        leaf_id for group in groups.values() for leaf_id in group.leafs_by_id
+    )
+    for leaf_id, count in counts.items():
+        if count > 1:
+            reader.report('groups', f'leaf {leaf_id} is in {count} groups')
+
+
+def _report_shared_addresses(
+    reader: FieldReader, groups: dict[str, GroupSettings]
+) -> None:
+    leaf_ids_by_address: dict[str, str] = {}
+    for group in groups.values():
+        for leaf in group.leafs_by_id.values():
+            address = str(leaf.address)
+            other = leaf_ids_by_address.setdefault(address, leaf.leaf_id)
+            if other != leaf.leaf_id and leaf.address.port:
+                path = f'leafs.{leaf.leaf_id}.address'
+                if group.group_id != SINGLE_GROUP:
+                    path = f'groups.{group.group_id}.{path}'
+                reader.report(path, f'{address} is also leaf {other}')
+
+
+def _read_single_group(
+    reader: FieldReader, limits: ServiceLimits
+) -> dict[str, GroupSettings]:
+    leafs = _read_leafs(reader, limits)
+    return {SINGLE_GROUP: GroupSettings(SINGLE_GROUP, '', leafs)}
+
+
+def _read_leafs(
+    reader: FieldReader, limits: ServiceLimits
+) -> dict[str, LeafSettings]:
+    leafs: dict[str, LeafSettings] = {}
+    for leaf_id, leaf in reader.children('leafs'):
+        data_centre = leaf.text('data_centre')
+        # Without any data centre the fault is in the fleet section.
+        known = limits.data_centres
+        if known and data_centre not in known:
+            leaf.report(
+                'data_centre', f'not in fleet.data_centres: {data_centre!r}'
+            )
+        leafs[leaf_id] = LeafSettings(
+            leaf_id, leaf.address('address'), data_centre
+        )
+        if not leafs[leaf_id].address.port and leaf.has('address'):
+            leaf.report('address', 'must have a port above 0')
+        leaf.finish()
+    if not leafs:
+        reader.report('leafs', 'must name at least one leaf')
+    return leafs
