Allow 3,700 instances with a subset of instances per leaf

Cause: fleet.max_instances was bounded at 64, so that the target size could not be written, and all instances divided the connections of every leaf.

Ruled out: raising the bound alone, since a leaf with 30 connections cannot give each of 3,700 instances one. Dropping the rule of one booking write a second for each instance, since most bookings of an instance would be refused.

Change: max_instances is at most 4,096. The optional fleet.instances_per_leaf divides the connections (Document.connection_share); a share of less than one connection and a subset larger than the fleet are refused. The rule for booking writes applies if the document has a booking service; it keeps its section, field and text. A fleet without bookings can thus exceed 450 instances.

Conclusion: 3,700 with instances_per_leaf is accepted and without it refused for services of fewer connections (test_parse.py). Routing does not select the subset yet; design.md section 6 says not to set the field until it does.

--- a/clementinebank/document/_model.py
+++ b/clementinebank/document/_model.py
@@ -133,7 +133,9 @@
     regions_by_data_centre : dict of str to str
         Region of each data centre.
     max_instances : int
-        Largest number of instances, which divides the connections.
+        Largest number of instances.
+    instances_per_leaf : int or None
+        Largest number of instances that use one leaf; ``None`` for all.
     isolation : str
         ``refuse`` or ``serve``.
     data_centre_delay_ms, region_delay_ms, caller_delay_ms : float
@@ -150,6 +152,14 @@
     region_delay_ms: float = 8
     caller_delay_ms: float = 3
     booking_writes_per_second: int = 200
+    instances_per_leaf: int | None = None
+
+    @property
+    def users_per_leaf(self) -> int:
+        """Return the number of instances that share a leaf's connections."""
+        if self.instances_per_leaf is None:
+            return self.max_instances
+        return self.instances_per_leaf
 
     def delay_ms(self, one: str, other: str) -> float:
         """Return the one-way delay between two data centres in ms."""
@@ -181,7 +191,7 @@
 
     def connection_share(self, service: ServiceSettings) -> int:
         """Return the connections of one instance to one leaf."""
-        return max(1, service.connections // self.fleet.max_instances)
+        return max(1, service.connections // self.fleet.users_per_leaf)
 
     def delays_by_leaf(
         self, service: ServiceSettings, data_centre: str
--- a/clementinebank/document/_parse.py
+++ b/clementinebank/document/_parse.py
@@ -28,6 +28,8 @@
 # The key-value service supports several hundred writes a second; 50 of them
 # are reserved for the document.
 MAX_BOOKING_WRITES_PER_SECOND = 450
+# The target is 3,700 instances; the rest is room for replacements.
+MAX_INSTANCES = 4096
 # These would end or damage a file that holds all sections.
 FILE_MARKER = re.compile(r'^(?:---|\.\.\.)(?:\s|$)|^%|\ufeff', re.MULTILINE)
 
@@ -44,10 +46,13 @@
         Typed content; ``None`` for a section of another name.
     problems : tuple of FieldProblem
         What is invalid.
+    booking_problems : tuple of FieldProblem
+        What is invalid in the fleet section if a service takes bookings.
     """
 
     settings: FleetSettings | ServiceSettings | None
     problems: tuple[FieldProblem, ...]
+    booking_problems: tuple[FieldProblem, ...] = ()
 
 
 RECENT_SECTIONS = SectionCache()
@@ -91,7 +96,7 @@
     problems = [
         attrs.evolve(problem, section=name)
         for name, read in sections.items()
-        for problem in read.problems
+        for problem in _problems_in(read, sections)
     ]
     if fleet is None:
         missing = FieldProblem('$', 'missing section', None, FLEET_SECTION)
@@ -106,10 +111,22 @@
     return Ok(Document(revision, fleet, services))
 
 
+def _problems_in(
+    read: ReadSection, sections: Mapping[str, ReadSection]
+) -> tuple[FieldProblem, ...]:
+    if read.booking_problems and any(
+        isinstance(each.settings, ServiceSettings)
+        and each.settings.kind == 'booking'
+        for each in sections.values()
+    ):
+        return (*read.problems, *read.booking_problems)
+    return read.problems
+
+
 def _limits_of(fleet: FleetSettings) -> ServiceLimits:
     return ServiceLimits(
         frozenset(fleet.regions_by_data_centre),
-        fleet.max_instances,
+        fleet.users_per_leaf,
         fleet.caller_delay_ms,
     )
 
@@ -126,7 +143,16 @@
 
 def _read_fleet_text(text: str) -> ReadSection:
     reader = _section_reader(text)
-    return ReadSection(_read_fleet(reader), _problems_of(reader))
+    fleet = _read_fleet(reader)
+    problems = _problems_of(reader)
+    reader.problems.clear()
+    if fleet.booking_writes_per_second < fleet.max_instances:
+        reader.report(
+            'booking_writes_per_second',
+            f'{fleet.booking_writes_per_second} gives an instance less than '
+            f'one write a second (max_instances: {fleet.max_instances})',
+        )
+    return ReadSection(fleet, problems, tuple(reader.problems))
 
 
 def _read_service_text(
@@ -180,7 +206,10 @@
         owner=reader.text('owner'),
         regions_by_data_centre=regions,
         max_instances=reader.integer(
-            'max_instances', DEFAULT_MAX_INSTANCES, minimum=1, maximum=64
+            'max_instances',
+            DEFAULT_MAX_INSTANCES,
+            minimum=1,
+            maximum=MAX_INSTANCES,
         ),
         isolation=reader.text('isolation', 'refuse', ISOLATION_CHOICES),
         data_centre_delay_ms=reader.number('data_centre_delay_ms', 4),
@@ -192,12 +221,22 @@
             minimum=1,
             maximum=MAX_BOOKING_WRITES_PER_SECOND,
         ),
+        instances_per_leaf=_read_instances_per_leaf(reader),
     )
-    if fleet.booking_writes_per_second < fleet.max_instances:
+    if fleet.users_per_leaf > fleet.max_instances:
         reader.report(
-            'booking_writes_per_second',
-            f'{fleet.booking_writes_per_second} gives an instance less than '
-            f'one write a second (max_instances: {fleet.max_instances})',
+            'instances_per_leaf',
+            f'{fleet.users_per_leaf} is more than the instances of the fleet '
+            f'(max_instances: {fleet.max_instances})',
         )
     reader.finish()
     return fleet
+
+
+def _read_instances_per_leaf(reader: FieldReader) -> int | None:
+    # A field without a value is reported and not taken for an absent one.
+    if not reader.has('instances_per_leaf'):
+        return None
+    return reader.integer(
+        'instances_per_leaf', minimum=1, maximum=MAX_INSTANCES
+    )
--- a/clementinebank/document/_parse_service.py
+++ b/clementinebank/document/_parse_service.py
@@ -32,14 +32,14 @@
     ----------
     data_centres : frozenset of str
         Names of the data centres.
-    max_instances : int
+    users_per_leaf : int
         Number that divides the connections.
     caller_delay_ms : float
         One-way delay to a caller in milliseconds.
     """
 
     data_centres: frozenset[str]
-    max_instances: int
+    users_per_leaf: int
     caller_delay_ms: float
 
 
@@ -95,12 +95,13 @@
 def _report_sizes(
     reader: FieldReader, service: ServiceSettings, limits: ServiceLimits
 ) -> None:
-    if service.connections < limits.max_instances:
+    if service.connections < limits.users_per_leaf:
         reader.report(
             'connections',
             f'{service.connections} cannot be divided among '
-            f'{limits.max_instances} instances (fleet.max_instances); the '
-            'shares would exceed the limit of the leaf',
+            f'{limits.users_per_leaf} instances (fleet.max_instances or '
+            'fleet.instances_per_leaf); the shares would exceed the limit '
+            'of the leaf',
         )
     if service.slots > service.connections:
         reader.report(
--- a/clementinebank/document/tests/test_parse.py
+++ b/clementinebank/document/tests/test_parse.py
@@ -23,6 +23,9 @@
     FLEET.replace('max_instances: 2', 'max_instances: 30'),
     FLEET.replace('north-a', 'south-a'),
     FLEET + 'caller_delay_ms: 60\n',
+    FLEET + 'booking_writes_per_second: 1\n',
+    FLEET + 'instances_per_leaf: 1\n',
+    FLEET + 'instances_per_leaf: 3\n',
     FLEET + 'isolation: serve\n',
     FLEET + 'isolation: never\n',
     'owner: [',
@@ -123,3 +126,70 @@
         parse_document({**TEXTS, 'service.desk': desk(slots)}, 1, cache)
     assert len(cache._current) == len(TEXTS)
     assert len(cache._previous) == len(TEXTS)
+
+
+def _fleet_of(max_instances, *lines):
+    text = FLEET.replace('max_instances: 2', f'max_instances: {max_instances}')
+    return '\n'.join([text.rstrip(), *lines, ''])
+
+
+def _fields_of(parsed):
+    return {(each.section, each.field) for each in parsed.err_value}
+
+
+def test_target_size_can_be_written_with_a_subset_per_leaf():
+    fleet = _fleet_of(3700, 'instances_per_leaf: 8')
+    texts = {'fleet': fleet, 'service.desk': DESK}
+    document = parse_document(texts, 1, SectionCache()).unwrap()
+    assert document.fleet.max_instances == 3700
+    service = document.services_by_name['desk']
+    share = document.connection_share(service)
+    assert share == service.connections // 8
+    assert share * 8 <= service.connections
+
+
+def test_without_a_subset_all_instances_divide_the_connections():
+    document = parse_document(TEXTS, 1, SectionCache()).unwrap()
+    service = document.services_by_name['desk']
+    assert document.connection_share(service) == service.connections // 2
+
+
+@pytest.mark.parametrize(
+    ('lines', 'refused'),
+    [
+        # 20 connections: no instance gets one.
+        ((), {('service.desk', 'connections')}),
+        (('instances_per_leaf: 21',), {('service.desk', 'connections')}),
+        (('instances_per_leaf: 20',), None),
+        (('instances_per_leaf: 3701',), {('fleet', 'instances_per_leaf')}),
+        (('instances_per_leaf: 0',), {('fleet', 'instances_per_leaf')}),
+        (('instances_per_leaf:',), {('fleet', 'instances_per_leaf')}),
+    ],
+)
+def test_share_of_less_than_one_connection_is_refused(lines, refused):
+    texts = {'fleet': _fleet_of(3700, *lines), 'service.desk': DESK}
+    parsed = parse_document(texts, 1, SectionCache())
+    if refused is None:
+        assert parsed.is_ok()
+    else:
+        assert refused <= _fields_of(parsed)
+
+
+def test_fleet_beyond_the_bound_is_refused():
+    fleet = _fleet_of(4097, 'instances_per_leaf: 8')
+    parsed = parse_document({'fleet': fleet}, 1, SectionCache())
+    assert ('fleet', 'max_instances') in _fields_of(parsed)
+
+
+def test_bookings_need_one_write_a_second_for_each_instance():
+    # A share below it would refuse most bookings of an instance.
+    lines = ('instances_per_leaf: 8', 'booking_writes_per_second: 450')
+    for instances, is_valid in ((450, True), (451, False)):
+        fleet = _fleet_of(instances, *lines)
+        texts = {'fleet': fleet, 'service.orders': ORDERS}
+        parsed = parse_document(texts, 1, SectionCache())
+        assert parsed.is_ok() is is_valid
+        if not is_valid:
+            assert _fields_of(parsed) == {
+                ('fleet', 'booking_writes_per_second')
+            }
