Lower the cost of the membership view

Ruled out: sampling without a pass over the entries, which would change the random choices that the fleet tests and the heard windows were set for.

Change: the filters compare the fields themselves, members that are not usable are listed only when they are chosen from, and nlargest uses attrgetter.

The whole control work at 3,700 instances was not measured.

--- a/clementinebank/membership/_view.py
+++ b/clementinebank/membership/_view.py
@@ -3,6 +3,7 @@
 import heapq
 import math
 from collections import Counter
+from operator import attrgetter
 
 import attrs
 
@@ -13,6 +14,7 @@
     MemberState,
 )
 from clementinebank.membership._table import (
+    FAILURES_OF_SUSPECT,
     HEARD_WINDOW_S,
     MAX_NEWS,
     NEVER,
@@ -25,6 +27,7 @@
 # partition, which suspect each other, would not find each other again.
 LOCAL_SHARE = 0.5
 SUSPECT_SHARE = 0.25
+HEARD_AT = attrgetter('heard_at')
 
 
 @attrs.define
@@ -96,17 +99,23 @@
     def choose_peers(self, count: int, now: float) -> list[Member]:
         """Return random peers, about half of them in other data centres."""
         limit = self.silence_limit(now)
-        usable: list[Member] = []
-        present: list[Member] = []
-        for entry in self.entries_by_id.values():
-            if entry.member.state is not MemberState.GONE:
-                present.append(entry.member)
-                if not entry.is_suspect(limit):
-                    usable.append(entry.member)
+        entries = [
+            entry
+            for entry in self.entries_by_id.values()
+            if entry.member.state is not MemberState.GONE
+        ]
+        # Calls of ``is_suspect`` took a fifth of the time at 3,700 members.
+        usable = [
+            entry.member
+            for entry in entries
+            if entry.seen_at >= limit and entry.failures < FAILURES_OF_SUSPECT
+        ]
         chosen: dict[str, Member] = {}
         for _ in range(2 * count):
             takes_any = self.rng.random() < SUSPECT_SHARE or not usable
-            member = self._choose_one(present if takes_any else usable)
+            member = self._choose_one(
+                [entry.member for entry in entries] if takes_any else usable
+            )
             if member is not None and len(chosen) < count:
                 chosen[member.instance_id] = member
         return list(chosen.values())
@@ -123,8 +132,11 @@
             for entry in self.entries_by_id.values()
             if entry.heard_at != NEVER
             and (
-                entry.member.state is MemberState.GONE
-                or not entry.is_suspect(limit)
+                (
+                    entry.seen_at >= limit
+                    and entry.failures < FAILURES_OF_SUSPECT
+                )
+                or entry.member.state is MemberState.GONE
             )
         ]
         if len(entries) > MAX_NEWS:
@@ -138,7 +150,7 @@
         changed = [entry for entry in entries if entry.sends_left][:MAX_NEWS]
         for entry in changed:
             entry.sends_left -= 1
-        recent = heapq.nlargest(MAX_NEWS // 2, entries, key=_heard_at_of)
+        recent = heapq.nlargest(MAX_NEWS // 2, entries, key=HEARD_AT)
         sample = self.rng.sample(entries, MAX_NEWS)
         chosen = {
             each.member.instance_id: each
@@ -152,14 +164,7 @@
 
     def _choose_one(self, members: list[Member]) -> Member | None:
         if self.rng.random() < LOCAL_SHARE:
-            local = [
-                each
-                for each in members
-                if each.data_centre == self.own.data_centre
-            ]
+            own = self.own.data_centre
+            local = [each for each in members if each.data_centre == own]
             members = local or members
         return self.rng.choice(members) if members else None
-
-
-def _heard_at_of(entry: Entry) -> float:
-    return entry.heard_at
