Add the document path to the fault matrix

Cause: the matrix had no row of the steps read_head, merge, swap, confirm, distribute and activate.

Change: six instances of the in-memory network accept one change under each fault; afterwards it is repeated at another instance. Each cell checks that the change has a result in time, that a refusal is true, that no revision goes back and that every accepted change is in force everywhere 12 s after the fault.

Ruled out: a key-value service that loses an answer only at the swap, with which the step confirm is never reached; the first swap of the rows of confirm is always lost.

--- a/tests/faults/common_faults.py
+++ b/tests/faults/common_faults.py
@@ -15,7 +15,7 @@
 
 fault('partition', 'the links to some of the processes are cut', OTHERS)
 fault('response_lost', 'the response is lost after the effect', OTHERS)
-fault('delay', 'responses come after the deadline', OTHERS)
+fault('delay', 'responses come late', OTHERS)
 fault('stale_list', 'the instance list states an old fleet', OTHERS)
 fault('racing_operator', 'another operator changes the document', OTHERS)
 fault('restore', 'the key-value service returns an older state', OTHERS)
--- /dev/null
+++ b/tests/faults/path_document.py
@@ -0,0 +1,56 @@
+"""The document path of the fault matrix, on the in-memory network."""
+
+from clementinebank.document import ACCEPT_STEPS
+from clementinebank.errors import Step
+from tests.faults import common_faults  # noqa: F401
+from tests.faults.document_world import DocumentWorld, run_document_world
+from tests.faults.matrix import CellRun, FaultPath, fault_path
+
+FAULT_S = 8
+PAUSE_S = 60
+
+DOCUMENT_STEPS = [*ACCEPT_STEPS, Step.DISTRIBUTE, Step.ACTIVATE]
+
+
+def _lose(world):
+    world.lost_answers += 1
+
+
+INJECTORS = {
+    'kill': DocumentWorld.kill,
+    'pause': lambda world: world.pause(PAUSE_S),
+    'partition': lambda world: world.cut(FAULT_S),
+    'response_lost': _lose,
+    'delay': lambda world: world.delay(FAULT_S),
+    'outage': lambda world: world.stop_service(FAULT_S),
+    'stale_list': lambda world: world.freeze_list(FAULT_S),
+    'racing_operator': DocumentWorld.race,
+    'restore': DocumentWorld.restore,
+}
+
+
+def run_document(injections, **variant):
+    """Accept a change under faults and repeat it after them."""
+    pending = list(injections)
+
+    def on_step(world, step):
+        for each in list(pending):
+            if each.step == step and each in pending:
+                pending.remove(each)
+                INJECTORS[each.fault](world)
+
+    # The head is read back only if the answer to a swap was lost.
+    is_confirmed = any(each.step == 'confirm' for each in injections)
+    world = DocumentWorld(on_step, loses_first_swap=is_confirmed, **variant)
+    problems = run_document_world(world)
+    return CellRun(problems, frozenset(injections) - frozenset(pending))
+
+
+DOCUMENT_PATH = fault_path(
+    FaultPath(
+        'document',
+        lambda: [step.value for step in DOCUMENT_STEPS],
+        INJECTORS,
+        run_document,
+    )
+)
