Add the life of a leaving leaf to the fault matrix

Cause: the matrix had no row of the steps probe, drain and close, and R6 was checked nowhere together with faults.

Change: searches run every 100 ms while a leaf states that it is draining and is later removed from the document. Each cell checks that no work is sent to it later than 3 s after the first signal, that its connections close and that every answer is true. The time of a shard request is now noted when it is sent: noted at the leaf, a request sent before a pause counted as sent after it (search: accept x racing_operator and merge x pause).

Ruled out: demanding a status of a leaf that is cut off until it is removed; the document is then the first signal.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(PYTHON) -m pytest
 
 faults: $(VENV)/.installed
-	$(PYTHON) -m tests.faults
+	$(PYTHON) -m tests.faults $(PATHS)
 
 run: $(VENV)/.installed
 	sh examples/run.sh $(PYTHON)
--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -1,4 +1,7 @@
-"""Prints one line per cell and the totals; exits with 1 on a failure."""
+"""Prints one line per cell and the totals; exits with 1 on a failure.
+
+The arguments are names of paths; without any, all paths run.
+"""
 
 import logging
 import sys
@@ -6,12 +9,13 @@
 from tests.faults.matrix import load_paths, pair_cells, run_cell, single_cells
 
 
-def main():
-    """Run the whole matrix."""
+def main(names):
+    """Run the matrix of the named paths."""
     # curio warns of every timer that a pause of the clock has passed.
     logging.getLogger('curio').setLevel(logging.ERROR)
     results = []
-    for path in load_paths().values():
+    paths_by_name = load_paths()
+    for path in [paths_by_name[name] for name in names or paths_by_name]:
         for cell in (*single_cells(path), *pair_cells(path)):
             results.append(run_cell(cell))
             print(results[-1], flush=True)
@@ -26,4 +30,4 @@
     return 1 if failed else 0
 
 
-sys.exit(main())
+sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/faults/leaf_world.py
@@ -0,0 +1,154 @@
+"""A leaf that leaves while searches run, under faults."""
+
+import attrs
+import curio
+
+from clementinebank.clock import now
+from clementinebank.search.tests.worlds import DEADLINE_S
+from tests.faults.search_fakes import FakeConnection
+from tests.faults.search_world import (
+    LEAVING_LIMIT_S,
+    REMOVED_LEAF,
+    SearchWorld,
+)
+
+SEARCH_INTERVAL_S = 0.1
+DRAIN_S = 6
+CLOSE_S = 6
+
+
+@attrs.define(eq=False)
+class LeafConnection(FakeConnection):
+    """Connection that reports the steps of the leaving leaf."""
+
+    is_open: bool = False
+
+    async def connect(self):
+        await super().connect()
+        self.is_open = True
+
+    async def send(self, request):
+        if request.method == 'GET' and self.leaf_id == REMOVED_LEAF:
+            self.world.step('probe', self.leaf_id)
+        await super().send(request)
+
+    async def close(self):
+        if self.leaf_id == REMOVED_LEAF and self.world.removed_at is not None:
+            self.world.step('close', self.leaf_id)
+        self.is_open = False
+        await super().close()
+
+
+@attrs.define(eq=False)
+class LeafWorld(SearchWorld):
+    """Searches continue while one leaf states that it is draining."""
+
+    is_leaving: bool = False
+    signalled_at: float = None
+    connections: list = attrs.Factory(list)
+    paused_s: float = 0
+    open_while_draining: int = 0
+
+    def pause(self, seconds):
+        super().pause(seconds)
+        self.paused_s += seconds
+
+    def is_cut(self, leaf_id):
+        return now() < self.cut_until and leaf_id == REMOVED_LEAF
+
+    def connection_to(self, leaf_id, engine):
+        connection = LeafConnection(self, leaf_id, engine)
+        self.connections.append(connection)
+        return connection
+
+    def _status(self, leaf_id):
+        status = super()._status(leaf_id)
+        if leaf_id == REMOVED_LEAF and self.is_leaving:
+            if self.signalled_at is None:
+                self.signalled_at = now()
+                self.step('drain', leaf_id)
+            status['state'] = 'draining'
+        return status
+
+    async def handle(self, leaf_id, request):
+        reply = await super().handle(leaf_id, request)
+        is_status = request.method == 'GET' and leaf_id == REMOVED_LEAF
+        if is_status and self.delay_until > now():
+            await curio.sleep(0.4)
+        if is_status and self.reply_faults:
+            name, _ = self.reply_faults.pop(0)
+            return None if name == 'lost' else reply
+        return reply
+
+    def _respond(self, leaf_id, headers, body):
+        faults, self.reply_faults = self.reply_faults, []
+        reply = super()._respond(leaf_id, headers, body)
+        self.reply_faults = faults
+        return reply
+
+    async def run(self):
+        """Let a leaf drain and leave the document under faults."""
+        self.publish({})
+        self.publish({})
+        await self.start_instance()
+        await curio.spawn(self.operate, daemon=True)
+        searches = await curio.spawn(self._search_on, daemon=True)
+        await curio.sleep(3)
+        self.is_armed = True
+        self.is_leaving = True
+        await self._wait(DRAIN_S)
+        self.open_while_draining = self.count_open()
+        self.request_change()
+        await self._wait(CLOSE_S)
+        self.is_armed = False
+        await searches.cancel()
+        await curio.sleep(2 * DEADLINE_S)
+        self.unfired = {name for name, _ in self.reply_faults}
+        return self.problems()
+
+    async def _wait(self, seconds):
+        started = now() - self.paused_s
+        while now() - self.paused_s < started + seconds:
+            if self.is_killed:
+                # The instance is replaced at once.
+                self.is_killed = False
+                await self.start_instance()
+            await curio.sleep(0.05)
+
+    async def _search_on(self):
+        number = 0
+        while True:
+            number += 1
+            await curio.spawn(self.search, number, daemon=True)
+            await curio.sleep(SEARCH_INTERVAL_S)
+
+    def count_open(self):
+        """Return the connections of the instance to the leaving leaf."""
+        return sum(
+            each.is_open
+            for each in self.connections
+            if each.leaf_id == REMOVED_LEAF and each.engine is self.engine
+        )
+
+    def problems(self):
+        found = []
+        # A leaf that is cut off until it is removed states nothing itself.
+        signals = (self.signalled_at, self.removed_at)
+        signalled_at = min(at for at in signals if at is not None)
+        limit = signalled_at + LEAVING_LIMIT_S + self.paused_s
+        found.extend(
+            f'R6 {call_id} was sent {at - signalled_at:.2f} s after the '
+            'first signal'
+            for call_id, leaf_id, at in self.sent
+            if leaf_id == REMOVED_LEAF and at > limit
+        )
+        still_open = self.count_open()
+        if still_open:
+            found.append(f'R6 {still_open} connections stay open')
+        for request in self.requests.values():
+            for outcome, _ in self.endings.get(request.request_id, []):
+                if outcome.is_ok():
+                    found.extend(
+                        self._answer_problems(request, outcome.ok_value)
+                    )
+        return found
--- /dev/null
+++ b/tests/faults/path_leaf.py
@@ -0,0 +1,64 @@
+"""The life of a leaving leaf in the fault matrix: probe, drain, close."""
+
+from clementinebank.errors import Step
+from tests.faults import common_faults  # noqa: F401
+from tests.faults.leaf_world import LeafWorld
+from tests.faults.matrix import CellRun, FaultPath, fault_path
+from tests.faults.search_world import run_search_world
+
+PAUSE_S = 30
+FAULT_S = 2
+
+LEAF_STEPS = [Step.PROBE, Step.DRAIN, Step.CLOSE]
+STEP_NAMES = tuple(step.value for step in LEAF_STEPS)
+
+INJECTORS = {
+    'kill': lambda world: world.kill(),
+    'pause': lambda world: world.pause(PAUSE_S),
+    'partition': lambda world: world.cut(FAULT_S),
+    'response_lost': lambda world: world.fault_reply('lost', None),
+    'delay': lambda world: world.delay(FAULT_S),
+    'racing_operator': lambda world: world.request_change(),
+}
+EXCLUSIONS = {
+    'outage': [(STEP_NAMES, 'no step calls the key-value service')],
+    'restore': [
+        (STEP_NAMES, 'the document path keeps an older head from the engine')
+    ],
+    'stale_list': [(STEP_NAMES, 'the list names instances and no leafs')],
+    'response_lost': [(('close',), 'a leaf that is closed is not probed')],
+    'racing_operator': [
+        (('close',), 'the step is itself the effect of a change')
+    ],
+}
+
+
+def run_leaf(injections, **variant):
+    """Let a leaf leave under faults."""
+    pending = list(injections)
+
+    def on_step(world, step, leaf_id):
+        for each in list(pending):
+            if each.step == step and each in pending:
+                pending.remove(each)
+                INJECTORS[each.fault](world)
+
+    world = LeafWorld(on_step, **variant)
+    problems = run_search_world(world)
+    reached = [
+        each
+        for each in injections
+        if each not in pending and each.fault not in world.unfired
+    ]
+    return CellRun(problems, frozenset(reached))
+
+
+LEAF_PATH = fault_path(
+    FaultPath(
+        'leaf',
+        lambda: [step.value for step in LEAF_STEPS],
+        INJECTORS,
+        run_leaf,
+        EXCLUSIONS,
+    )
+)
--- a/tests/faults/search_fakes.py
+++ b/tests/faults/search_fakes.py
@@ -47,6 +47,9 @@
         if request.method == 'POST':
             self.world.step('dispatch', self.leaf_id)
         await self._stop_if_killed()
+        if request.method == 'POST':
+            call_id = request.headers['request-id']
+            self.world.sent.append((call_id, self.leaf_id, now()))
         self.is_reusable = False
         self.replies = curio.Queue()
         await curio.spawn(self._serve, request, self.replies, daemon=True)
@@ -134,6 +137,9 @@
     def on_time(self, at):
         return [] if self._is_dead else self._seen(super().on_time(at))
 
+    def abandon(self, at):
+        return [] if self._is_dead else super().abandon(at)
+
     @property
     def next_wakeup(self):
         # A killed process has no timers.
--- a/tests/faults/search_world.py
+++ b/tests/faults/search_world.py
@@ -133,7 +133,6 @@
         if request.method != 'POST':
             return json_response(200, self._status(leaf_id), headers)
         call_id = headers['request-id']
-        self.sent.append((call_id, leaf_id, now()))
         if now() < self.refuse_until:
             return json_response(429, {'code': 'shed', 'ran': False}, headers)
         snapshot = request.headers['snapshot']
