Add a seeded soak of the whole system with faults

Cause: the fault matrix checks one fault, or one pair, at a time and at a small size. Nothing ran both deployments at the sizes of today under mixed faults and compared what callers, operators and leafs saw.

Ruled out: checks inside the program (they share its view of the events) and a loss of claim records on a restore: the restore fault covers the document key only, because section 5 of the design keeps claims in no other place.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SOURCES := clementinebank standins tests benchmarks examples
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: test lint types unit run faults format clean
+.PHONY: test lint types unit run faults soak format clean
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt
 	python3 -m venv $(VENV)
@@ -26,6 +26,14 @@
 faults: $(VENV)/.installed
 	$(PYTHON) -m tests.faults
 
+SEED ?= 1
+SECONDS ?= 60
+DEPLOYMENT ?= kumagawa
+
+soak: $(VENV)/.installed
+	$(PYTHON) -m tests.soak --seed $(SEED) --seconds $(SECONDS) \
+	  --deployment $(DEPLOYMENT)
+
 run: $(VENV)/.installed
 	sh examples/run.sh $(PYTHON)
 
--- a/standins/_control.py
+++ b/standins/_control.py
@@ -22,8 +22,12 @@
     port: int,
     handler: Callable[[HttpRequest], Awaitable[HttpResponse]],
     faults: Any,
+    on_control: Callable[[], Awaitable[None]] | None = None,
 ) -> None:
-    """Serve a handler; ``POST /control`` sets fields of ``faults``."""
+    """Serve a handler; ``POST /control`` sets fields of ``faults``.
+
+    ``on_control`` runs after the fields are set and before the answer.
+    """
 
     async def handle(request: HttpRequest) -> HttpResponse:
         if request.path != CONTROL_PATH:
@@ -31,6 +35,8 @@
         if request.method == 'POST':
             for name, setting in json.loads(request.body).items():
                 setattr(faults, name, setting)
+            if on_control is not None:
+                await on_control()
         return json_response(200, attrs.asdict(faults))
 
     await HttpServer(host, port, handle).serve()
--- a/standins/kv.py
+++ b/standins/kv.py
@@ -35,6 +35,13 @@
         Writes answered with 503 at once that take effect later.
     late_write_ms : float
         When a late write takes effect.
+    snapshot : bool
+        Keep a copy of all values, once.
+    restore : bool
+        Put the copy back, once. Every value that changes gets a version that
+        was never used.
+    restore_prefix : str
+        Restore only the keys with this prefix.
     """
 
     down: bool = False
@@ -43,6 +50,9 @@
     lose_writes: int = 0
     late_writes: int = 0
     late_write_ms: float = 200
+    snapshot: bool = False
+    restore: bool = False
+    restore_prefix: str = ''
 
 
 @attrs.define(eq=False)
@@ -52,6 +62,7 @@
     faults: KeyValueFaults = attrs.Factory(KeyValueFaults)
     entries: dict[str, tuple[bytes, int]] = attrs.Factory(dict)
     calls: Counter[str] = attrs.Factory(Counter)
+    saved: dict[str, tuple[bytes, int]] = attrs.Factory(dict)
     last_version: int = 0
     changed: curio.Condition = attrs.Factory(curio.Condition)
 
@@ -75,6 +86,29 @@
             return await self._write(key, query, request)
         return json_response(405, {'code': 'method_not_allowed'})
 
+    async def on_control(self) -> None:
+        """Keep or restore the values as the faults say."""
+        if self.faults.snapshot:
+            self.faults.snapshot = False
+            self.saved = dict(self.entries)
+        if self.faults.restore:
+            self.faults.restore = False
+            for key in self.entries.keys() | self.saved.keys():
+                if key.startswith(self.faults.restore_prefix):
+                    self._restore(key)
+            async with self.changed:
+                await self.changed.notify_all()
+
+    def _restore(self, key: str) -> None:
+        saved = self.saved.get(key)
+        if saved == self.entries.get(key):
+            return
+        if saved is None:
+            self.entries.pop(key)
+            return
+        self.last_version += 1
+        self.entries[key] = (saved[0], self.last_version)
+
     def _list(self, query: dict[str, str]) -> HttpResponse:
         prefix = query.get('prefix', '')
         after = query.get('after_key', '')
@@ -154,7 +188,14 @@
     parser.add_argument('--listen', default='127.0.0.1:9700')
     host, _, port = parser.parse_args().listen.rpartition(':')
     store = KeyValueStore()
-    run_service(serve_with_control, host, int(port), store.handle, store.faults)
+    run_service(
+        serve_with_control,
+        host,
+        int(port),
+        store.handle,
+        store.faults,
+        store.on_control,
+    )
 
 
 if __name__ == '__main__':
--- a/standins/leaf.py
+++ b/standins/leaf.py
@@ -9,7 +9,7 @@
 import attrs
 import curio
 
-from clementinebank.clock import run_service
+from clementinebank.clock import run_service, wall_time
 from clementinebank.document import (
     GroupSettings,
     LeafSettings,
@@ -22,6 +22,8 @@
 
 PARTITIONS_PER_GROUP = 2
 RECORDS_PER_PARTITION = 5
+# What follows it in a query names the request and selects no records.
+QUERY_SEPARATOR = '#'
 GOODS = ('silk', 'wool', 'cotton', 'cedar', 'teak')
 
 
@@ -51,6 +53,11 @@
         Delay between an execution and its reply.
     refuse_executions : bool
         Refuse executions with 429 without running them.
+    dead : bool
+        Close every connection without an answer.
+    partitions_per_group : dict of str to int
+        Partitions of each group by sequence number (as text, since the names
+        of a JSON object are text), where they differ from the default.
     """
 
     delay_ms: float = 1
@@ -62,6 +69,8 @@
     execute_reply: str = 'good'
     execute_reply_delay_ms: float = 0
     refuse_executions: bool = False
+    dead: bool = False
+    partitions_per_group: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.define(eq=False)
@@ -86,6 +95,9 @@
     cancelled: set[str] = attrs.Factory(set)
     in_flight: int = 0
     previous: HttpResponse | None = None
+    searched: set[str] = attrs.Factory(set)
+    drain_signalled_at: float | None = None
+    drain_arrivals: list[dict[str, Any]] = attrs.Factory(list)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one call, echoing its id."""
@@ -109,13 +121,21 @@
         return response
 
     async def _route(self, request: HttpRequest) -> HttpResponse:
+        if request.path == '/observed':
+            return json_response(200, self._observed())
+        if self.faults.dead:
+            raise ConnectionResetError('cut by an injected fault')
+        if request.path == '/executions':
+            return json_response(200, dict(self.executions_by_key))
         if request.method == 'DELETE':
             self.cancelled.add(request.path.rpartition('/')[2])
             return json_response(202, {})
         if request.path == '/v1/status':
             return json_response(200, self._status())
-        if request.path == '/executions':
-            return json_response(200, dict(self.executions_by_key))
+        return await self._work(request)
+
+    async def _work(self, request: HttpRequest) -> HttpResponse:
+        self._note_drain(request.path)
         refusal = self._refusal()
         if refusal:
             return refusal
@@ -137,7 +157,27 @@
             return json_response(429, {'code': 'shed', 'ran': False})
         return None
 
+    def _note_drain(self, path: str) -> None:
+        """Record when the drain was first signalled and what came later."""
+        if self.faults.state != 'draining':
+            self.drain_signalled_at = None
+            return
+        time = wall_time()
+        if self.drain_signalled_at is None:
+            self.drain_signalled_at = time
+        if path in {'/v1/search', '/v1/execute'}:
+            since_s = time - self.drain_signalled_at
+            self.drain_arrivals.append({'at': time, 'since_s': since_s})
+
+    def _observed(self) -> dict[str, Any]:
+        return {
+            'executions': dict(self.executions_by_key),
+            'searched': sorted(self.searched),
+            'drain_arrivals': self.drain_arrivals,
+        }
+
     def _status(self) -> dict[str, Any]:
+        self._note_drain('/v1/status')
         return {
             'state': self.faults.state,
             'load': self.faults.load,
@@ -145,22 +185,23 @@
                 {
                     'snapshot': f's-{sequence}',
                     'sequence': sequence,
-                    'partition_count': self._partition_count,
-                    'partitions': self._partitions,
+                    'partition_count': len(self.service.groups_by_id)
+                    * self._per_group(sequence),
+                    'partitions': self._partitions(sequence),
                 }
                 for sequence in self.faults.sequences
             ],
         }
 
-    @property
-    def _partition_count(self) -> int:
-        return len(self.service.groups_by_id) * PARTITIONS_PER_GROUP
+    def _per_group(self, sequence: int) -> int:
+        return self.faults.partitions_per_group.get(
+            str(sequence), PARTITIONS_PER_GROUP
+        )
 
-    @property
-    def _partitions(self) -> list[int]:
+    def _partitions(self, sequence: int) -> list[int]:
         index = sorted(self.service.groups_by_id).index(self.group.group_id)
-        first = index * PARTITIONS_PER_GROUP
-        return list(range(first, first + PARTITIONS_PER_GROUP))
+        count = self._per_group(sequence)
+        return list(range(index * count, (index + 1) * count))
 
     def _search(self, request: HttpRequest) -> HttpResponse:
         snapshot = request.headers.get('snapshot', '')
@@ -173,6 +214,8 @@
         if self.faults.reply == 'wrong_snapshot':
             snapshot = 's-0'
         asked = json.loads(request.body)
+        if QUERY_SEPARATOR in asked['query']:
+            self.searched.add(asked['query'])
         return json_response(
             200,
             {
@@ -182,23 +225,32 @@
                 'records': [
                     record
                     for partition in asked['partitions']
-                    for record in self._records(partition, asked['query'])
+                    for record in self._records(
+                        partition, asked['query'], snapshot
+                    )
                 ],
             },
         )
 
-    def _records(self, partition: int, query: str) -> list[dict[str, Any]]:
+    def _records(
+        self, partition: int, query: str, snapshot: str
+    ) -> list[dict[str, Any]]:
+        wanted, separator, _ = query.partition(QUERY_SEPARATOR)
         found = []
         for number in range(RECORDS_PER_PARTITION):
             goods = GOODS[number % len(GOODS)]
-            if query in {goods, '*'}:
+            if wanted in {goods, '*'}:
                 found.append(
                     {
                         'record_id': f'{partition:04d}-{number}',
                         'partition': partition,
                         'yard': self.group.yard,
                         'score': 1 / (1 + partition),
-                        'fields': {'goods': goods},
+                        'fields': {
+                            'goods': goods,
+                            **({'query': query} if separator else {}),
+                            'snapshot': snapshot,
+                        },
                     }
                 )
         return found
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded randomised run of the whole system with faults."""
