Retire the leaf pools before the kernel stops

Cause: Instance.run ended with the probes and pools of all engines alive. While curio's kernel cancels the remaining tasks one by one, a probe that wakes submits its call, and LeafPool.submit (upstream/_pool.py:111) spawns a connection.

Ruled out: the callers' listener, which is closed before, and the peers and the follower, whose tasks end with the group.

Conclusion: the exit status is that of the life cycle.

--- a/clementinebank/server/_instance.py
+++ b/clementinebank/server/_instance.py
@@ -141,8 +141,22 @@
                 self.listeners[Listener.CALLERS],
                 self.listeners[Listener.OPERATORS],
             )
+        await self._stop_engines()
         return int(group.result)
 
+    async def _stop_engines(self) -> None:
+        """Retire every pool, so that none opens a connection at the exit.
+
+        curio's kernel fails if a task starts another one while it cancels the
+        tasks that are left, as a probe that wakes at that moment would do.
+        """
+        for engines in (
+            self.engines_by_service,
+            self.bookings.engines_by_service,
+        ):
+            for engine in engines.values():
+                await engine.stop()
+
     async def activate(self, head: HeadRecord) -> None:
         """Put a head record in force that this instance has written."""
         await self.follower.accept(head)
