Give the searches of a soak ids that no other run uses

The instances of one run searched leafs of the other under the same ids, and R4-search-not-run reported three searches that were refused as isolated.

Ruled out: a search before the isolation check; the route checks it first (server/_caller_routes.py:38), and the ports of both documents overlap.

Change: the ids contain the start of the change id with which the run began.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -106,9 +106,12 @@
     def search(self):
         """Search until the run ends."""
         count = 0
+        # Differs between runs, so that no other run on this machine can add
+        # its queries to those that the leafs of this one have searched.
+        run_id = self.fleet.change_id[:8]
         while not self.stop.is_set():
             count += 1
-            request_id = f'search-{self.number}-{count}'
+            request_id = f'search-{run_id}-{self.number}-{count}'
             goods = self.rng.choice(GOODS)
             query = f'{goods}#{request_id}'
             service = self.rng.choice(self.services)
