--- a/clementinebank/server/_instance.py
+++ b/clementinebank/server/_instance.py
@@ -18,7 +18,7 @@
 )
 from clementinebank.search import SearchEngine
 from clementinebank.server._life_cycle import LifeCycle
-from clementinebank.server._listeners import create_listeners
+from clementinebank.server._listeners import create_listeners, serve_peers
 from clementinebank.server._loop_monitor import LoopMonitor
 from clementinebank.server._observer import Observer
 from clementinebank.server._routes import Listener
@@ -131,7 +131,7 @@
         """
         group = curio.TaskGroup(wait=object)
         async with group:
-            await group.spawn(self.peer_server.serve)
+            await group.spawn(serve_peers, self.peer_server)
             await group.spawn(self.follower.run)
             await group.spawn(self.loop_monitor.run)
             for server in self.listeners.values():
@@ -141,8 +141,22 @@
                 self.listeners[Listener.CALLERS],
                 self.listeners[Listener.OPERATORS],
             )
+        await self._stop_engines()
         return int(group.result)
 
+    async def _stop_engines(self) -> None:
+        """Retire every pool, so that none opens a connection at the exit.
+
+        curio's kernel fails if a task starts another one while it cancels the
+        tasks that are left, as a probe that wakes at that moment would do.
+        """
+        for engines in (
+            self.engines_by_service,
+            self.bookings.engines_by_service,
+        ):
+            for engine in engines.values():
+                await engine.stop()
+
     async def activate(self, head: HeadRecord) -> None:
         """Put a head record in force that this instance has written."""
         await self.follower.accept(head)
