--- a/clementinebank/booking/tests/fakes.py
+++ b/clementinebank/booking/tests/fakes.py
@@ -238,6 +238,8 @@
 
     async def submit(self, call):
         # Status probes would dominate the time of a run.
+        if call.request.method == 'GET':
+            await hang()
         if call.request.method == 'POST':
             await super().submit(call)
 
--- a/clementinebank/cli/_explain_command.py
+++ b/clementinebank/cli/_explain_command.py
@@ -10,6 +10,7 @@
 from clementinebank.cli._client import Reply
 from clementinebank.cli._commands import ExitStatus, Report, command
 from clementinebank.cli._instances import add_instances, read_each
+from clementinebank.cli._search_command import missing_text
 from clementinebank.errors import Failure, Step
 
 NOT_FOUND = 404
@@ -101,8 +102,7 @@
 def _coverage_text(coverage: dict[str, Any]) -> str:
     state = 'complete' if coverage['complete'] else 'PARTIAL'
     missing = ''.join(
-        f'; missing {shard["group"]} of {shard["yard"]}: {shard["reason"]}'
-        for shard in coverage['missing']
+        f'; missing {missing_text(shard)}' for shard in coverage['missing']
     )
     return (
         f'{state}, {coverage["shards_answered"]} of '
--- a/clementinebank/cli/_search_command.py
+++ b/clementinebank/cli/_search_command.py
@@ -60,12 +60,19 @@
         f'partitions, revision {reply.data["configuration"]["revision"]}'
     )
     lines.extend(
-        f'missing: {shard["group"]} of {shard["yard"]}: {shard["reason"]}'
-        for shard in coverage['missing']
+        f'missing: {missing_text(shard)}' for shard in coverage['missing']
     )
     return Report('\n'.join(lines), reply.data)
 
 
+def missing_text(shard: dict[str, Any]) -> str:
+    """Return one missing part of a coverage as text."""
+    if shard['group'] is None:
+        count = len(shard['partitions'])
+        return f'{count} partitions of unknown groups: {shard["reason"]}'
+    return f'{shard["group"]} of {shard["yard"]}: {shard["reason"]}'
+
+
 def _error_text(data: Any) -> str:
     error = data['error']
     field = f' ({error["field"]})' if error['field'] else ''
--- a/clementinebank/search/_coverage.py
+++ b/clementinebank/search/_coverage.py
@@ -89,11 +89,28 @@
                 }
                 for shard in shards
                 if not shard.is_answered
-            ],
+            ]
+            + self._unowned(),
             'yards': self._summary('yard'),
             'data_centres': self._summary('data_centre'),
         }
 
+    def _unowned(self) -> list[dict[str, Any]]:
+        """Return the partitions that no group is known to hold."""
+        known = self.partition_map
+        if known is None or known.is_complete:
+            return []
+        partitions = set(range(known.partition_count))
+        unowned = sorted(partitions - known.group_by_partition.keys())
+        return [
+            {
+                'group': None,
+                'yard': None,
+                'partitions': unowned,
+                'reason': 'no_group_known',
+            }
+        ]
+
     def _summary(self, attribute: str) -> dict[str, dict[str, int]]:
         summary: dict[str, dict[str, int]] = {}
         for shard in self.shards_by_group.values():
--- a/clementinebank/search/_query.py
+++ b/clementinebank/search/_query.py
@@ -291,4 +291,21 @@
                 leaf.data_centre if leaf else None,
                 None if shard.is_answered else shard.missing_reason,
             )
+        shards.update(self._unknown_shards())
         return Coverage(self.partition_map, shards)
+
+    def _unknown_shards(self) -> dict[str, ShardCoverage]:
+        """Return the configured groups whose partitions are not known.
+
+        With a complete map such a group holds no part of the snapshot.
+        """
+        known = self.partition_map
+        if known is None or known.is_complete:
+            return {}
+        return {
+            group_id: ShardCoverage(
+                group_id, group.yard, (), None, 'partitions_unknown'
+            )
+            for group_id, group in self.service.groups_by_id.items()
+            if group_id not in self._shards_by_group
+        }
--- a/clementinebank/upstream/_pools.py
+++ b/clementinebank/upstream/_pools.py
@@ -8,15 +8,17 @@
 from eliot import log_message
 from result import Err
 
-from clementinebank.clock import now
+from clementinebank.clock import get_before, now
 from clementinebank.document import LeafSettings
 from clementinebank.http import HttpRequest
 from clementinebank.upstream._pool import LeafCall, LeafPool, LeafReply
 from clementinebank.upstream._status import LeafStatus, decode_status
 
 STATUS_PATH = '/v1/status'
+# A leaf that is leaving must be noticed within 3 s also when two replies in a
+# row are lost, so a lost probe may not delay the next one.
 PROBE_INTERVAL_S = 1.0
-PROBE_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 0.9
 
 OnStatus = Callable[[str, LeafStatus, float], None]
 OnLeaf = Callable[[str], None]
@@ -92,18 +94,20 @@
                     replies.put,
                 )
             )
-            reply = await replies.get()
+            reply = await get_before(requested_at + PROBE_TIMEOUT_S, replies)
             is_old = requested_at <= self._distrusted_at
             if not pool.is_retired and not is_old:
                 await self._take_reply(pool, reply, requested_at)
             number += 1
-            await curio.sleep(PROBE_INTERVAL_S)
+            wait_s = requested_at + PROBE_INTERVAL_S - now()
+            if wait_s > 0:
+                await curio.sleep(wait_s)
 
     async def _take_reply(
-        self, pool: LeafPool, reply: LeafReply, requested_at: float
+        self, pool: LeafPool, reply: LeafReply | None, requested_at: float
     ) -> None:
-        if isinstance(reply.outcome, Err):
-            self.on_lost_probe(reply.leaf_id)
+        if reply is None or isinstance(reply.outcome, Err):
+            self.on_lost_probe(pool.leaf.leaf_id)
             return
         status = decode_status(reply.outcome.ok_value.body)
         if isinstance(status, Err):
--- a/tests/test_registries.py
+++ b/tests/test_registries.py
@@ -9,7 +9,7 @@
 
 from clementinebank.cli._commands import COMMANDS
 from clementinebank.cli._main import _build_parser
-from clementinebank.document._parse import ANSWER_POLICY_NAMES
+from clementinebank.document._parse_service import ANSWER_POLICY_NAMES
 from clementinebank.invariants import INVARIANTS, VIOLATIONS_BY_NAME, check
 from clementinebank.metrics import METRICS_BY_NAME
 from clementinebank.search import ANSWER_POLICIES
