Define the forms of request ids and deadlines once

Cause: the pattern of Request-Id stood in three modules of the server and that of Deadline-Ms in two; they could drift apart. Ruled out now: one reader for both headers; the deadline tests replace the function in each route module and would have to change with it. Change: REQUEST_ID_PATTERN is in _routes, DEADLINE_PATTERN in _deadlines. Result: lint and types are clean; 154 tests of the server, booking decisions, bad input and registries pass. The whole suite was not repeated.

--- a/clementinebank/server/_booking_routes.py
+++ b/clementinebank/server/_booking_routes.py
@@ -1,7 +1,6 @@
 """Booking routes of the callers' and the operators' listener."""
 
 import json
-import re
 import uuid
 from typing import Any
 from urllib.parse import parse_qs
@@ -22,14 +21,20 @@
 from clementinebank.clock import now, wall_time
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpRequest, HttpResponse, json_response
-from clementinebank.server._deadlines import time_to_answer_ms
+from clementinebank.server._deadlines import (
+    DEADLINE_PATTERN,
+    time_to_answer_ms,
+)
 from clementinebank.server._instance import Instance
-from clementinebank.server._routes import Listener, refuse, route
+from clementinebank.server._routes import (
+    REQUEST_ID_PATTERN,
+    Listener,
+    refuse,
+    route,
+)
 from clementinebank.validation import FieldReader
 
 MS_PER_S = 1000
-REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
-DEADLINE_PATTERN = re.compile(r'0*[1-9][0-9]{0,9}')
 RESOLUTIONS = ('ran', 'not_run')
 
 
--- a/clementinebank/server/_caller_routes.py
+++ b/clementinebank/server/_caller_routes.py
@@ -1,6 +1,5 @@
 """Routes of the callers' listener."""
 
-import re
 import uuid
 from typing import Any
 
@@ -12,14 +11,20 @@
 from clementinebank.http import HttpRequest, HttpResponse, json_response
 from clementinebank.invariants import check, invariant
 from clementinebank.search import Answer, SearchRequest, read_search_body
-from clementinebank.server._deadlines import time_to_answer_ms
+from clementinebank.server._deadlines import (
+    DEADLINE_PATTERN,
+    time_to_answer_ms,
+)
 from clementinebank.server._instance import Instance
 from clementinebank.server._observer import current_observation
-from clementinebank.server._routes import Listener, refuse, route
+from clementinebank.server._routes import (
+    REQUEST_ID_PATTERN,
+    Listener,
+    refuse,
+    route,
+)
 
 MS_PER_S = 1000
-REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
-DEADLINE_PATTERN = re.compile(r'0*[1-9][0-9]{0,9}')
 
 
 @invariant('answer-to-own-request', 'R3')
--- a/clementinebank/server/_deadlines.py
+++ b/clementinebank/server/_deadlines.py
@@ -1,6 +1,9 @@
 """Deadlines of callers."""
 
+import re
+
 MAX_DEADLINE_MS = 60_000
+DEADLINE_PATTERN = re.compile(r'0*[1-9][0-9]{0,9}')
 
 
 def time_to_answer_ms(deadline_ms: float, caller_delay_ms: float) -> float:
--- a/clementinebank/server/_listeners.py
+++ b/clementinebank/server/_listeners.py
@@ -1,7 +1,6 @@
 """Listeners of an instance."""
 
 import errno
-import re
 import uuid
 from typing import Any
 
@@ -22,14 +21,19 @@
 from clementinebank.metrics import names
 from clementinebank.peer import PeerServer
 from clementinebank.server._observer import error_of
-from clementinebank.server._routes import Listener, Match, find_route, refuse
+from clementinebank.server._routes import (
+    REQUEST_ID_PATTERN,
+    Listener,
+    Match,
+    find_route,
+    refuse,
+)
 
 # A predecessor on the same address frees it at the end of its drain.
 BIND_TIMEOUT_S = 60.0
 BIND_RETRY_S = 0.1
 CLIENT_ERROR = 400
 REQUEST_ID = 'request-id'
-REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
 
 
 def create_listeners(instance: Any) -> dict[Listener, HttpServer]:
--- a/clementinebank/server/_routes.py
+++ b/clementinebank/server/_routes.py
@@ -11,6 +11,8 @@
 from clementinebank.errors import Failure, Step
 from clementinebank.http import HttpRequest, HttpResponse, json_response
 
+REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
+
 RouteHandler = Callable[..., Awaitable[HttpResponse]]
 
 
