Move the dispatch of shard requests into a package of its own

Cause: forwarding of requests on routes needs the same hedges, retries and budgets as searches; a second dispatcher would drift from the first. Change: clementinebank/dispatch holds Dispatcher, Shard and DispatchPolicy (attempts, calls, repeatability, latency profile). Router takes any topology and budgets per group.

--- a/benchmarks/tail_simulation.py
+++ b/benchmarks/tail_simulation.py
@@ -9,7 +9,6 @@
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.routing import OUTCOMES_BY_CODE, CallOutcome, Router
 from clementinebank.search import (
-    CancelShard,
     Finish,
     Query,
     SearchRequest,
@@ -269,7 +268,7 @@
                 call = Call(self, action, self.number, simulator.now)
                 self.calls[action.attempt_id] = call
                 self.instance.pools[action.leaf_id].submit(call)
-            elif isinstance(action, CancelShard):
+            elif isinstance(action, CancelCall):
                 call = self.calls[action.attempt_id]
                 self.instance.pools[action.leaf_id].cancel(call)
             else:
--- a/clementinebank/search/_dispatch.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -1,33 +1,22 @@
-"""Shard requests of one query: first sends, hedges, retries and cancels."""
+"""Attempts of one request: first sends, hedges, retries and cancels."""
 
-from typing import Any
+from typing import Any, Protocol
 
 import attrs
 
+from clementinebank.dispatch._actions import CancelCall, SendCall, TraceEvent
+from clementinebank.dispatch._policy import DispatchPolicy
+from clementinebank.dispatch._shards import Attempt, Shard, Timers
 from clementinebank.errors import Execution, Failure
 from clementinebank.invariants import check, invariant
 from clementinebank.routing import Router
-from clementinebank.search._actions import (
-    Action,
-    CancelShard,
-    SendShard,
-    TraceEvent,
-)
-from clementinebank.search._messages import SearchRequest
-from clementinebank.search._shards import Attempt, Shard, Timers
-
-# Time until a shard that found no room or no token is tried again.
-RESEND_INTERVAL_S = 0.002
-# A shard waits this long for a leaf of which this instance holds its share of
-# the slots; a longer wait is usually behind a straggler.
-MAX_LOCAL_WAIT_S = 0.008
+
 # A retry always gains a shard, a hedge often gains nothing and a probe never
 # helps its own query: the last tokens are kept in this order.
 HEDGE_RESERVE = 3
 PROBE_RESERVE = 10
-MAX_ATTEMPTS = 6
 SHED = 'shed'
-MAX_HEDGES = 2
+OVERLOADED = 'overloaded'
 MAX_TRACE_EVENTS = 1000
 MS_PER_S = 1000
 
@@ -42,13 +31,36 @@
     return leaf_id not in excluded
 
 
+Action = SendCall | CancelCall
+
+
+class Dispatched(Protocol):
+    """What a dispatcher needs to know of a request."""
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+
+    @property
+    def deadline(self) -> float:
+        """Runtime time in seconds after which nothing is sent."""
+
+
+@attrs.frozen
+class EndedAttempt:
+    """An attempt that has ended, with its shard."""
+
+    shard: Shard
+    attempt: Attempt
+
+
 @attrs.define(eq=False)
 class Dispatcher:
-    """Sends and cancels the shard requests of one query.
+    """Sends and cancels the attempts of one request.
 
     Parameters
     ----------
-    request : SearchRequest
+    request : Dispatched
         What the caller asked.
     router : Router
         Chooses the replicas and holds the budget.
@@ -56,14 +68,16 @@
         Runtime time in seconds after which nothing is sent.
     patience : float
         Hedge delays after which a shard is hopeless.
+    policy : DispatchPolicy
+        Limits of the attempts.
     """
 
-    request: SearchRequest
+    request: Dispatched
     router: Router
     started_at: float
     finish_at: float = 0
     patience: float = float('inf')
-    snapshot: str = ''
+    policy: DispatchPolicy = DispatchPolicy()
     timers: Timers = attrs.Factory(Timers)
     trace_events: list[TraceEvent] = attrs.Factory(list)
     shards_by_attempt: dict[str, Shard] = attrs.Factory(dict)
@@ -79,12 +93,14 @@
     def open(self, shard: Shard, now: float) -> list[Action]:
         """Send the first request of a shard, and a probe if one is due."""
         if not shard.is_moved:
-            self.router.budget.on_request()
-        shard.patient_until = now + MAX_LOCAL_WAIT_S
+            self.router.budget_of(shard.group_id).on_request()
+        shard.patient_until = now + self.policy.max_local_wait_s
         actions = self._send_or_wait(shard, now)
+        if not actions or not self._may_repeat(shard):
+            return actions
         probe = self.router.probe_target(shard.group_id, now)
         is_wanted = probe is not None and probe not in shard.excluded
-        if actions and probe and is_wanted and self._take(1, PROBE_RESERVE):
+        if probe and is_wanted and self._take(shard, PROBE_RESERVE):
             # A probe only repeats a request, so that a slow leaf delays no
             # query.
             self.trace(now, 'probe', leaf=probe)
@@ -99,12 +115,12 @@
             return self._hedge(shard, now)
         return self._send_or_wait(shard, now)
 
-    def end_attempt(self, attempt_id: str) -> tuple[Shard, Attempt] | None:
-        """Remove an attempt; ``None`` if it is not of this query any more."""
+    def end_attempt(self, attempt_id: str) -> EndedAttempt | None:
+        """Remove an attempt; ``None`` if it is not of this request any more."""
         shard = self.shards_by_attempt.pop(attempt_id, None)
         if shard is None:
             return None
-        return shard, shard.attempts_by_id.pop(attempt_id)
+        return EndedAttempt(shard, shard.attempts_by_id.pop(attempt_id))
 
     def on_failed(
         self, shard: Shard, leaf_id: str, failure: Failure, now: float
@@ -112,6 +128,10 @@
         """Retry a shard on another replica after a refusal or a failure."""
         self.trace(now, 'failed', leaf=leaf_id, reason=failure.code)
         shard.missing_reason = failure.code
+        self.record_execution(shard, failure)
+        is_unknown = failure.execution is not Execution.NOT_RUN
+        if is_unknown and not self.policy.is_repeatable:
+            return self.settle(shard, now)
         if failure.code == SHED and not shard.attempts_by_id:
             wait_s = self.router.wait_for_refused_s(
                 shard.group_id, leaf_id, shard.excluded
@@ -125,6 +145,12 @@
             return []
         return self._send_or_wait(shard, now)
 
+    def record_execution(self, shard: Shard, failure: Failure) -> None:
+        """Count an attempt that no leaf has run."""
+        if failure.execution is Execution.NOT_RUN:
+            self.not_run_count += 1
+            shard.not_run_count += 1
+
     def settle(self, shard: Shard, now: float) -> list[Action]:
         """End a shard and cancel what is still outstanding for it."""
         shard.is_settled = True
@@ -132,8 +158,13 @@
         actions: list[Action] = []
         for attempt in list(shard.attempts_by_id.values()):
             self.end_attempt(attempt.attempt_id)
-            self.router.on_cancel(attempt.leaf_id, now, now - attempt.sent_at)
-            actions.append(CancelShard(attempt.attempt_id, attempt.leaf_id))
+            self.router.on_cancel(
+                attempt.leaf_id,
+                now,
+                now - attempt.sent_at,
+                self.policy.profile,
+            )
+            actions.append(CancelCall(attempt.attempt_id, attempt.leaf_id))
         return actions
 
     def trace(self, now: float, event: str, **facts: Any) -> None:
@@ -152,23 +183,31 @@
             is_patient=now < shard.patient_until,
         )
         is_retry = shard.sent_count > 0
-        if leaf_id is not None and (not is_retry or self._take(1)):
-            if is_retry:
-                self.trace(now, 'retry', leaf=leaf_id)
-            return [self._send(shard, leaf_id, now)]
-        if self._is_lost(shard, remaining_s):
+        may_send = not is_retry or self._has_attempt_left(shard)
+        if leaf_id is not None and may_send:
+            if not is_retry or self._take(shard):
+                if is_retry:
+                    self.trace(now, 'retry', leaf=leaf_id)
+                return [self._send(shard, leaf_id, now)]
+        if self._is_lost(shard, remaining_s, now):
             return self.settle(shard, now)
         # A replica that refused may have room again later.
         shard.failed.clear()
         self._set_waiting(shard, is_waiting=True)
-        self._wake(shard, now + RESEND_INTERVAL_S)
+        self._wake(shard, now + self.policy.resend_interval_s)
         return []
 
-    def _is_lost(self, shard: Shard, remaining_s: float) -> bool:
+    def _is_lost(self, shard: Shard, remaining_s: float, now: float) -> bool:
         # A service without extra load retries nothing, so that waiting for a
         # token would only delay the answer.
-        is_retried = self.router.budget.ratio > 0
-        if shard.sent_count >= (MAX_ATTEMPTS if is_retried else 1):
+        is_retried = self.router.budget_of(shard.group_id).ratio > 0
+        if shard.sent_count and not is_retried:
+            return True
+        if not self._has_attempt_left(shard):
+            return True
+        is_unoffered = shard.sent_count == shard.not_run_count
+        if is_unoffered and now >= self.started_at + self.policy.offer_limit_s:
+            shard.missing_reason = OVERLOADED
             return True
         if self.router.has_leaf(shard.group_id, remaining_s, shard.unserving):
             return False
@@ -176,14 +215,31 @@
             shard.missing_reason = 'no_leaf'
         return True
 
+    def _has_attempt_left(self, shard: Shard) -> bool:
+        """Return whether another leaf may run the request of a shard.
+
+        A leaf that stated that it did not run it doesn't count, but the
+        number of calls is bounded as well.
+        """
+        may_have_run = shard.sent_count - shard.not_run_count
+        return (
+            may_have_run < self.policy.max_attempts
+            and shard.sent_count < self.policy.max_calls
+        )
+
+    def _may_repeat(self, shard: Shard) -> bool:
+        return self.policy.is_repeatable and self._has_attempt_left(shard)
+
     def _hedge(self, shard: Shard, now: float) -> list[Action]:
-        if shard.hedge_count >= MAX_HEDGES:
+        if shard.hedge_count >= self.policy.max_hedges:
+            return []
+        if not self._may_repeat(shard):
             return []
         leaf_id = self.router.choose(
             shard.group_id, now, shard.excluded, self.finish_at - now
         )
-        if leaf_id is None or not self._take(1, HEDGE_RESERVE):
-            self._wake(shard, now + RESEND_INTERVAL_S)
+        if leaf_id is None or not self._take(shard, HEDGE_RESERVE):
+            self._wake(shard, now + self.policy.resend_interval_s)
             return []
         check(
             'hedge-on-another-leaf',
@@ -195,7 +251,7 @@
         self.trace(now, 'hedge', leaf=leaf_id)
         return [self._send(shard, leaf_id, now)]
 
-    def _send(self, shard: Shard, leaf_id: str, now: float) -> SendShard:
+    def _send(self, shard: Shard, leaf_id: str, now: float) -> SendCall:
         check(
             'nothing-sent-after-deadline',
             self.request.request_id,
@@ -207,7 +263,7 @@
         self.trace(now, 'sent', leaf=leaf_id)
         self._set_waiting(shard, is_waiting=False)
         self.router.on_sent(leaf_id, now, self.request.request_id)
-        delay_s = self.router.hedge_delay_s(leaf_id)
+        delay_s = self.router.hedge_delay_s(leaf_id, self.policy.profile)
         if not shard.sent_count:
             shard.hopeless_at = now + self.patience * delay_s
             self.timers.add(shard.hopeless_at, shard)
@@ -215,22 +271,15 @@
         shard.attempts_by_id[attempt_id] = Attempt(attempt_id, leaf_id, now)
         self.shards_by_attempt[attempt_id] = shard
         self._wake(shard, now + delay_s)
-        return SendShard(
-            attempt_id,
-            shard.group_id,
-            leaf_id,
-            self.snapshot,
-            shard.partitions,
-        )
+        return shard.create_send(attempt_id, leaf_id)
 
     def _wake(self, shard: Shard, at: float) -> None:
         shard.due_at = at
         self.timers.add(at, shard)
 
-    def _take(self, token_count: int, reserve: int = 0) -> bool:
-        return self.router.budget.take(
-            token_count, self.request.request_id, reserve
-        )
+    def _take(self, shard: Shard, reserve: int = 0) -> bool:
+        budget = self.router.budget_of(shard.group_id)
+        return budget.take(1, self.request.request_id, reserve)
 
     def _set_waiting(self, shard: Shard, *, is_waiting: bool) -> None:
         if shard.is_waiting != is_waiting:
--- a/clementinebank/search/_shards.py
+++ b/clementinebank/dispatch/_shards.py
@@ -1,11 +1,11 @@
-"""State of the shards of one query."""
+"""State of the shards of one request."""
 
 import heapq
 from itertools import count
 
 import attrs
 
-from clementinebank.search._messages import Record
+from clementinebank.dispatch._actions import SendCall
 
 
 @attrs.frozen
@@ -19,42 +19,38 @@
 
 @attrs.define(eq=False)
 class Shard:
-    """One shard of the pinned snapshot.
+    """One group of replicas of which one has to answer.
 
     Parameters
     ----------
     group_id : str
-        Group that owns the partitions.
-    partitions : tuple of int
-        Partitions asked.
+        The group.
     unserving : set of str
-        Leafs of the group that do not serve the snapshot.
+        Leafs of the group that must not be asked.
     is_moved : bool
-        Whether the query asked the group under another snapshot before.
+        Whether the request asked the group before and starts again.
     """
 
     group_id: str
-    partitions: tuple[int, ...]
-    unserving: set[str]
+    unserving: set[str] = attrs.Factory(set)
     is_moved: bool = False
     attempts_by_id: dict[str, Attempt] = attrs.Factory(dict)
     failed: set[str] = attrs.Factory(set)
     sent_count: int = 0
+    not_run_count: int = 0
     hedge_count: int = 0
     is_waiting: bool = False
     is_settled: bool = False
     due_at: float = 0
     patient_until: float = 0
     hopeless_at: float = float('inf')
-    records: tuple[Record, ...] | None = None
-    snapshot: str | None = None
     answered_by: str | None = None
     missing_reason: str = 'no answer within the deadline'
 
     @property
     def is_answered(self) -> bool:
         """Return whether the shard answered."""
-        return self.records is not None
+        return self.answered_by is not None
 
     @property
     def excluded(self) -> set[str]:
@@ -62,6 +58,10 @@
         asked = {each.leaf_id for each in self.attempts_by_id.values()}
         return asked | self.failed | self.unserving
 
+    def create_send(self, attempt_id: str, leaf_id: str) -> SendCall:
+        """Return the action that sends one attempt to a leaf."""
+        return SendCall(attempt_id, self.group_id, leaf_id)
+
 
 @attrs.define(eq=False)
 class Timers:
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -6,11 +6,11 @@
 
 import attrs
 
-from clementinebank.document import ServiceSettings
 from clementinebank.invariants import check, invariant
 from clementinebank.routing._budget import BURST_TOKENS, ExtraLoadBudget
 from clementinebank.routing._leaf_state import CallOutcome, LeafState
 from clementinebank.routing._quantiles import LatencyWindow
+from clementinebank.routing._topology import Topology
 from clementinebank.upstream import LeafStatus
 
 HEDGE_QUANTILE = 0.9
@@ -52,25 +52,29 @@
 
     Parameters
     ----------
-    service : ServiceSettings
-        The service.
+    service : Topology
+        The groups, for example a service of the document.
     rng : random.Random
         Source of randomness.
     delays_by_leaf : mapping of str to float
         One-way link delay of each leaf in seconds.
     connection_share : int
         Connections of this instance to each leaf.
+    budgets_by_group : dict of str to ExtraLoadBudget
+        Budgets of groups that do not share that of the service.
     """
 
-    service: ServiceSettings
+    service: Topology
     rng: random.Random = attrs.Factory(random.Random)
     delays_by_leaf: Mapping[str, float] = attrs.Factory(dict)
     connection_share: int = 3
     leafs_by_id: dict[str, LeafState] = attrs.Factory(dict)
     budget: ExtraLoadBudget = attrs.field(init=False)
+    budgets_by_group: dict[str, ExtraLoadBudget] = attrs.Factory(dict)
     waiting_by_group: dict[str, int] = attrs.Factory(dict)
     _service_window: LatencyWindow = attrs.Factory(LatencyWindow)
     _windows_by_group: dict[str, LatencyWindow] = attrs.Factory(dict)
+    _windows_by_profile: dict[str, LatencyWindow] = attrs.Factory(dict)
     _group_by_leaf: dict[str, str] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
@@ -84,7 +88,7 @@
 
     def update_service(
         self,
-        service: ServiceSettings,
+        service: Topology,
         now: float,
         delays_by_leaf: Mapping[str, float],
         connection_share: int,
@@ -96,6 +100,10 @@
         self.budget.ratio = service.extra_load
         self._follow(now)
 
+    def budget_of(self, group_id: str) -> ExtraLoadBudget:
+        """Return the budget from which extra requests of a group are paid."""
+        return self.budgets_by_group.get(group_id, self.budget)
+
     def choose(
         self,
         group_id: str,
@@ -195,13 +203,29 @@
         waiting = self.waiting_by_group.get(group_id, 0)
         self.waiting_by_group[group_id] = max(0, waiting + change)
 
-    def hedge_delay_s(self, leaf_id: str) -> float:
-        """Return the time after which a call to the leaf is hedged."""
+    def hedge_delay_s(self, leaf_id: str, profile: str = '') -> float:
+        """Return the time after which a call to the leaf is hedged.
+
+        Parameters
+        ----------
+        leaf_id : str
+            The leaf that is called.
+        profile : str
+            Kind of request; its latencies over all groups decide, so that a
+            quick kind is not measured by a slow one.
+        """
         leaf = self.leafs_by_id[leaf_id]
-        saved = min(1, self.budget.tokens / FULL_TOKENS)
+        budget = self.budget_of(self._group_by_leaf[leaf_id])
+        saved = min(1, budget.tokens / min(FULL_TOKENS, budget.capacity))
         span = SCARCE_HEDGE_FACTOR - FULL_HEDGE_FACTOR
         factor = SCARCE_HEDGE_FACTOR - saved * span
         # Waiting longer than a peer needs from the start gains nothing.
+        if profile:
+            window = self._windows_by_profile.get(profile, self._service_window)
+            quantile_s = window.quantile(HEDGE_QUANTILE, INITIAL_HEDGE_DELAY_S)
+            return leaf.round_trip_s + factor * max(
+                MIN_HEDGE_DELAY_S, quantile_s
+            )
         usual_s = min(USUAL_SPREAD * leaf.service_s, self._fastest_peer_s(leaf))
         quantile_s = max(self._quantile_s(leaf_id, HEDGE_QUANTILE), usual_s)
         return leaf.round_trip_s + factor * quantile_s
@@ -215,7 +239,12 @@
         leaf.on_sent(now)
 
     def on_end(
-        self, leaf_id: str, now: float, elapsed_s: float, outcome: CallOutcome
+        self,
+        leaf_id: str,
+        now: float,
+        elapsed_s: float,
+        outcome: CallOutcome,
+        profile: str = '',
     ) -> None:
         """Record the end of a request."""
         leaf = self.leafs_by_id.get(leaf_id)
@@ -224,18 +253,20 @@
         slow_s = self._slow_bound_s(leaf)
         leaf.on_end(now, elapsed_s, outcome, slow_s)
         if outcome is CallOutcome.GOOD:
-            self._add_latency(leaf, elapsed_s)
+            self._add_latency(leaf, elapsed_s, profile)
 
-    def on_cancel(self, leaf_id: str, now: float, elapsed_s: float) -> None:
+    def on_cancel(
+        self, leaf_id: str, now: float, elapsed_s: float, profile: str = ''
+    ) -> None:
         """Record that a request is cancelled; its end is still reported."""
         leaf = self.leafs_by_id.get(leaf_id)
         if leaf is None:
             return
-        was_overtaken = elapsed_s > self.hedge_delay_s(leaf_id)
+        was_overtaken = elapsed_s > self.hedge_delay_s(leaf_id, profile)
         leaf.on_cancel(now, elapsed_s, was_overtaken=was_overtaken)
         if was_overtaken:
             # Without it the window would hold only the winners of hedges.
-            self._add_latency(leaf, elapsed_s)
+            self._add_latency(leaf, elapsed_s, profile)
 
     def on_invalid_reply(self, leaf_id: str, now: float) -> None:
         """Count an unusable reply or a lost status probe as a failure."""
@@ -328,11 +359,18 @@
         group_s = window.quantile(share, usual_s)
         return max(MIN_HEDGE_DELAY_S, min(group_s, MAX_GROUP_FACTOR * usual_s))
 
-    def _add_latency(self, leaf: LeafState, elapsed_s: float) -> None:
+    def _add_latency(
+        self, leaf: LeafState, elapsed_s: float, profile: str
+    ) -> None:
         window = self._windows_by_group[self._group_by_leaf[leaf.leaf_id]]
         service_s = max(0, elapsed_s - leaf.round_trip_s)
         window.add(service_s)
         self._service_window.add(service_s)
+        if profile:
+            of_profile = self._windows_by_profile.setdefault(
+                profile, LatencyWindow()
+            )
+            of_profile.add(service_s)
 
     def _follow(self, now: float | None) -> None:
         """Keep the state of known leafs; leafs added later are cold."""
--- a/clementinebank/search/__init__.py
+++ b/clementinebank/search/__init__.py
@@ -2,11 +2,9 @@
 
 from clementinebank.search._actions import (
     Answer,
-    CancelShard,
     Finish,
     Refuse,
     SendShard,
-    TraceEvent,
 )
 from clementinebank.search._coverage import Coverage, ShardCoverage
 from clementinebank.search._engine import SearchEngine
@@ -27,7 +25,6 @@
 __all__ = (
     'ANSWER_POLICIES',
     'Answer',
-    'CancelShard',
     'Coverage',
     'Finish',
     'PartitionMap',
@@ -40,7 +37,6 @@
     'ShardCoverage',
     'ShardReply',
     'SnapshotCatalogue',
-    'TraceEvent',
     'WaitPlan',
     'answer_policy',
     'read_search_body',
--- a/clementinebank/search/_actions.py
+++ b/clementinebank/search/_actions.py
@@ -1,52 +1,21 @@
 """Actions of a query and the answer they lead to."""
 
-from typing import Any
-
 import attrs
 
+from clementinebank.dispatch import CancelCall, SendCall
 from clementinebank.errors import Failure
 from clementinebank.search._coverage import Coverage
 from clementinebank.search._messages import Record
 
 
 @attrs.frozen
-class TraceEvent:
-    """One event in the course of a query.
-
-    Parameters
-    ----------
-    offset_ms : float
-        Time since the start of the query in milliseconds.
-    event : str
-        What happened.
-    facts : dict
-        Snapshot, leafs, reasons and similar values.
-    """
-
-    offset_ms: float
-    event: str
-    facts: dict[str, Any]
-
+class SendShard(SendCall):
+    """Send a shard request of a snapshot to a leaf."""
 
-@attrs.frozen
-class SendShard:
-    """Send a shard request to a leaf."""
-
-    attempt_id: str
-    group_id: str
-    leaf_id: str
     snapshot: str
     partitions: tuple[int, ...]
 
 
-@attrs.frozen
-class CancelShard:
-    """Cancel a shard request at its leaf."""
-
-    attempt_id: str
-    leaf_id: str
-
-
 @attrs.frozen
 class Answer:
     """Answer to a caller.
@@ -83,4 +52,4 @@
     failure: Failure
 
 
-Action = SendShard | CancelShard | Finish | Refuse
+Action = SendCall | CancelCall | Finish | Refuse
--- a/clementinebank/search/_engine.py
+++ b/clementinebank/search/_engine.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from clementinebank.clock import get_before, now
+from clementinebank.dispatch import CancelCall, TraceEvent
 from clementinebank.document import Document, LeafSettings, ServiceSettings
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpResponse, json_request
@@ -16,10 +17,9 @@
 from clementinebank.search._actions import (
     Action,
     Answer,
-    CancelShard,
     Finish,
+    Refuse,
     SendShard,
-    TraceEvent,
 )
 from clementinebank.search._messages import (
     SearchRequest,
@@ -184,11 +184,11 @@
         for action in actions:
             if isinstance(action, SendShard):
                 await self._send(action)
-            elif isinstance(action, CancelShard):
+            elif isinstance(action, CancelCall):
                 await self.pools[action.leaf_id].cancel(action.attempt_id)
             elif isinstance(action, Finish):
                 self.ending = Ok(action.answer)
-            else:
+            elif isinstance(action, Refuse):
                 self.ending = Err(action.failure)
 
     async def _send(self, action: SendShard) -> None:
--- a/clementinebank/search/_merge.py
+++ b/clementinebank/search/_merge.py
@@ -5,12 +5,14 @@
 from clementinebank.invariants import check, invariant
 from clementinebank.search._coverage import Coverage
 from clementinebank.search._messages import Record, ShardReply
-from clementinebank.search._shards import Shard
+from clementinebank.search._search_shard import SearchShard
 from clementinebank.search._snapshots import PartitionMap
 
 
 @invariant('records-from-pinned-snapshot', 'R1')
-def _is_pinned_snapshot(pinned: str | None, shards: Collection[Shard]) -> bool:
+def _is_pinned_snapshot(
+    pinned: str | None, shards: Collection[SearchShard]
+) -> bool:
     return all(
         shard.snapshot == pinned for shard in shards if shard.is_answered
     )
@@ -18,7 +20,7 @@
 
 @invariant('record-owned-by-answering-group', 'R2')
 def _is_owned(
-    partition_map: PartitionMap | None, shards: Collection[Shard]
+    partition_map: PartitionMap | None, shards: Collection[SearchShard]
 ) -> bool:
     owners = partition_map.group_by_partition if partition_map else {}
     return all(
@@ -36,7 +38,7 @@
 @invariant('complete-only-with-known-map', 'R2')
 def _is_complete_by_map(
     partition_map: PartitionMap | None,
-    shards: Collection[Shard],
+    shards: Collection[SearchShard],
     is_complete: bool,
 ) -> bool:
     if not is_complete:
@@ -53,7 +55,7 @@
 
 
 def owned_records(
-    reply: ShardReply, shard: Shard, partition_map: PartitionMap
+    reply: ShardReply, shard: SearchShard, partition_map: PartitionMap
 ) -> tuple[Record, ...]:
     """Return the records of the group's own partitions, each one once.
 
@@ -69,7 +71,7 @@
     return tuple(kept.values())
 
 
-def merge(shards: Iterable[Shard]) -> list[Record]:
+def merge(shards: Iterable[SearchShard]) -> list[Record]:
     """Return the records of all shards, best first, each id once."""
     records = [record for shard in shards for record in shard.records or ()]
     records.sort(key=lambda record: (-record.score, record.record_id))
@@ -82,7 +84,7 @@
 def is_truthful(
     request_id: str,
     partition_map: PartitionMap | None,
-    shards: Collection[Shard],
+    shards: Collection[SearchShard],
     records: Collection[Record],
     coverage: Coverage,
 ) -> bool:
--- a/clementinebank/search/_query.py
+++ b/clementinebank/search/_query.py
@@ -1,7 +1,10 @@
 """The query aggregate: one caller request over many shards, without I/O."""
 
+from typing import cast
+
 import attrs
 
+from clementinebank.dispatch import Dispatcher, DispatchPolicy, TraceEvent
 from clementinebank.document import ServiceSettings
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.invariants import check, invariant
@@ -11,18 +14,17 @@
     Answer,
     Finish,
     Refuse,
-    TraceEvent,
 )
 from clementinebank.search._admission import refuse_admission
 from clementinebank.search._coverage import Coverage, ShardCoverage
-from clementinebank.search._dispatch import Dispatcher
 from clementinebank.search._merge import is_truthful, merge, owned_records
 from clementinebank.search._messages import SearchRequest, ShardReply
 from clementinebank.search._policies import ANSWER_POLICIES
-from clementinebank.search._shards import Shard
+from clementinebank.search._search_shard import SearchShard
 from clementinebank.search._snapshots import PartitionMap, SnapshotCatalogue
 
 SNAPSHOT_UNAVAILABLE = 'snapshot_unavailable'
+SEARCH_DISPATCH = DispatchPolicy()
 
 
 @invariant('answered-once', 'R3')
@@ -59,17 +61,24 @@
     is_finished: bool = False
     is_moved: bool = False
     dispatcher: Dispatcher = attrs.field(init=False)
-    _shards_by_group: dict[str, Shard] = attrs.Factory(dict)
+    _shards_by_group: dict[str, SearchShard] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         """Create the part that sends the shard requests."""
-        self.dispatcher = Dispatcher(self.request, self.router, 0)
+        self.dispatcher = Dispatcher(
+            self.request, self.router, 0, policy=SEARCH_DISPATCH
+        )
 
     @property
     def next_wakeup(self) -> float:
         """Return the runtime time at which ``on_time`` is due."""
         return min(self.dispatcher.finish_at, self.dispatcher.timers.next_at())
 
+    @property
+    def pinned_snapshot(self) -> str:
+        """Return the name of the pinned snapshot, empty before."""
+        return self.partition_map.snapshot if self.partition_map else ''
+
     @property
     def trace(self) -> list[TraceEvent]:
         """Return the events of the query so far."""
@@ -103,7 +112,8 @@
         ended = self.dispatcher.end_attempt(attempt_id)
         if self.is_finished or ended is None:
             return []
-        shard, attempt = ended
+        shard = cast(SearchShard, ended.shard)
+        attempt = ended.attempt
         if not self._is_usable(shard, reply):
             return self._take_invalid(shard, attempt.leaf_id, now)
         if self.partition_map is not None:
@@ -121,18 +131,17 @@
         ended = self.dispatcher.end_attempt(attempt_id)
         if self.is_finished or ended is None:
             return []
-        shard, attempt = ended
-        if failure.execution is Execution.NOT_RUN:
-            self.dispatcher.not_run_count += 1
+        shard, attempt = ended.shard, ended.attempt
         if failure.code == SNAPSHOT_UNAVAILABLE:
             shard.unserving.add(attempt.leaf_id)
             actions = self._leave_snapshot(attempt.leaf_id, now)
             if actions:
+                self.dispatcher.record_execution(shard, failure)
                 return actions + self._finish_if_done(now)
-        actions = self.dispatcher.on_failed(
+        retries = self.dispatcher.on_failed(
             shard, attempt.leaf_id, failure, now
         )
-        return actions + self._finish_if_done(now)
+        return [*retries, *self._finish_if_done(now)]
 
     def on_time(self, now: float) -> list[Action]:
         """Hedge and retry what is due; answer when the time is up."""
@@ -152,15 +161,18 @@
 
     def _pin(self, pinned: PartitionMap, now: float) -> list[Action]:
         self.partition_map = pinned
-        self.dispatcher.snapshot = pinned.snapshot
         self.dispatcher.trace(now, 'pinned', snapshot=pinned.snapshot)
         actions: list[Action] = []
         self._shards_by_group = {}
         for group_id, partitions in pinned.partitions_by_group.items():
             group = self.service.groups_by_id.get(group_id)
             leafs = set(group.leafs_by_id) if group else set()
-            shard = Shard(
-                group_id, partitions, leafs - pinned.leaf_ids, self.is_moved
+            shard = SearchShard(
+                group_id,
+                leafs - pinned.leaf_ids,
+                self.is_moved,
+                partitions=partitions,
+                pinned_snapshot=pinned.snapshot,
             )
             self._shards_by_group[group_id] = shard
             actions.extend(self.dispatcher.open(shard, now))
@@ -168,7 +180,7 @@
 
     def _leave_snapshot(self, leaf_id: str, now: float) -> list[Action]:
         """Move the whole query once, or return nothing if it must stay."""
-        refused = self.dispatcher.snapshot
+        refused = self.pinned_snapshot
         self.catalogue.withdraw(leaf_id, refused)
         other = self.catalogue.newest()
         if self.is_moved or other is None or not self._may_move(other, now):
@@ -179,7 +191,7 @@
 
     def _may_move(self, other: PartitionMap, now: float) -> bool:
         """Return whether time and budget permit; takes the tokens."""
-        if other.snapshot == self.dispatcher.snapshot or not other.is_complete:
+        if other.snapshot == self.pinned_snapshot or not other.is_complete:
             return False
         remaining_s = self.dispatcher.finish_at - now
         if not all(
@@ -191,14 +203,14 @@
             len(other.group_ids), self.request.request_id
         )
 
-    def _is_usable(self, shard: Shard, reply: ShardReply) -> bool:
+    def _is_usable(self, shard: SearchShard, reply: ShardReply) -> bool:
         return (
-            reply.snapshot == self.dispatcher.snapshot
+            reply.snapshot == self.pinned_snapshot
             and reply.partitions == shard.partitions
         )
 
     def _take_invalid(
-        self, shard: Shard, leaf_id: str, now: float
+        self, shard: SearchShard, leaf_id: str, now: float
     ) -> list[Action]:
         """Count a reply to another question as a failure of the leaf."""
         self.router.on_invalid_reply(leaf_id, now)
--- a/clementinebank/search/tests/test_query.py
+++ b/clementinebank/search/tests/test_query.py
@@ -5,14 +5,13 @@
 
 import pytest
 
+from clementinebank.dispatch import Dispatcher, DispatchPolicy
 from clementinebank.errors import Execution
 from clementinebank.routing import LeafState
 from clementinebank.search import ANSWER_POLICIES, Refuse, answer_policy
-from clementinebank.search import _dispatch as dispatch_module
 from clementinebank.search import _messages as messages_module
 from clementinebank.search import _policies as policies_module
 from clementinebank.search import _query as query_module
-from clementinebank.search._dispatch import Dispatcher
 from clementinebank.search.tests.worlds import (
     DEADLINE_S,
     GROUPS,
@@ -172,7 +171,11 @@
 
 @pytest.mark.parametrize('wait_s', [0, 0.1])
 def test_query_without_bounded_wait_is_caught(wait_s):
-    waiting = mock.patch.object(dispatch_module, 'MAX_LOCAL_WAIT_S', wait_s)
+    waiting = mock.patch.object(
+        query_module,
+        'SEARCH_DISPATCH',
+        DispatchPolicy(max_local_wait_s=wait_s),
+    )
     with waiting, pytest.raises(AssertionError):
         check_shard_waits_briefly_for_a_shared_leaf()
 
--- a/clementinebank/search/tests/test_query_machine.py
+++ b/clementinebank/search/tests/test_query_machine.py
@@ -18,6 +18,7 @@
     run_state_machine_as_test,
 )
 
+from clementinebank.dispatch import Dispatcher, Shard
 from clementinebank.errors import Execution
 from clementinebank.invariants import VIOLATIONS_BY_NAME
 from clementinebank.routing import ExtraLoadBudget, LeafState
@@ -27,8 +28,6 @@
     Refuse,
 )
 from clementinebank.search import _query as query_module
-from clementinebank.search._dispatch import Dispatcher
-from clementinebank.search._shards import Shard
 from clementinebank.search.tests.worlds import (
     DEADLINE_S,
     GROUPS,
--- a/clementinebank/search/tests/worlds.py
+++ b/clementinebank/search/tests/worlds.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from clementinebank.dispatch import CancelCall
 from clementinebank.document import (
     GroupSettings,
     LeafSettings,
@@ -12,7 +13,6 @@
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.routing import CallOutcome, Router
 from clementinebank.search import (
-    CancelShard,
     Finish,
     Query,
     Record,
@@ -96,7 +96,7 @@
         for action in actions:
             if isinstance(action, SendShard):
                 self._take_send(action)
-            elif isinstance(action, CancelShard):
+            elif isinstance(action, CancelCall):
                 self.cancelled[action.attempt_id] = self.outstanding.pop(
                     action.attempt_id
                 )
