--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -15,6 +15,8 @@
 # helps its own query: the last tokens are kept in this order.
 HEDGE_RESERVE = 3
 PROBE_RESERVE = 10
+# A small bucket keeps at most this share of it in reserve.
+MAX_RESERVE_SHARE = 0.3
 SHED = 'shed'
 OVERLOADED = 'overloaded'
 MAX_TRACE_EVENTS = 1000
@@ -279,7 +281,8 @@
 
     def _take(self, shard: Shard, reserve: int = 0) -> bool:
         budget = self.router.budget_of(shard.group_id)
-        return budget.take(1, self.request.request_id, reserve)
+        kept = min(reserve, MAX_RESERVE_SHARE * budget.capacity)
+        return budget.take(1, self.request.request_id, kept)
 
     def _set_waiting(self, shard: Shard, *, is_waiting: bool) -> None:
         if shard.is_waiting != is_waiting:
--- /dev/null
+++ b/clementinebank/forwarding/__init__.py
@@ -0,0 +1,32 @@
+"""Requests that are forwarded to leafs as they are."""
+
+from clementinebank.forwarding._delays import LinkDelays
+from clementinebank.forwarding._engine import ExtraLoadLimits, ForwardingEngine
+from clementinebank.forwarding._forward import Finish, Forward, Refuse
+from clementinebank.forwarding._messages import (
+    Answer,
+    CallerCodec,
+    ForwardRequest,
+    GatheredAnswer,
+    LeafAnswer,
+    LeafCodec,
+    LeafLoad,
+)
+from clementinebank.forwarding._records import merge_greatest
+
+__all__ = (
+    'Answer',
+    'CallerCodec',
+    'ExtraLoadLimits',
+    'Finish',
+    'Forward',
+    'ForwardRequest',
+    'ForwardingEngine',
+    'GatheredAnswer',
+    'LeafAnswer',
+    'LeafCodec',
+    'LeafLoad',
+    'LinkDelays',
+    'Refuse',
+    'merge_greatest',
+)
--- /dev/null
+++ b/clementinebank/forwarding/_topology.py
@@ -0,0 +1,60 @@
+"""Registered leafs as the groups of a router."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from clementinebank.document import LeafSettings
+from clementinebank.leafs import LeafRecord
+
+
+@attrs.frozen
+class LeafGroup:
+    """Leafs of one service.
+
+    Parameters
+    ----------
+    group_id : str
+        Name of the service.
+    leafs_by_id : dict of str to LeafSettings
+        Leafs by the name of their incarnation.
+    """
+
+    group_id: str
+    leafs_by_id: dict[str, LeafSettings]
+
+
+@attrs.frozen
+class LeafTopology:
+    """Groups of all services.
+
+    Parameters
+    ----------
+    groups_by_id : dict of str to LeafGroup
+        Groups by the name of their service.
+    slots : int
+        Upper bound of the slots of a leaf.
+    extra_load : float
+        Extra requests allowed for each request.
+    """
+
+    groups_by_id: dict[str, LeafGroup]
+    slots: int
+    extra_load: float
+
+
+def create_topology(
+    records_by_id: Mapping[str, LeafRecord], slots: int, extra_load: float
+) -> LeafTopology:
+    """Return the groups of the leafs that are registered."""
+    leafs_by_service: dict[str, dict[str, LeafSettings]] = {}
+    for record in records_by_id.values():
+        leafs = leafs_by_service.setdefault(record.service, {})
+        leafs[record.key] = LeafSettings(
+            record.key, record.address, record.data_centre
+        )
+    groups = {
+        service: LeafGroup(service, leafs)
+        for service, leafs in leafs_by_service.items()
+    }
+    return LeafTopology(groups, slots, extra_load)
--- /dev/null
+++ b/clementinebank/gateway/_gateway.py
@@ -0,0 +1,246 @@
+"""An instance that forwards requests by the operators' routes."""
+
+from typing import Any
+
+import attrs
+import curio
+from eliot import log_message
+from result import Err
+
+from clementinebank.clock import now
+from clementinebank.errors import Failure, Step
+from clementinebank.forwarding import (
+    CallerCodec,
+    ExtraLoadLimits,
+    ForwardingEngine,
+    LeafCodec,
+    LinkDelays,
+)
+from clementinebank.gateway._feed import ControlFeed
+from clementinebank.gateway._follower import ControlFollower
+from clementinebank.gateway._request_log import RequestLog
+from clementinebank.gateway._settings import GatewaySettings
+from clementinebank.http import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from clementinebank.leafs import LeafDirectory
+from clementinebank.metrics import Metrics, expose, names, sample
+from clementinebank.process import SignalWaiter
+from clementinebank.routes import CallerLimits, RouteTable
+
+NOT_FOUND = 404
+UNAVAILABLE = 503
+OK = 200
+EXPOSITION_CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+# The balancer takes an instance out after two missed checks, one a second.
+DRAIN_DELAY_S = 2.5
+# Part of the time between SIGTERM and the kill that requests may still use.
+DRAIN_SHARE = 0.9
+# The caller's next attempt reaches another instance.
+RETRY_AFTER_S = 0.05
+# Without routes nothing can be answered here for at least a call to the store.
+RETRY_AFTER_START_S = 0.25
+BIND_TIMEOUT_S = 10.0
+MAX_CONNECTIONS = 2048
+MAX_IN_FLIGHT = 1024
+
+
+@attrs.define(eq=False)
+class Gateway:
+    """Listeners, forwarding and control state of one instance.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Addresses and bounds.
+    feed : ControlFeed
+        Source of routes and leafs.
+    callers : CallerCodec
+        Interface of the callers.
+    leafs : LeafCodec
+        Interface of the leafs.
+    """
+
+    settings: GatewaySettings
+    feed: ControlFeed
+    callers: CallerCodec
+    leafs: LeafCodec
+    stop_signal: SignalWaiter = attrs.Factory(SignalWaiter)
+    table: RouteTable = attrs.Factory(RouteTable)
+    metrics: Metrics = attrs.Factory(Metrics)
+    is_leaving: bool = False
+    directory: LeafDirectory = attrs.field(init=False)
+    engine: ForwardingEngine = attrs.field(init=False)
+    follower: ControlFollower = attrs.field(init=False)
+    server: HttpServer = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create what the instance consists of."""
+        settings = self.settings
+        bounds = settings.bounds
+        self.directory = LeafDirectory(bounds.drain_s)
+        self.engine = ForwardingEngine(
+            self.leafs,
+            self.table,
+            self.directory,
+            LinkDelays(settings.data_centre, settings.regions_by_data_centre),
+            ExtraLoadLimits(bounds.retry_ratio, bounds.retry_burst),
+            on_trace=RequestLog(self.metrics, self.table).take,
+        )
+        self.follower = ControlFollower(
+            self.feed, self.table, self.directory, self._on_changed
+        )
+        self.server = HttpServer(
+            settings.callers.host,
+            settings.callers.port,
+            self.handle,
+            _http_limits(CallerLimits()),
+            self._on_server_failure,
+            BIND_TIMEOUT_S,
+        )
+        self.metrics.add_source(self._samples)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
+        return (
+            self.follower.is_loaded
+            and self.table.configuration is not None
+            and not self.is_leaving
+        )
+
+    async def run(self) -> int:
+        """Serve until a stop signal; return the exit status."""
+        log_message(
+            message_type='gateway:started',
+            instance=self.settings.instance_id,
+            data_centre=self.settings.data_centre,
+        )
+        for corofunc in (
+            self._listen(self.settings.readiness, self._on_readiness).serve,
+            self._listen(self.settings.metrics, self._on_metrics).serve,
+            self.follower.run,
+            self.server.serve,
+            self.server.watch_departures,
+        ):
+            await curio.spawn(corofunc, daemon=True)
+        await self.stop_signal.wait()
+        return await self._drain()
+
+    async def handle(self, message: HttpRequest) -> HttpResponse:
+        """Answer one request of a caller."""
+        try:
+            request = self.callers.decode(message)
+        except Failure as failure:
+            self._count_refusal(failure)
+            return self.callers.encode_failure('', failure, RETRY_AFTER_S)
+        if self.table.configuration is None:
+            return self._refuse(
+                request.request_id,
+                'no_routes',
+                'the routes are not known yet',
+                UNAVAILABLE,
+            )
+        route = self.table.find(message.headers.get('host', ''), message.path)
+        if route is None:
+            return self._refuse(
+                request.request_id,
+                'no_route',
+                f'no route of version {self.table.version} matches',
+                NOT_FOUND,
+            )
+        outcome = await self.engine.forward(request, route)
+        if isinstance(outcome, Err):
+            return self.callers.encode_failure(
+                request.request_id, outcome.err_value, RETRY_AFTER_S
+            )
+        return self.callers.encode(request.request_id, outcome.ok_value)
+
+    def _refuse(
+        self, request_id: str, code: str, message: str, status: int
+    ) -> HttpResponse:
+        failure = Failure(code, message, Step.ADMIT, status=status)
+        self._count_refusal(failure)
+        log_message(
+            message_type='request:refused',
+            request_id=request_id,
+            code=code,
+            reason=message,
+            confirmed_s=round(now() - self.follower.confirmed_at, 3),
+        )
+        return self.callers.encode_failure(
+            request_id, failure, RETRY_AFTER_START_S
+        )
+
+    async def _on_changed(self) -> None:
+        configuration = self.table.configuration
+        if configuration is not None:
+            self.server.state.limits = _http_limits(configuration.limits)
+        await self.engine.update()
+
+    async def _drain(self) -> int:
+        """Finish what callers have sent, while the balancer moves them."""
+        started = now()
+        self.is_leaving = True
+        self.server.announce_close()
+        log_message(
+            message_type='gateway:leaving', in_flight=self.server.in_flight
+        )
+        await curio.sleep(
+            min(DRAIN_DELAY_S, self.settings.bounds.shutdown_s / 2)
+        )
+        end = started + DRAIN_SHARE * self.settings.bounds.shutdown_s
+        await self.server.stop_accepting()
+        cut = await self.server.drain(max(0, end - now()))
+        log_message(message_type='gateway:stopped', requests_cut=cut)
+        return 0
+
+    async def _on_readiness(self, message: HttpRequest) -> HttpResponse:
+        return HttpResponse(OK if self.is_ready else UNAVAILABLE)
+
+    async def _on_metrics(self, message: HttpRequest) -> HttpResponse:
+        body = expose(self.metrics).encode()
+        headers = {'content-type': EXPOSITION_CONTENT_TYPE}
+        return HttpResponse(OK, headers, body)
+
+    def _listen(self, address: Any, handler: Any) -> HttpServer:
+        return HttpServer(
+            address.host,
+            address.port,
+            handler,
+            HttpLimits(),
+            bind_timeout_s=BIND_TIMEOUT_S,
+        )
+
+    def _count_refusal(self, failure: Failure) -> None:
+        self.metrics.add(names.REFUSALS, listener='callers', code=failure.code)
+
+    def _on_server_failure(self, failure: Failure) -> None:
+        self._count_refusal(failure)
+        log_message(message_type='caller:failure', reason=str(failure))
+
+    def _samples(self) -> list[Any]:
+        return [
+            sample(names.KEY_VALUE_CALLS, self.feed.calls),
+            sample(
+                names.CONNECTIONS,
+                self.server.open_connections,
+                listener='callers',
+            ),
+            sample(names.IN_FLIGHT, self.server.in_flight, listener='callers'),
+        ]
+
+
+def _http_limits(limits: CallerLimits) -> HttpLimits:
+    return HttpLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.header_timeout_s,
+        idle_timeout_s=limits.idle_timeout_s,
+        max_connections=MAX_CONNECTIONS,
+        max_in_flight=MAX_IN_FLIGHT,
+        announces_idle_close=False,
+    )
--- /dev/null
+++ b/clementinebank/gateway/_settings.py
@@ -0,0 +1,118 @@
+"""Settings of a gateway instance."""
+
+from pathlib import Path
+
+import attrs
+from result import Err, Ok, Result
+
+from clementinebank.errors import FieldProblem
+from clementinebank.validation import Address, FieldReader, parse_yaml
+
+MS_PER_S = 1000
+
+
+@attrs.frozen
+class GatewayBounds:
+    """Figures that the operators of the platform guarantee or demand.
+
+    Parameters
+    ----------
+    drain_s : float
+        Time after which a leaf that leaves must get no work, in seconds.
+    shutdown_s : float
+        Time from SIGTERM to the kill of the process, in seconds.
+    retry_ratio : float
+        Extra requests to a service for each request, over the whole fleet.
+    retry_burst : float
+        Extra requests to a service beyond the ratio in one window.
+    """
+
+    drain_s: float
+    shutdown_s: float
+    retry_ratio: float
+    retry_burst: float
+
+
+@attrs.frozen
+class GatewaySettings:
+    """Settings of one gateway instance.
+
+    Parameters
+    ----------
+    instance_id : str
+        Unique name.
+    data_centre : str
+        Data centre of the instance.
+    callers, readiness, metrics : Address
+        Listeners for requests, readiness checks and metrics.
+    control_store : Address
+        Store that holds routes and registered leafs.
+    regions_by_data_centre : dict of str to str
+        Region of each data centre.
+    bounds : GatewayBounds
+        Figures of the platform.
+    """
+
+    instance_id: str
+    data_centre: str
+    callers: Address
+    readiness: Address
+    metrics: Address
+    control_store: Address
+    regions_by_data_centre: dict[str, str]
+    bounds: GatewayBounds
+
+
+def load_gateway_settings(
+    path: Path,
+) -> Result[GatewaySettings, list[FieldProblem]]:
+    """Read and validate a YAML settings file.
+
+    Returns
+    -------
+    Result
+        The settings, or every problem found.
+    """
+    try:
+        text = path.read_text()
+    except OSError as error:
+        return Err([FieldProblem('$', f'cannot read {path}: {error}')])
+    parsed = parse_yaml(text)
+    if isinstance(parsed, Err):
+        return Err([parsed.err_value])
+    reader = FieldReader(
+        parsed.ok_value.data, lines_by_path=parsed.ok_value.lines_by_path
+    )
+    settings = _read_settings(reader)
+    return Err(reader.problems) if reader.problems else Ok(settings)
+
+
+def _read_settings(reader: FieldReader) -> GatewaySettings:
+    listen = reader.child('listen')
+    regions = reader.child('regions_by_data_centre')
+    settings = GatewaySettings(
+        instance_id=reader.text('instance_id'),
+        data_centre=reader.text('data_centre'),
+        callers=listen.address('callers'),
+        readiness=listen.address('readiness'),
+        metrics=listen.address('metrics'),
+        control_store=reader.address('control_store'),
+        regions_by_data_centre={
+            name: regions.text(name) for name in regions.data
+        },
+        bounds=_read_bounds(reader.child('bounds')),
+    )
+    for part in (reader, listen, regions):
+        part.finish()
+    return settings
+
+
+def _read_bounds(reader: FieldReader) -> GatewayBounds:
+    bounds = GatewayBounds(
+        drain_s=reader.number('drain_ms', minimum=1) / MS_PER_S,
+        shutdown_s=reader.number('shutdown_s', minimum=0.1),
+        retry_ratio=reader.number('retry_ratio', maximum=1),
+        retry_burst=reader.number('retry_burst'),
+    )
+    reader.finish()
+    return bounds
--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -1,12 +1,15 @@
 """HTTP/1.1 client connection on curio with h11."""
 
 import contextlib
+import re
+import socket
 from typing import Any
 
 import attrs
 import curio
 import h11
 
+from clementinebank.clock import now
 from clementinebank.http._messages import HttpRequest, HttpResponse
 from clementinebank.http._sockets import READ_SIZE_BYTES, has_input
 
@@ -14,6 +17,21 @@
 MAX_REPLY_HEADER_BYTES = 64 * 1024
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 LENGTH_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
+# A request that crosses the close of an idle connection would be lost.
+IDLE_RESERVE_S = 0.75
+# A connection that went silent without a reset is noticed after about
+# KEEP_ALIVE_IDLE_S + KEEP_ALIVE_PROBES * KEEP_ALIVE_INTERVAL_S seconds.
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+TCP_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+)
 
 
 class HttpProtocolError(Exception):
@@ -32,14 +50,18 @@
         TCP port.
     max_body_bytes : int
         Largest accepted body of a response.
+    allows_unframed : bool
+        Whether a response without a length may end with the connection.
     """
 
     host: str
     port: int
     max_body_bytes: int = MAX_REPLY_BYTES
+    allows_unframed: bool = False
     bytes_sent: int = 0
     _sock: Any = None
     _http: Any = None
+    _idle_until: float = float('inf')
 
     async def connect(self) -> None:
         """Open the connection.
@@ -51,6 +73,7 @@
         """
         await self.close()
         self._sock = await _connect(self.host, self.port)
+        self._idle_until = float('inf')
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_REPLY_HEADER_BYTES
         )
@@ -64,6 +87,7 @@
         """
         return (
             self._sock is not None
+            and now() < self._idle_until
             and self._http.our_state is h11.IDLE
             and not self._http.trailing_data[0]
             and not has_input(self._sock)
@@ -113,8 +137,19 @@
             name.decode('latin-1'): value.decode('latin-1')
             for name, value in head.headers
         }
+        self._idle_until = now() + _idle_limit_s(headers)
         return HttpResponse(head.status_code, headers, body)
 
+    def abort(self) -> None:
+        """End the request that is outstanding; its reader gets an error.
+
+        The other side sees the end of the connection at once and can stop
+        the work. The task that reads the response closes the connection.
+        """
+        if self._sock is not None:
+            with contextlib.suppress(OSError):
+                self._sock._socket.shutdown(socket.SHUT_RDWR)
+
     async def close(self) -> None:
         """Close the connection; safe to repeat."""
         if self._sock is not None:
@@ -126,6 +161,8 @@
     def _check_length(self, head: Any) -> None:
         """Refuse a body that is too large or whose end cannot be told."""
         lengths = [each for each in head.headers if each[0] in LENGTH_HEADERS]
+        if self.allows_unframed and not lengths:
+            return
         if not lengths and head.status_code not in STATUSES_WITHOUT_BODY:
             raise HttpProtocolError('the response states no length')
         for name, length in lengths:
@@ -168,6 +205,8 @@
     """
     sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
     try:
+        for level, option, setting in TCP_OPTIONS:
+            sock.setsockopt(level, option, setting)
         await sock.connect((host, port))
     except BaseException:
         await sock.close()
@@ -175,6 +214,14 @@
     return sock
 
 
+def _idle_limit_s(headers: dict[str, str]) -> float:
+    """Return how long a connection may stay idle, in seconds."""
+    stated = KEEP_ALIVE_TIMEOUT.search(headers.get('keep-alive', ''))
+    if stated is None:
+        return float('inf')
+    return max(0, int(stated.group(1)) - IDLE_RESERVE_S)
+
+
 async def fetch(
     host: str, port: int, message: HttpRequest, timeout_s: float
 ) -> HttpResponse:
--- a/clementinebank/http/_limits.py
+++ b/clementinebank/http/_limits.py
@@ -28,6 +28,8 @@
         Connections open at the same time.
     max_in_flight : int
         Requests in the handler at the same time.
+    announces_idle_close : bool
+        Whether an idle connection gets a response that tells why it ends.
     """
 
     max_header_bytes: int = 16 * KIBIBYTE
@@ -39,3 +41,4 @@
     linger_s: float = 1
     max_connections: int = 2048
     max_in_flight: int = 1024
+    announces_idle_close: bool = True
--- a/clementinebank/http/_server.py
+++ b/clementinebank/http/_server.py
@@ -18,6 +18,8 @@
 
 BACKLOG = 512
 ACCEPT_RETRY_S = 0.1
+# Work for a caller that has left must end within half a second.
+DEPARTURE_CHECK_INTERVAL_S = 0.1
 BIND_RETRY_S = 0.1
 # Refused connections get an answer up to this number, then only a close.
 MAX_REFUSED_CONNECTIONS = 64
@@ -120,6 +122,13 @@
             await self.state.wait_until_empty()
         return sum(each.is_responding for each in self.state.connections)
 
+    async def watch_departures(self) -> None:
+        """Cancel the requests of callers that have left, until cancelled."""
+        while True:
+            await curio.sleep(DEPARTURE_CHECK_INTERVAL_S)
+            for connection in list(self.state.connections):
+                await connection.cancel_if_departed()
+
     async def abort(self) -> None:
         """Cancel every connection."""
         for connection in list(self.state.connections):
--- a/clementinebank/http/_server_connection.py
+++ b/clementinebank/http/_server_connection.py
@@ -19,6 +19,7 @@
 from clementinebank.http._request_reader import RequestReader
 from clementinebank.http._sockets import (
     WaitInterrupt,
+    has_ended,
     has_input,
     linger,
     wait_for_input,
@@ -127,6 +128,11 @@
         if self.is_idle:
             await self.task.cancel(exc=WaitInterrupt, blocking=False)
 
+    async def cancel_if_departed(self) -> None:
+        """Cancel the handler if the other side has closed the connection."""
+        if self.is_responding and has_ended(self.sock):
+            await self.task.cancel(blocking=False)
+
     async def refuse_and_close(self, failure: Failure) -> None:
         """Send a refusal without a request and close the connection."""
         try:
@@ -170,6 +176,8 @@
 
     async def _close_idle(self) -> Next:
         """Close without a request, and say so to a request on its way."""
+        if not self.state.limits.announces_idle_close:
+            return Next.LINGER
         if self.state.is_draining:
             message = 'the instance shuts down'
         else:
--- a/clementinebank/http/_sockets.py
+++ b/clementinebank/http/_sockets.py
@@ -20,6 +20,13 @@
     return bool(poll.poll(0))
 
 
+def has_ended(sock: Any) -> bool:
+    """Return whether the other side closed or reset the connection."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 async def wait_for_input(sock: Any, timeout_s: float) -> bool:
     """Wait until a read returns, the time is over or an interrupt comes.
 
--- a/clementinebank/http/tests/test_client.py
+++ b/clementinebank/http/tests/test_client.py
@@ -1,5 +1,7 @@
 """Guards against a reply that is cut, too large or of another request."""
 
+import socket
+
 import attrs
 import curio
 import h11
@@ -106,7 +108,11 @@
         self.is_closed = False
         _FakeSocket.opened = (*_FakeSocket.opened, self)
 
+    def setsockopt(self, level, option, setting):
+        self.options = {**getattr(self, 'options', {}), option: setting}
+
     async def connect(self, address):
+        assert self.options[socket.SO_KEEPALIVE] == 1
         assert address == ('127.0.0.1', 1)
         if self.is_refused:
             raise ConnectionRefusedError('refused')
--- /dev/null
+++ b/clementinebank/process/__init__.py
@@ -0,0 +1,6 @@
+"""Signals and the log of a process."""
+
+from clementinebank.process._log_sink import LogSink
+from clementinebank.process._signals import STOP_SIGNALS, SignalWaiter
+
+__all__ = ('STOP_SIGNALS', 'LogSink', 'SignalWaiter')
--- a/clementinebank/server/_stop_signal.py
+++ b/clementinebank/process/_signals.py
@@ -1,4 +1,4 @@
-"""Wakes the runtime when the process is told to stop."""
+"""Wakes the runtime when the process gets a signal."""
 
 import signal
 import socket
@@ -6,29 +6,34 @@
 
 import curio
 
-SIGNALS = (signal.SIGTERM, signal.SIGINT)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
-class StopSignal:
-    """Waits for SIGTERM or SIGINT on a socket.
+class SignalWaiter:
+    """Waits for signals on a socket.
 
     Python runs signal handlers between two instructions of the main thread,
     where the state of the runtime must not be touched. The handler therefore
-    only writes a byte, and a task waits for it. A second signal has no
-    further effect.
+    only writes a byte, and a task waits for it.
+
+    Parameters
+    ----------
+    signals : tuple of int
+        Signals to wait for.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, signals: tuple[int, ...] = STOP_SIGNALS) -> None:
         """Create the pair of sockets."""
         reader, writer = socket.socketpair()
-        self._reader = reader
+        self._signals = signals
+        self._reader = curio.io.Socket(reader)
         self._writer = writer
         self._writer.setblocking(False)
         self._previous: dict[int, Any] = {}
 
     def install(self) -> None:
         """Handle the signals; only the main thread may call this."""
-        for number in SIGNALS:
+        for number in self._signals:
             self._previous[number] = signal.signal(number, self._handle)
 
     def restore(self) -> None:
@@ -46,9 +51,8 @@
             return
 
     async def wait(self) -> None:
-        """Return when a signal has arrived."""
-        async with curio.io.Socket(self._reader) as reader:
-            await reader.recv(1)
+        """Return when a signal has arrived since the last return."""
+        await self._reader.recv(1)
 
     def _handle(self, number: int, frame: Any) -> None:
         self.notify()
--- a/clementinebank/server/tests/test_log_sink.py
+++ b/clementinebank/process/tests/test_log_sink.py
@@ -10,7 +10,7 @@
 
 from clementinebank.clock import FakeClockKernel, run_service
 from clementinebank.errors import Failure, Step
-from clementinebank.server._log_sink import LogSink
+from clementinebank.process import LogSink
 
 CLOSE_TIMEOUT_S = 10
 
--- /dev/null
+++ b/clementinebank/routes/__init__.py
@@ -0,0 +1,23 @@
+"""The operators' routes: model, table in force and weighted splits."""
+
+from clementinebank.routes._model import (
+    CallerLimits,
+    Gathering,
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    WeightedService,
+)
+from clementinebank.routes._split import SplitBalancer
+from clementinebank.routes._table import RouteTable
+
+__all__ = (
+    'CallerLimits',
+    'Gathering',
+    'Route',
+    'RouteKind',
+    'RouteTable',
+    'RoutingConfiguration',
+    'SplitBalancer',
+    'WeightedService',
+)
--- /dev/null
+++ b/clementinebank/routes/_split.py
@@ -0,0 +1,32 @@
+"""Distribution of the requests of a split route by weight."""
+
+import attrs
+
+from clementinebank.routes._model import Route, WeightedService
+
+
+@attrs.define(eq=False)
+class SplitBalancer:
+    """Smooth weighted round robin for each route.
+
+    After any number of requests the count of each part differs from its
+    exact share by less than one request for each part, so that few requests
+    already have the right proportions.
+    """
+
+    _credits_by_parts: dict[
+        tuple[str, tuple[WeightedService, ...]], list[float]
+    ] = attrs.Factory(dict)
+
+    def choose(self, route: Route) -> str:
+        """Return the service of the next request of a route."""
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        key = (route.name, route.parts)
+        credits = self._credits_by_parts.setdefault(key, [0] * len(route.parts))
+        total = sum(part.weight for part in route.parts)
+        for index, part in enumerate(route.parts):
+            credits[index] += part.weight / total
+        chosen = max(range(len(credits)), key=credits.__getitem__)
+        credits[chosen] -= 1
+        return route.parts[chosen].service
--- a/clementinebank/routing/__init__.py
+++ b/clementinebank/routing/__init__.py
@@ -3,12 +3,14 @@
 from clementinebank.routing._budget import ExtraLoadBudget
 from clementinebank.routing._leaf_state import (
     OUTCOMES_BY_CODE,
+    SLOW_START_S,
     CallOutcome,
     LeafState,
 )
 from clementinebank.routing._quantiles import LatencyWindow
 from clementinebank.routing._router import Router
 from clementinebank.routing._subset import rendezvous_subset
+from clementinebank.routing._topology import Topology
 
 __all__ = (
     'OUTCOMES_BY_CODE',
@@ -16,6 +18,8 @@
     'ExtraLoadBudget',
     'LatencyWindow',
     'LeafState',
+    'SLOW_START_S',
     'Router',
+    'Topology',
     'rendezvous_subset',
 )
--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -8,6 +8,8 @@
 from clementinebank.upstream import LeafStatus
 
 LATENCY_WEIGHT = 0.1
+# The load of other instances changes within a few requests.
+FOREIGN_LOAD_WEIGHT = 0.3
 # A single straggler counts as at most this multiple of the average, so that
 # it does not move work to a farther data centre.
 MAX_SAMPLE_FACTOR = 2.0
@@ -84,6 +86,10 @@
         Adaptive limit of requests in flight.
     cold_since : float or None
         Start of the slow start, ``None`` for a warm leaf.
+    slots : int
+        Requests that the leaf serves at the same time before others queue.
+    foreign_load : float
+        Requests of other instances at the leaf, as it last reported.
     """
 
     leaf_id: str
@@ -95,6 +101,8 @@
     floor_s: float = 0
     reported: LeafStatus | None = None
     cold_since: float | None = None
+    slots: int = 1
+    foreign_load: float = 0
     draining_since: float | None = None
     ejected_since: float | None = None
     _failures: int = 0
@@ -129,7 +137,8 @@
     @property
     def cost(self) -> float:
         """Return the rank: the expected time of one more request."""
-        queued = (self.in_flight + 1) * self.service_s
+        load = (self.in_flight + 1 + self.foreign_load) / self.slots
+        queued = max(1, load) * self.service_s
         return (self.round_trip_s + queued) * self._penalty
 
     @property
@@ -233,6 +242,17 @@
         self.ejected_since = now
         self._next_probe_at = now + ejection_s
 
+    def set_capacity(self, slots: int, max_in_flight: int) -> None:
+        """Set the slots of the leaf and the connections of this instance."""
+        self.slots = max(1, slots)
+        self.max_in_flight = max_in_flight
+        self.limit = min(self.limit, max_in_flight)
+
+    def on_load(self, running: int, waiting: int) -> None:
+        """Take the load that a reply reported."""
+        others = max(0, running + waiting - self.in_flight)
+        self.foreign_load += FOREIGN_LOAD_WEIGHT * (others - self.foreign_load)
+
     def start_drain(self, now: float) -> None:
         """Stop new work until the leaf reports that it serves again."""
         if self.draining_since is None:
--- a/clementinebank/server/_life_cycle.py
+++ b/clementinebank/server/_life_cycle.py
@@ -10,7 +10,7 @@
 from clementinebank.clock import now
 from clementinebank.http import HttpServer
 from clementinebank.invariants import check, invariant
-from clementinebank.server._stop_signal import StopSignal
+from clementinebank.process import SignalWaiter
 from clementinebank.settings import InstanceSettings
 
 MS_PER_S = 1000
@@ -50,12 +50,12 @@
     ----------
     settings : InstanceSettings
         Delay and limit of the shutdown.
-    stop_signal : StopSignal
+    stop_signal : SignalWaiter
         Tells when to stop.
     """
 
     settings: InstanceSettings
-    stop_signal: StopSignal = attrs.Factory(StopSignal)
+    stop_signal: SignalWaiter = attrs.Factory(SignalWaiter)
     phase: Phase = Phase.SERVING
     _on_leaving: list[Hook] = attrs.Factory(list)
     _on_gone: list[Hook] = attrs.Factory(list)
--- a/clementinebank/server/_main.py
+++ b/clementinebank/server/_main.py
@@ -9,8 +9,8 @@
 from result import Err
 
 from clementinebank.clock import run_service
+from clementinebank.process import LogSink
 from clementinebank.server._instance import create_instance
-from clementinebank.server._log_sink import LogSink
 from clementinebank.server._telemetry import add_log_source
 from clementinebank.settings import InstanceSettings, load_settings
 
--- a/clementinebank/server/_telemetry.py
+++ b/clementinebank/server/_telemetry.py
@@ -5,7 +5,7 @@
 
 from clementinebank.invariants import VIOLATIONS_BY_NAME
 from clementinebank.metrics import Metrics, Sample, names, sample
-from clementinebank.server._log_sink import LogSink
+from clementinebank.process import LogSink
 
 MS_PER_S = 1000
 
--- a/clementinebank/upstream/__init__.py
+++ b/clementinebank/upstream/__init__.py
@@ -2,6 +2,7 @@
 
 from clementinebank.upstream._pool import LeafCall, LeafPool, LeafReply
 from clementinebank.upstream._pools import LeafPools
+from clementinebank.upstream._protocol import LeafProtocol, SearchLeafProtocol
 from clementinebank.upstream._status import (
     LeafStatus,
     ServedSnapshot,
@@ -12,8 +13,10 @@
     'LeafCall',
     'LeafPool',
     'LeafPools',
+    'LeafProtocol',
     'LeafReply',
     'LeafStatus',
+    'SearchLeafProtocol',
     'ServedSnapshot',
     'decode_status',
 )
--- a/clementinebank/upstream/_pool.py
+++ b/clementinebank/upstream/_pool.py
@@ -16,11 +16,11 @@
     HttpRequest,
     HttpResponse,
 )
+from clementinebank.upstream._protocol import LeafProtocol, SearchLeafProtocol
 
 # A reply that comes later than this after its deadline costs a connection.
 LATE_REPLY_LIMIT_S = 1.0
 CANCEL_TIMEOUT_S = 0.5
-DRAINING = 503
 
 
 @attrs.frozen
@@ -55,13 +55,15 @@
     Parameters
     ----------
     call_id : str
-        Unique id, echoed by the leaf.
+        Unique id of the call.
     request : HttpRequest
         What is sent.
     deadline : float
         Runtime time in seconds after which nothing is started.
     deliver : callable
         Coroutine function that receives the reply exactly once.
+    echoed_id : str
+        Id that the leaf must echo; the id of the call by default.
     """
 
     call_id: str
@@ -71,6 +73,11 @@
     submitted_at: float = 0
     is_sent: bool = False
     is_cancelled: bool = False
+    echoed_id: str = attrs.field()
+
+    @echoed_id.default
+    def _use_call_id(self) -> str:
+        return self.call_id
 
 
 @attrs.define(eq=False)
@@ -83,16 +90,26 @@
         The leaf.
     share : int
         Connections that this instance may hold to the leaf.
+    protocol : LeafProtocol
+        How replies are matched and calls are cancelled.
+    connect_timeout_s : float
+        Longest time of a connect in seconds.
+    on_connected : callable or None
+        Receives the leaf and the time of each connect in seconds.
     """
 
     leaf: LeafSettings
     share: int
+    protocol: LeafProtocol = attrs.Factory(SearchLeafProtocol)
+    connect_timeout_s: float = float('inf')
+    on_connected: Callable[[LeafSettings, float], None] | None = None
     open_connections: int = 0
     is_retired: bool = False
     _calls: Any = attrs.field(factory=curio.Queue)
     _idle_by_number: dict[int, HttpConnection] = attrs.Factory(dict)
     _generation: int = 0
     _calls_by_id: dict[str, LeafCall] = attrs.Factory(dict)
+    _connections_by_call: dict[str, HttpConnection] = attrs.Factory(dict)
 
     async def submit(self, call: LeafCall) -> None:
         """Queue a call for the next free connection.
@@ -117,22 +134,28 @@
     async def cancel(self, call_id: str) -> None:
         """Cancel a call: unsent it is dropped, sent the leaf is told.
 
-        The connection stays in use until the late reply was read, so that
-        no other call can see it.
+        Where the protocol has a message for it, the connection stays in use
+        until the late reply was read, so that no other call can see it.
+        Otherwise the connection is ended.
         """
         call = self._calls_by_id.get(call_id)
         if call is None or call.is_cancelled:
             return
         call.is_cancelled = True
-        if call.is_sent:
-            await self.submit(
-                LeafCall(
-                    f'cancel-{call_id}',
-                    HttpRequest('DELETE', f'/v1/requests/{call_id}'),
-                    now() + CANCEL_TIMEOUT_S,
-                    _discard,
-                )
+        if not call.is_sent:
+            return
+        message = self.protocol.cancel_request(call_id)
+        if message is None:
+            self._connections_by_call[call_id].abort()
+            return
+        await self.submit(
+            LeafCall(
+                f'cancel-{call_id}',
+                message,
+                now() + CANCEL_TIMEOUT_S,
+                _discard,
             )
+        )
 
     async def retire(self) -> None:
         """Close every connection after its reply; accept no more calls."""
@@ -199,9 +222,13 @@
     async def _run_call(
         self, connection: HttpConnection, call: LeafCall
     ) -> None:
+        self._connections_by_call[call.call_id] = connection
         outcome = await self._exchange(connection, call)
-        if isinstance(outcome, Err) or outcome.ok_value.status == DRAINING:
+        if isinstance(outcome, Err) or self.protocol.ends_connection(
+            outcome.ok_value
+        ):
             await connection.close()
+        self._connections_by_call.pop(call.call_id)
         self._calls_by_id.pop(call.call_id, None)
         await call.deliver(
             LeafReply(
@@ -230,7 +257,7 @@
             return Err(self._failure('leaf_timeout', message, step, call))
         except (OSError, HttpProtocolError) as error:
             return Err(self._failure('leaf_broken', str(error), step, call))
-        if response.headers.get('request-id') != call.call_id:
+        if self.protocol.echoed_id(response) != call.echoed_id:
             message = 'the reply is of another request'
             return Err(self._failure('leaf_mismatch', message, step, call))
         return Ok(response)
@@ -238,7 +265,11 @@
     async def _send(self, connection: HttpConnection, call: LeafCall) -> bool:
         """Send the request, or return that the call has ended before."""
         if not connection.is_reusable:
-            await run_before(call.deadline, connection.connect)
+            started = now()
+            limit = min(call.deadline, started + self.connect_timeout_s)
+            await run_before(limit, connection.connect)
+            if self.on_connected is not None:
+                self.on_connected(self.leaf, now() - started)
             # Connecting takes time, in which the call can end.
             if call.is_cancelled or now() >= call.deadline:
                 return False
@@ -265,7 +296,11 @@
 
     def _new_connection(self) -> HttpConnection:
         address = self.leaf.address
-        return HttpConnection(address.host, address.port)
+        return HttpConnection(
+            address.host,
+            address.port,
+            allows_unframed=self.protocol.allows_unframed,
+        )
 
 
 async def _discard(reply: LeafReply) -> None:
--- a/clementinebank/upstream/_pools.py
+++ b/clementinebank/upstream/_pools.py
@@ -42,12 +42,16 @@
         Receives the id of a leaf before its pool is retired.
     create_pool : callable
         Creates the pool of a leaf from its settings and the share.
+    is_probed : bool
+        Whether the status of each leaf is asked for; without it the replies
+        to calls have to tell.
     """
 
     on_status: OnStatus
     on_lost_probe: OnLeaf = _ignore_leaf
     on_removed: OnLeaf = _ignore_leaf
     create_pool: Any = LeafPool
+    is_probed: bool = True
     pools_by_leaf: dict[str, LeafPool] = attrs.Factory(dict)
     _distrusted_at: float = float('-inf')
 
@@ -63,7 +67,8 @@
             if leaf_id not in self.pools_by_leaf:
                 opened = self.create_pool(leaf, share)
                 self.pools_by_leaf[leaf_id] = opened
-                await curio.spawn(self._probe, opened, daemon=True)
+                if self.is_probed:
+                    await curio.spawn(self._probe, opened, daemon=True)
 
     async def stop(self) -> None:
         """Retire every pool."""
