Learn of slow leafs from normalised replies and overtaken calls

Traces showed hedges missing for lack of budget: probes and repeated hedges of the same slow leafs used it up, quick kinds of requests hid slow leafs from the outlier rule, and limits fell because of ordinary variation.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
-SOURCES := clementinebank standins tests benchmarks examples
+SOURCES := clementinebank platform standins tests benchmarks examples
 export PYTHONPATH := $(CURDIR)
 
 .PHONY: test lint types unit run faults soak format clean
@@ -19,6 +19,7 @@
 
 types: $(VENV)/.installed
 	$(PYTHON) -m mypy clementinebank standins
+	MYPYPATH=platform:. $(PYTHON) -m mypy platform/fleet_adapter
 
 unit: $(VENV)/.installed
 	$(PYTHON) -m pytest
--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -153,20 +153,28 @@
             self.not_run_count += 1
             shard.not_run_count += 1
 
-    def settle(self, shard: Shard, now: float) -> list[Action]:
-        """End a shard and cancel what is still outstanding for it."""
+    def settle(
+        self, shard: Shard, now: float, *, is_abandoned: bool = False
+    ) -> list[Action]:
+        """End a shard and cancel what is still outstanding for it.
+
+        An overtaken attempt may go on as a probe of its leaf, but not when
+        the caller has left.
+        """
         shard.is_settled = True
         self._set_waiting(shard, is_waiting=False)
         actions: list[Action] = []
         for attempt in list(shard.attempts_by_id.values()):
             self.end_attempt(attempt.attempt_id)
-            self.router.on_cancel(
+            is_kept = self.router.on_cancel(
                 attempt.leaf_id,
                 now,
                 now - attempt.sent_at,
+                attempt.attempt_id,
                 self.policy.profile,
             )
-            actions.append(CancelCall(attempt.attempt_id, attempt.leaf_id))
+            if is_abandoned or not is_kept:
+                actions.append(CancelCall(attempt.attempt_id, attempt.leaf_id))
         return actions
 
     def trace(self, now: float, event: str, **facts: Any) -> None:
@@ -191,6 +199,9 @@
                 if is_retry:
                     self.trace(now, 'retry', leaf=leaf_id)
                 return [self._send(shard, leaf_id, now)]
+            if not self.policy.waits_for_budget:
+                shard.missing_reason = f'{shard.missing_reason}, no budget'
+                return self.settle(shard, now)
         if self._is_lost(shard, remaining_s, now):
             return self.settle(shard, now)
         # A replica that refused may have room again later.
--- a/clementinebank/dispatch/_policy.py
+++ b/clementinebank/dispatch/_policy.py
@@ -35,6 +35,8 @@
         Time in which a shard leaves slots to other instances.
     offer_limit_s : float
         Time after which a shard that no leaf has taken is given up.
+    waits_for_budget : bool
+        Whether a retry waits until the budget permits it.
     profile : str
         Kind of request whose latencies decide when to hedge; empty for the
         latencies of the group.
@@ -47,4 +49,5 @@
     resend_interval_s: float = RESEND_INTERVAL_S
     max_local_wait_s: float = MAX_LOCAL_WAIT_S
     offer_limit_s: float = inf
+    waits_for_budget: bool = True
     profile: str = ''
--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -24,6 +24,7 @@
 from clementinebank.leafs import LeafDirectory, LeafRecord
 from clementinebank.routes import Route, RouteTable
 from clementinebank.routing import (
+    FORWARDING_POLICY,
     OUTCOMES_BY_CODE,
     SLOW_START_S,
     CallOutcome,
@@ -41,6 +42,8 @@
 # The bound of extra requests holds for the whole fleet; a part is kept for
 # requests that are counted differently at its edge.
 BUDGET_SAFETY = 0.9
+# A process that has just started may follow one that spent its burst.
+OPENING_SHARE = 0.5
 MISDIRECTED = 421
 
 OnTrace = Callable[[ForwardRequest, Route, list[TraceEvent], float], None]
@@ -98,7 +101,9 @@
     def __attrs_post_init__(self) -> None:
         """Create the routing state."""
         self.router = Router(
-            LeafTopology({}, MAX_SLOTS, self.limits.ratio), self.rng
+            LeafTopology({}, MAX_SLOTS, self.limits.ratio),
+            self.rng,
+            policy=FORWARDING_POLICY,
         )
 
     async def update(self) -> None:
@@ -174,8 +179,13 @@
 
     def _add_budget(self, service: str) -> None:
         if service not in self.router.budgets_by_group:
+            capacity = self._burst_share()
+            opening = OPENING_SHARE * capacity
             self.router.budgets_by_group[service] = ExtraLoadBudget(
-                BUDGET_SAFETY * self.limits.ratio, self._burst_share()
+                BUDGET_SAFETY * self.limits.ratio,
+                capacity,
+                tokens=opening,
+                earned=opening,
             )
 
     def _create_pools(self) -> LeafPools:
@@ -267,14 +277,17 @@
     async def _deliver(self, reply: LeafReply) -> None:
         """Update the routing state, also after the request has ended."""
         dispatcher = self.forward.dispatcher
+        router = self.engine.router
         is_current = reply.call_id in dispatcher.shards_by_attempt
+        is_probe = router.end_stall(reply.leaf_id, reply.call_id)
+        is_counted = is_current or is_probe
         outcome = reply.outcome.map(self.engine.codec.decode)
         self._take_load(reply.leaf_id, outcome)
-        self.engine.router.on_end(
+        router.on_end(
             reply.leaf_id,
             now(),
             reply.elapsed_s,
-            _call_outcome(outcome) if is_current else CallOutcome.CANCELLED,
+            _call_outcome(outcome) if is_counted else CallOutcome.CANCELLED,
             self.forward.route.name,
         )
         if is_current and self.ending is None:
--- a/clementinebank/forwarding/_forward.py
+++ b/clementinebank/forwarding/_forward.py
@@ -128,6 +128,7 @@
             max_hedges=MAX_HEDGES,
             resend_interval_s=RESEND_INTERVAL_S,
             max_local_wait_s=0,
+            waits_for_budget=route.gathering is not None,
             offer_limit_s=OFFER_SHARE * route.objective_s,
             profile=route.name,
         )
@@ -212,7 +213,12 @@
         """Cancel everything because the caller is gone."""
         self.is_finished = True
         self.dispatcher.trace(now, 'abandoned')
-        return self._settle_all(now)
+        actions: list[Action] = []
+        for shard in self._shards_by_service.values():
+            actions.extend(
+                self.dispatcher.settle(shard, now, is_abandoned=True)
+            )
+        return actions
 
     def _is_final(self, answer: LeafAnswer) -> bool:
         """Return whether another leaf would answer the same.
--- /dev/null
+++ b/clementinebank/forwarding/tests/worlds.py
@@ -0,0 +1,135 @@
+"""Routes, leafs and answers that the tests of forwarded requests share."""
+
+import random
+
+import attrs
+
+from clementinebank.dispatch import CancelCall, SendCall
+from clementinebank.errors import Execution, Failure, Step
+from clementinebank.forwarding import (
+    Finish,
+    Forward,
+    ForwardRequest,
+    LeafAnswer,
+    Refuse,
+)
+from clementinebank.forwarding._topology import create_topology
+from clementinebank.http import HttpRequest, HttpResponse
+from clementinebank.leafs import LeafRecord
+from clementinebank.routes import Gathering, Route, RouteKind, WeightedService
+from clementinebank.routing import FORWARDING_POLICY, CallOutcome, Router
+from clementinebank.validation import Address
+
+START_S = 1000.0
+SERVICES = ('s0', 's1', 's2', 's3')
+OBJECTIVE_S = 0.2
+TIMEOUT_S = 1.0
+
+
+def make_route(kind=RouteKind.SAFE, services=('s0',), **changes):
+    gathering = None
+    parts = tuple(WeightedService(service, 1) for service in services)
+    if len(services) > 1:
+        gathering, parts = Gathering(services, 3, 0.75), ()
+    options = {'max_attempts': 2, **changes}
+    return Route(
+        'r', 'h', '/', kind, TIMEOUT_S, OBJECTIVE_S, parts, gathering, **options
+    )
+
+
+def answer(body=b'', status=200, execution=Execution.RAN, signature='sig'):
+    response = HttpResponse(status, {}, body)
+    is_success = status == 200 and execution is Execution.RAN
+    return LeafAnswer(response, execution, signature, is_success)
+
+
+def shed():
+    return answer(status=503, execution=Execution.NOT_RUN, signature='')
+
+
+@attrs.define
+class World:
+    """One request over simulated leafs, with what an observer saw of it."""
+
+    route: Route
+    router: Router
+    forward: Forward = None
+    now: float = START_S
+    outstanding: dict = attrs.Factory(dict)
+    sent: list = attrs.Factory(list)
+    not_run: set = attrs.Factory(set)
+    cancelled: list = attrs.Factory(list)
+    endings: list = attrs.Factory(list)
+
+    def start(self, deadline_s=2.0):
+        message = HttpRequest('GET', '/')
+        request = ForwardRequest('q', self.now + deadline_s, message)
+        self.forward = Forward(
+            request, self.route, self.route.services, self.router
+        )
+        self.perform(self.forward.start(self.now))
+        return self
+
+    def perform(self, actions):
+        for action in actions:
+            if isinstance(action, SendCall):
+                assert not self.endings, 'sent after the end'
+                self.sent.append(action)
+                self.outstanding[action.attempt_id] = action
+            elif isinstance(action, CancelCall):
+                self.cancelled.append(action.attempt_id)
+                self.outstanding.pop(action.attempt_id, None)
+            elif isinstance(action, Finish | Refuse):
+                self.endings.append(action)
+
+    def answer(self, attempt_id, given):
+        send = self.outstanding.pop(attempt_id)
+        if given.execution is Execution.NOT_RUN:
+            self.not_run.add(attempt_id)
+        self.router.end_stall(send.leaf_id, attempt_id)
+        self.router.on_end(send.leaf_id, self.now, 0.01, CallOutcome.GOOD)
+        self.perform(self.forward.on_answer(attempt_id, given, self.now))
+
+    def fail(self, attempt_id, *, ran=True):
+        send = self.outstanding.pop(attempt_id)
+        execution = Execution.UNKNOWN if ran else Execution.NOT_RUN
+        if not ran:
+            self.not_run.add(attempt_id)
+        failure = Failure('broken', 'broken', Step.READ, execution=execution)
+        self.router.on_end(send.leaf_id, self.now, 0.01, CallOutcome.FAILED)
+        self.perform(self.forward.on_failure(attempt_id, failure, self.now))
+
+    def first(self):
+        return next(iter(self.outstanding))
+
+    def advance(self, seconds):
+        end = self.now + seconds
+        while not self.endings and self.forward.next_wakeup <= end:
+            self.now = max(self.now, self.forward.next_wakeup)
+            self.perform(self.forward.on_time(self.now))
+        self.now = end
+
+
+def make_world(route=None, tokens=20, replicas=3, seed=1):
+    records = {}
+    for service in SERVICES:
+        for number in range(replicas):
+            record = LeafRecord(
+                f'{service}-{number}',
+                1,
+                1,
+                service,
+                Address('127.0.0.1', 1),
+                f'dc-{number}',
+                3,
+            )
+            records[record.leaf_id] = record
+    router = Router(
+        create_topology(records, 1000, 0.2),
+        random.Random(seed),
+        connection_share=8,
+        policy=FORWARDING_POLICY,
+    )
+    router.budget.tokens = tokens
+    router.budget.earned = tokens
+    return World(route or make_route(), router)
--- /dev/null
+++ b/clementinebank/leafs/tests/test_directory.py
@@ -0,0 +1,92 @@
+"""Guards drains, restarts and lapses of registered leafs."""
+
+from unittest import mock
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from clementinebank.leafs import LeafDirectory, LeafRecord
+from clementinebank.validation import Address
+
+RUN = settings(derandomize=True, database=None, deadline=None)
+DRAIN_S = 3.0
+LEAF = LeafRecord('i-1', 1, 1, 's', Address('127.0.0.1', 1), 'dc', 3)
+
+
+def make(**changes):
+    return attrs.evolve(LEAF, **changes)
+
+
+def test_removed_leaf_is_kept_until_its_registration_may_be_back():
+    directory = LeafDirectory(DRAIN_S)
+    directory.register(LEAF)
+    directory.remove('i-1', now=10)
+    assert not directory.expire(now=11)
+    assert directory.records_by_id
+    assert directory.next_expiry() < 10 + DRAIN_S
+    assert directory.expire(now=directory.next_expiry())
+    assert not directory.records_by_id
+
+
+def test_leaf_that_registers_again_is_not_forgotten():
+    directory = LeafDirectory(DRAIN_S)
+    directory.register(LEAF)
+    directory.remove('i-1', now=10)
+    assert directory.register(LEAF)
+    assert not directory.expire(now=100)
+    assert directory.records_by_id
+
+
+def test_leaf_that_a_complete_list_lacks_is_removed():
+    directory = LeafDirectory(DRAIN_S)
+    directory.register(LEAF)
+    directory.retain(set(), now=10)
+    directory.expire(now=10 + DRAIN_S)
+    assert not directory.records_by_id
+
+
+def test_restart_under_the_same_id_ends_a_drain():
+    directory = LeafDirectory(DRAIN_S)
+    directory.register(make(is_draining=True, sequence=9))
+    directory.register(make(incarnation=2, sequence=1))
+    assert not directory.records_by_id['i-1'].is_draining
+
+
+def _check_order(statements):
+    """Take statements in any order; the newest one must stand."""
+    directory = LeafDirectory(DRAIN_S)
+    newest = (0, 0)
+    drained = set()
+    for incarnation, sequence, is_draining in statements:
+        record = make(
+            incarnation=incarnation, sequence=sequence, is_draining=is_draining
+        )
+        if record.order >= newest and is_draining:
+            drained.add(incarnation)
+        newest = max(newest, record.order)
+        directory.register(record)
+        known = directory.records_by_id['i-1']
+        assert known.order == newest
+        assert known.is_draining or known.incarnation not in drained
+
+
+STATEMENTS = st.lists(
+    st.tuples(st.integers(1, 3), st.integers(1, 4), st.booleans()), min_size=1
+)
+
+
+@RUN
+@given(STATEMENTS)
+def test_late_statement_changes_nothing_and_a_drain_is_final(statements):
+    _check_order(statements)
+
+
+def test_directory_that_takes_any_statement_is_caught():
+    def take(directory, record):
+        directory.records_by_id[record.leaf_id] = record
+
+    with mock.patch.object(LeafDirectory, 'register', take):
+        with pytest.raises(AssertionError):
+            _check_order([(1, 2, True), (1, 1, False)])
--- a/clementinebank/routing/__init__.py
+++ b/clementinebank/routing/__init__.py
@@ -7,12 +7,14 @@
     CallOutcome,
     LeafState,
 )
+from clementinebank.routing._policy import FORWARDING_POLICY, RoutingPolicy
 from clementinebank.routing._quantiles import LatencyWindow
 from clementinebank.routing._router import Router
 from clementinebank.routing._subset import rendezvous_subset
 from clementinebank.routing._topology import Topology
 
 __all__ = (
+    'FORWARDING_POLICY',
     'OUTCOMES_BY_CODE',
     'CallOutcome',
     'ExtraLoadBudget',
@@ -20,6 +22,7 @@
     'LeafState',
     'SLOW_START_S',
     'Router',
+    'RoutingPolicy',
     'Topology',
     'rendezvous_subset',
 )
--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -28,7 +28,6 @@
 
 LIMIT_DECREASE = 0.5
 QUEUE_LIMIT_DECREASE = 0.9
-# A reply this many times slower than the leaf's fastest one has queued.
 QUEUE_FACTOR = 4.0
 # One decrease for all refusals of the same overload.
 DECREASE_INTERVAL_S = 0.05
@@ -90,6 +89,13 @@
         Requests that the leaf serves at the same time before others queue.
     foreign_load : float
         Requests of other instances at the leaf, as it last reported.
+    stalled_since : float or None
+        Runtime time at which a call to the leaf was overtaken that has not
+        ended yet.
+    queue_factor : float
+        A reply this many times slower than the leaf's fastest one has queued.
+    readmits_cold : bool
+        Whether a leaf starts slowly after an ejection.
     """
 
     leaf_id: str
@@ -103,6 +109,9 @@
     cold_since: float | None = None
     slots: int = 1
     foreign_load: float = 0
+    stalled_since: float | None = None
+    queue_factor: float = QUEUE_FACTOR
+    readmits_cold: bool = True
     draining_since: float | None = None
     ejected_since: float | None = None
     _failures: int = 0
@@ -110,6 +119,7 @@
     _slow: int = 0
     _ejections: int = 0
     _good_probes: int = 0
+    _stalled_attempt: str = ''
     _next_probe_at: float = 0
     _refused_at: float = float('-inf')
     _decreased_at: float = float('-inf')
@@ -124,6 +134,11 @@
         """Return whether the leaf gets only probes."""
         return self.ejected_since is not None
 
+    @property
+    def is_stalled(self) -> bool:
+        """Return whether the end of an overtaken call is waited for."""
+        return self.stalled_since is not None
+
     @property
     def round_trip_s(self) -> float:
         """Return the link delay there and back in seconds."""
@@ -186,6 +201,10 @@
             self.cold_since = None
         return min(1, max(MIN_SLOW_START_SHARE, share))
 
+    def may_try(self, now: float) -> bool:
+        """Return whether an ordinary request may test an ejected leaf."""
+        return self.is_probe_due(now) and self.in_flight == 0
+
     def is_probe_due(self, now: float) -> bool:
         """Return whether an ejected leaf may get a probe."""
         return self.is_ejected and now >= self._next_probe_at
@@ -242,6 +261,21 @@
         self.ejected_since = now
         self._next_probe_at = now + ejection_s
 
+    def start_stall(self, now: float, attempt_id: str) -> bool:
+        """Wait for the end of an attempt; false if another is waited for."""
+        if self.is_stalled:
+            return False
+        self.stalled_since = now
+        self._stalled_attempt = attempt_id
+        return True
+
+    def end_stall(self, attempt_id: str) -> bool:
+        """Trust the leaf again if this is the attempt that is waited for."""
+        if not self.is_stalled or self._stalled_attempt != attempt_id:
+            return False
+        self.stalled_since = None
+        return True
+
     def set_capacity(self, slots: int, max_in_flight: int) -> None:
         """Set the slots of the leaf and the connections of this instance."""
         self.slots = max(1, slots)
@@ -306,7 +340,9 @@
         self._decrease(now, LIMIT_DECREASE)
 
     def _has_queued(self, service_s: float) -> bool:
-        return self.in_flight > 0 and service_s > QUEUE_FACTOR * self.floor_s
+        return (
+            self.in_flight > 0 and service_s > self.queue_factor * self.floor_s
+        )
 
     def _count_slow(self, now: float, is_slow: bool) -> None:
         self._slow = self._slow + 1 if is_slow else 0
@@ -319,7 +355,8 @@
             if self._good_probes >= READMIT_AFTER_PROBES:
                 self.ejected_since = None
                 self._ejections = 0
-                self.cold_since = now
+                if self.readmits_cold:
+                    self.cold_since = now
 
     def _decrease(self, now: float, factor: float) -> None:
         if now - self._decreased_at >= DECREASE_INTERVAL_S:
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -9,15 +9,11 @@
 from clementinebank.invariants import check, invariant
 from clementinebank.routing._budget import BURST_TOKENS, ExtraLoadBudget
 from clementinebank.routing._leaf_state import CallOutcome, LeafState
+from clementinebank.routing._policy import RoutingPolicy
 from clementinebank.routing._quantiles import LatencyWindow
 from clementinebank.routing._topology import Topology
 from clementinebank.upstream import LeafStatus
 
-HEDGE_QUANTILE = 0.9
-# The delay is the quantile times a factor: the first while tokens are saved,
-# the second when the bucket is empty and only stragglers are worth a token.
-FULL_HEDGE_FACTOR = 1.25
-SCARCE_HEDGE_FACTOR = 2.5
 FULL_TOKENS = 20
 # A group that is slow as a whole is hedged at this multiple of the quantile
 # of all groups: its own quantile would wait for its slowest replica.
@@ -60,6 +56,8 @@
         One-way link delay of each leaf in seconds.
     connection_share : int
         Connections of this instance to each leaf.
+    policy : RoutingPolicy
+        When to hedge and what to conclude from overtaken calls.
     budgets_by_group : dict of str to ExtraLoadBudget
         Budgets of groups that do not share that of the service.
     """
@@ -68,6 +66,7 @@
     rng: random.Random = attrs.Factory(random.Random)
     delays_by_leaf: Mapping[str, float] = attrs.Factory(dict)
     connection_share: int = 3
+    policy: RoutingPolicy = RoutingPolicy()
     leafs_by_id: dict[str, LeafState] = attrs.Factory(dict)
     budget: ExtraLoadBudget = attrs.field(init=False)
     budgets_by_group: dict[str, ExtraLoadBudget] = attrs.Factory(dict)
@@ -134,7 +133,7 @@
             for leaf in self._usable(group_id, limit_s)
             if leaf.leaf_id not in excluded
         ]
-        healthy = [leaf for leaf in usable if not leaf.is_ejected]
+        healthy = [leaf for leaf in usable if self._is_healthy(leaf, now)]
         shared_limit = max(1, self.service.slots - KEPT_SLOTS)
         limit = shared_limit if is_patient else inf
         candidates = healthy or usable
@@ -171,6 +170,9 @@
 
     def probe_target(self, group_id: str, now: float) -> str | None:
         """Return an ejected replica that is due for a probe, or ``None``."""
+        if self.policy.detects_stalls:
+            # An ordinary request tests the leaf and is hedged if it is slow.
+            return None
         for leaf in self._usable(group_id, inf):
             if leaf.is_probe_due(now) and leaf.in_flight == 0:
                 return leaf.leaf_id
@@ -217,17 +219,18 @@
         leaf = self.leafs_by_id[leaf_id]
         budget = self.budget_of(self._group_by_leaf[leaf_id])
         saved = min(1, budget.tokens / min(FULL_TOKENS, budget.capacity))
-        span = SCARCE_HEDGE_FACTOR - FULL_HEDGE_FACTOR
-        factor = SCARCE_HEDGE_FACTOR - saved * span
+        scarce = self.policy.scarce_hedge_factor
+        factor = scarce - saved * (scarce - self.policy.full_hedge_factor)
+        quantile = self.policy.hedge_quantile
         # Waiting longer than a peer needs from the start gains nothing.
         if profile:
             window = self._windows_by_profile.get(profile, self._service_window)
-            quantile_s = window.quantile(HEDGE_QUANTILE, INITIAL_HEDGE_DELAY_S)
+            quantile_s = window.quantile(quantile, INITIAL_HEDGE_DELAY_S)
             return leaf.round_trip_s + factor * max(
                 MIN_HEDGE_DELAY_S, quantile_s
             )
         usual_s = min(USUAL_SPREAD * leaf.service_s, self._fastest_peer_s(leaf))
-        quantile_s = max(self._quantile_s(leaf_id, HEDGE_QUANTILE), usual_s)
+        quantile_s = max(self._quantile_s(leaf_id, quantile), usual_s)
         return leaf.round_trip_s + factor * quantile_s
 
     def on_sent(self, leaf_id: str, now: float, request_id: str = '') -> None:
@@ -250,23 +253,49 @@
         leaf = self.leafs_by_id.get(leaf_id)
         if leaf is None:
             return
-        slow_s = self._slow_bound_s(leaf)
-        leaf.on_end(now, elapsed_s, outcome, slow_s)
         if outcome is CallOutcome.GOOD:
             self._add_latency(leaf, elapsed_s, profile)
+        usual_s = self._normalise_s(leaf, elapsed_s, profile)
+        slow_s = self._slow_bound_s(leaf, profile)
+        leaf.on_end(now, usual_s, outcome, slow_s)
 
     def on_cancel(
-        self, leaf_id: str, now: float, elapsed_s: float, profile: str = ''
-    ) -> None:
-        """Record that a request is cancelled; its end is still reported."""
+        self,
+        leaf_id: str,
+        now: float,
+        elapsed_s: float,
+        attempt_id: str = '',
+        profile: str = '',
+    ) -> bool:
+        """Record that a request is not needed any more.
+
+        Its end is still reported.
+
+        Returns
+        -------
+        bool
+            Whether the request should go on, so that its end tells when the
+            leaf answers again.
+        """
         leaf = self.leafs_by_id.get(leaf_id)
         if leaf is None:
-            return
+            return False
         was_overtaken = elapsed_s > self.hedge_delay_s(leaf_id, profile)
-        leaf.on_cancel(now, elapsed_s, was_overtaken=was_overtaken)
+        may_stall = was_overtaken and self.policy.detects_stalls
+        if may_stall and leaf.start_stall(now, attempt_id):
+            return True
         if was_overtaken:
             # Without it the window would hold only the winners of hedges.
             self._add_latency(leaf, elapsed_s, profile)
+        if self.policy.detects_stalls:
+            return False
+        leaf.on_cancel(now, elapsed_s, was_overtaken=was_overtaken)
+        return False
+
+    def end_stall(self, leaf_id: str, attempt_id: str) -> bool:
+        """Return whether the attempt was the one that a leaf is waited for."""
+        leaf = self.leafs_by_id.get(leaf_id)
+        return leaf is not None and leaf.end_stall(attempt_id)
 
     def on_invalid_reply(self, leaf_id: str, now: float) -> None:
         """Count an unusable reply or a lost status probe as a failure."""
@@ -338,12 +367,40 @@
     def _fastest_peer_s(self, leaf: LeafState) -> float:
         return min((peer.usual_s for peer in self._peers(leaf)), default=inf)
 
-    def _slow_bound_s(self, leaf: LeafState) -> float:
+    def _is_healthy(self, leaf: LeafState, now: float) -> bool:
+        if not self.policy.detects_stalls:
+            return not leaf.is_ejected
+        if leaf.is_stalled:
+            return False
+        return not leaf.is_ejected or leaf.may_try(now)
+
+    def _normalise_s(
+        self, leaf: LeafState, elapsed_s: float, profile: str
+    ) -> float:
+        """Return the time as if the request were of the average kind.
+
+        Leafs that get different mixes of kinds would not be comparable
+        otherwise.
+        """
+        window = self._windows_by_profile.get(profile)
+        if window is None:
+            return elapsed_s
+        average_s = self._service_window.quantile(0.5, 0)
+        median_s = window.quantile(0.5, 0)
+        if not average_s or not median_s:
+            return elapsed_s
+        service_s = max(0, elapsed_s - leaf.round_trip_s)
+        return leaf.round_trip_s + service_s * average_s / median_s
+
+    def _slow_bound_s(self, leaf: LeafState, profile: str = '') -> float:
         """Return the time above which a reply of the leaf is an outlier.
 
         A farther leaf is not an outlier because of its link, and a near one
         not while it answers as fast as its peers do with their links.
         """
+        if profile:
+            usual_s = self._service_window.quantile(0.5, INITIAL_HEDGE_DELAY_S)
+            return leaf.round_trip_s + OUTLIER_FACTOR * usual_s
         peers = self._peers(leaf)
         service_s = min((peer.service_s for peer in peers), default=inf)
         bound_s = max(
@@ -386,6 +443,15 @@
                 self._set_limits(self.leafs_by_id[leaf_id])
 
     def _new_leaf(self, leaf_id: str, now: float | None) -> LeafState:
+        if self.policy.detects_stalls:
+            # The load that leafs report tells more than single slow replies.
+            return LeafState(
+                leaf_id,
+                limit=self.service.slots,
+                cold_since=now,
+                queue_factor=inf,
+                readmits_cold=False,
+            )
         return LeafState(leaf_id, limit=self.service.slots, cold_since=now)
 
     def _set_limits(self, leaf: LeafState) -> None:
