Doubt a leaf after its first slow reply, for a short time

Change: with stall detection one slow reply ejects a leaf for 0.4 s, doubling to 4 s; one good reply ends the doubt. Lost shards are traced with a reason.

--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -203,6 +203,9 @@
                 shard.missing_reason = f'{shard.missing_reason}, no budget'
                 return self.settle(shard, now)
         if self._is_lost(shard, remaining_s, now):
+            self.trace(
+                now, 'lost', group=shard.group_id, reason=shard.missing_reason
+            )
             return self.settle(shard, now)
         # A replica that refused may have room again later.
         shard.failed.clear()
--- a/clementinebank/gateway/_follower.py
+++ b/clementinebank/gateway/_follower.py
@@ -28,6 +28,8 @@
 # taken together; the bounds of drains and changes are seconds.
 BATCH_INTERVAL_S = 0.2
 RETRY_INTERVAL_S = 0.1
+# Nothing can be answered before the first contact.
+FIRST_RETRY_INTERVAL_S = 0.2
 MAX_RETRY_INTERVAL_S = 0.8
 
 OnChanged = Callable[[], Awaitable[None]]
@@ -127,7 +129,10 @@
             )
         growth = 2 ** min(self._failures, 8)
         self._failures += 1
-        await curio.sleep(min(MAX_RETRY_INTERVAL_S, RETRY_INTERVAL_S * growth))
+        longest_s = (
+            MAX_RETRY_INTERVAL_S if self.is_loaded else FIRST_RETRY_INTERVAL_S
+        )
+        await curio.sleep(min(longest_s, RETRY_INTERVAL_S * growth))
 
     async def _expire_leafs(self) -> None:
         while True:
--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -6,6 +6,7 @@
 import attrs
 from eliot import log_message
 
+from clementinebank.routing._policy import OutlierRule
 from clementinebank.upstream import LeafStatus
 
 LATENCY_WEIGHT = 0.1
@@ -42,12 +43,7 @@
 MAX_COUNTED_REFUSALS = 10
 
 EJECT_AFTER_FAILURES = 3
-# Single slow replies are common (stragglers), several in a row are not.
-EJECT_AFTER_SLOW = 3
-EJECTION_S = 2.0
-MAX_EJECTION_S = 30.0
 PROBE_INTERVAL_S = 0.2
-READMIT_AFTER_PROBES = 3
 
 
 class CallOutcome(enum.Enum):
@@ -95,8 +91,8 @@
         ended yet.
     queue_factor : float
         A reply this many times slower than the leaf's fastest one has queued.
-    readmits_cold : bool
-        Whether a leaf starts slowly after an ejection.
+    outlier_rule : OutlierRule
+        When a leaf is ejected and trusted again.
     """
 
     leaf_id: str
@@ -112,7 +108,7 @@
     foreign_load: float = 0
     stalled_since: float | None = None
     queue_factor: float = QUEUE_FACTOR
-    readmits_cold: bool = True
+    outlier_rule: OutlierRule = OutlierRule()
     draining_since: float | None = None
     ejected_since: float | None = None
     _failures: int = 0
@@ -262,7 +258,10 @@
         """
         if now < self._ejected_until:
             return
-        ejection_s = min(MAX_EJECTION_S, EJECTION_S * 2**self._ejections)
+        rule = self.outlier_rule
+        ejection_s = min(
+            rule.max_ejection_s, rule.ejection_s * 2**self._ejections
+        )
         self._ejections += 1
         self._good_probes = 0
         self.ejected_since = now
@@ -365,15 +364,15 @@
         self._slow = self._slow + 1 if is_slow else 0
         if is_slow:
             self._good_probes = 0
-            if self._slow >= EJECT_AFTER_SLOW:
+            if self._slow >= self.outlier_rule.eject_after_slow:
                 self.eject(now)
         elif self.is_ejected:
             self._good_probes += 1
-            if self._good_probes >= READMIT_AFTER_PROBES:
+            if self._good_probes >= self.outlier_rule.readmit_after_probes:
                 self.ejected_since = None
                 self._ejections = 0
                 log_message(message_type='leaf:readmitted', leaf=self.leaf_id)
-                if self.readmits_cold:
+                if self.outlier_rule.readmits_cold:
                     self.cold_since = now
 
     def _decrease(self, now: float, factor: float) -> None:
--- a/clementinebank/routing/_policy.py
+++ b/clementinebank/routing/_policy.py
@@ -14,6 +14,40 @@
 MEDIAN_SCARCE_FACTOR = 4.0
 
 
+# Single slow replies are common (stragglers), several in a row are not.
+EJECT_AFTER_SLOW = 3
+EJECTION_S = 2.0
+MAX_EJECTION_S = 30.0
+READMIT_AFTER_PROBES = 3
+# Where one request tests a leaf and is hedged, a short doubt costs little: it
+# outlasts a pause of a quarter of a second and doubles for a slow leaf.
+SHORT_EJECTION_S = 0.4
+MAX_SHORT_EJECTION_S = 4.0
+
+
+@attrs.frozen
+class OutlierRule:
+    """When a leaf is ejected and trusted again.
+
+    Parameters
+    ----------
+    eject_after_slow : int
+        Slow replies in a row after which a leaf is ejected.
+    ejection_s, max_ejection_s : float
+        First and longest time of an ejection in seconds; it doubles.
+    readmit_after_probes : int
+        Good probes after which the leaf is trusted again.
+    readmits_cold : bool
+        Whether the leaf then starts slowly.
+    """
+
+    eject_after_slow: int = EJECT_AFTER_SLOW
+    ejection_s: float = EJECTION_S
+    max_ejection_s: float = MAX_EJECTION_S
+    readmit_after_probes: int = READMIT_AFTER_PROBES
+    readmits_cold: bool = True
+
+
 @attrs.frozen
 class RoutingPolicy:
     """Parameters of the choice of replicas.
@@ -27,12 +61,15 @@
     detects_stalls : bool
         Whether a leaf with an overtaken call gets no further ones until that
         call ends. Otherwise overtaken calls count as slow replies.
+    outlier_rule : OutlierRule
+        When a leaf is ejected and trusted again.
     """
 
     hedge_quantile: float = HEDGE_QUANTILE
     full_hedge_factor: float = FULL_HEDGE_FACTOR
     scarce_hedge_factor: float = SCARCE_HEDGE_FACTOR
     detects_stalls: bool = False
+    outlier_rule: OutlierRule = OutlierRule()
 
 
 FORWARDING_POLICY = RoutingPolicy(
@@ -40,4 +77,11 @@
     full_hedge_factor=MEDIAN_FULL_FACTOR,
     scarce_hedge_factor=MEDIAN_SCARCE_FACTOR,
     detects_stalls=True,
+    outlier_rule=OutlierRule(
+        eject_after_slow=1,
+        ejection_s=SHORT_EJECTION_S,
+        max_ejection_s=MAX_SHORT_EJECTION_S,
+        readmit_after_probes=1,
+        readmits_cold=False,
+    ),
 )
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -453,7 +453,7 @@
                     0.5, INITIAL_HEDGE_DELAY_S
                 ),
                 queue_factor=inf,
-                readmits_cold=False,
+                outlier_rule=self.policy.outlier_rule,
             )
         return LeafState(leaf_id, limit=self.service.slots, cold_since=now)
 
