Look for a busy shard until the objective of a gathering

Change: the early refusal is kept for requests to one leaf; without room at a healthy leaf a doubted one is used; a reply is slow from four times the usual time.

--- a/clementinebank/forwarding/_forward.py
+++ b/clementinebank/forwarding/_forward.py
@@ -129,13 +129,22 @@
             resend_interval_s=RESEND_INTERVAL_S,
             max_local_wait_s=0,
             waits_for_budget=route.gathering is not None,
-            offer_limit_s=OFFER_SHARE * route.objective_s,
+            offer_limit_s=self._offer_limit_s(),
             profile=route.name,
         )
         self.dispatcher = Dispatcher(
             self.request, self.router, 0, policy=policy
         )
 
+    def _offer_limit_s(self) -> float:
+        """Return how long to look for a leaf before a refusal.
+
+        A gathering can be answered without a shard, so it looks on.
+        """
+        if self.route.gathering is not None:
+            return inf
+        return OFFER_SHARE * self.route.objective_s
+
     @property
     def next_wakeup(self) -> float:
         """Return the runtime time at which ``on_time`` is due."""
--- a/clementinebank/forwarding/tests/test_forward.py
+++ b/clementinebank/forwarding/tests/test_forward.py
@@ -298,3 +298,26 @@
     ]
     expected = sorted(records, reverse=True)[:limit]
     assert merge_greatest(bodies, limit) == b''.join(expected)
+
+
+def test_shard_without_room_is_looked_for_until_the_objective():
+    """A gathering lost shards whose leafs were busy for a moment."""
+    world = make_world(GATHERING)
+    leafs = [f's0-{number}@1' for number in range(3)]
+    for leaf_id in leafs:
+        world.router.leafs_by_id[leaf_id].max_in_flight = 0
+    world.start()
+    world.advance(OBJECTIVE_S / 2)
+    assert not world.forward._shards_by_service['s0'].is_settled
+    world.router.leafs_by_id[leafs[0]].max_in_flight = 1
+    world.advance(0.01)
+    assert world.sent[-1].group_id == 's0'
+
+
+def test_single_request_without_room_is_refused_early():
+    world = make_world(make_route())
+    for leaf in world.router.leafs_by_id.values():
+        leaf.max_in_flight = 0
+    world.start()
+    world.advance(OBJECTIVE_S / 4)
+    assert world.endings[0].failure.status == 503
--- a/clementinebank/routing/__init__.py
+++ b/clementinebank/routing/__init__.py
@@ -7,7 +7,11 @@
     CallOutcome,
     LeafState,
 )
-from clementinebank.routing._policy import FORWARDING_POLICY, RoutingPolicy
+from clementinebank.routing._policy import (
+    FORWARDING_POLICY,
+    OutlierRule,
+    RoutingPolicy,
+)
 from clementinebank.routing._quantiles import LatencyWindow
 from clementinebank.routing._router import Router
 from clementinebank.routing._subset import rendezvous_subset
@@ -21,6 +25,7 @@
     'LatencyWindow',
     'LeafState',
     'SLOW_START_S',
+    'OutlierRule',
     'Router',
     'RoutingPolicy',
     'Topology',
--- a/clementinebank/routing/_policy.py
+++ b/clementinebank/routing/_policy.py
@@ -19,6 +19,9 @@
 EJECTION_S = 2.0
 MAX_EJECTION_S = 30.0
 READMIT_AFTER_PROBES = 3
+# Leafs slow down by a factor of four or more; with log-normal times of spread
+# 0.35 an ordinary reply practically never takes this long.
+SLOW_FACTOR = 4.0
 # Where one request tests a leaf and is hedged, a short doubt costs little: it
 # outlasts a pause of a quarter of a second and doubles for a slow leaf.
 SHORT_EJECTION_S = 0.4
@@ -39,6 +42,9 @@
         Good probes after which the leaf is trusted again.
     readmits_cold : bool
         Whether the leaf then starts slowly.
+    slow_factor : float
+        Multiple of the usual time of a kind of request above which a reply
+        is slow.
     """
 
     eject_after_slow: int = EJECT_AFTER_SLOW
@@ -46,6 +52,7 @@
     max_ejection_s: float = MAX_EJECTION_S
     readmit_after_probes: int = READMIT_AFTER_PROBES
     readmits_cold: bool = True
+    slow_factor: float = SLOW_FACTOR
 
 
 @attrs.frozen
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -138,6 +138,8 @@
         limit = shared_limit if is_patient else inf
         candidates = healthy or usable
         ready = [leaf for leaf in candidates if leaf.has_room(now, limit)]
+        if not ready and self.policy.detects_stalls:
+            ready = [leaf for leaf in usable if leaf.has_room(now)]
         if not ready:
             return None
         chosen = self._better_of_two(ready, now)
@@ -400,7 +402,8 @@
         """
         if profile:
             usual_s = self._service_window.quantile(0.5, INITIAL_HEDGE_DELAY_S)
-            return leaf.round_trip_s + OUTLIER_FACTOR * usual_s
+            factor = self.policy.outlier_rule.slow_factor
+            return leaf.round_trip_s + factor * usual_s
         peers = self._peers(leaf)
         service_s = min((peer.service_s for peer in peers), default=inf)
         bound_s = max(
--- a/clementinebank/routing/tests/test_router.py
+++ b/clementinebank/routing/tests/test_router.py
@@ -9,7 +9,12 @@
 
 import pytest
 
-from clementinebank.routing import CallOutcome, LeafState, Router
+from clementinebank.routing import (
+    CallOutcome,
+    LeafState,
+    OutlierRule,
+    Router,
+)
 from clementinebank.routing import _leaf_state as leaf_module
 from clementinebank.routing import _router as router_module
 from clementinebank.search.tests.worlds import make_service
@@ -286,9 +291,14 @@
         lambda *_: None,
     ),
     check_leaf_returns_after_good_probes: (
-        leaf_module,
-        'READMIT_AFTER_PROBES',
-        1,
+        Router,
+        '_new_leaf',
+        lambda router, leaf_id, now: LeafState(
+            leaf_id,
+            limit=router.service.slots,
+            cold_since=now,
+            outlier_rule=OutlierRule(readmit_after_probes=1),
+        ),
     ),
     check_far_leaf_is_not_an_outlier: (
         Router,
