--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -130,13 +130,12 @@
             if service not in topology.groups_by_id:
                 await self._pools_by_service.pop(service).stop()
 
-    async def set_fleet_size(self, fleet_size: int) -> None:
-        """Divide connections and burst among so many instances."""
-        if fleet_size != self.fleet_size:
-            self.fleet_size = fleet_size
-            for budget in self.router.budgets_by_group.values():
-                budget.capacity = self._burst_share()
-            await self.update()
+    def set_limits(self, limits: ExtraLoadLimits) -> None:
+        """Follow changed bounds of the extra requests."""
+        self.limits = limits
+        for budget in self.router.budgets_by_group.values():
+            budget.ratio = BUDGET_SAFETY * limits.ratio
+            budget.capacity = self._burst_share()
 
     async def forward(
         self, request: ForwardRequest, route: Route
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -62,6 +62,8 @@
         Interface of the callers.
     leafs : LeafCodec
         Interface of the leafs.
+    background : list of callable
+        Further coroutine functions that run with the gateway.
     """
 
     settings: GatewaySettings
@@ -72,6 +74,7 @@
     table: RouteTable = attrs.Factory(RouteTable)
     metrics: Metrics = attrs.Factory(Metrics)
     is_leaving: bool = False
+    background: list[Any] = attrs.Factory(list)
     directory: LeafDirectory = attrs.field(init=False)
     engine: ForwardingEngine = attrs.field(init=False)
     follower: ControlFollower = attrs.field(init=False)
@@ -125,6 +128,7 @@
             self.follower.run,
             self.server.serve,
             self.server.watch_departures,
+            *self.background,
         ):
             await curio.spawn(corofunc, daemon=True)
         await self.stop_signal.wait()
@@ -175,6 +179,17 @@
             request_id, failure, RETRY_AFTER_START_S
         )
 
+    def apply(self, settings: GatewaySettings) -> None:
+        """Take changed bounds; the addresses stay until a restart."""
+        if attrs.evolve(settings, bounds=self.settings.bounds) != self.settings:
+            log_message(message_type='gateway:restart_needed')
+        bounds = settings.bounds
+        self.settings = attrs.evolve(self.settings, bounds=bounds)
+        self.directory.drain_limit_s = bounds.drain_s
+        self.engine.set_limits(
+            ExtraLoadLimits(bounds.retry_ratio, bounds.retry_burst)
+        )
+
     async def _on_changed(self) -> None:
         configuration = self.table.configuration
         if configuration is not None:
--- a/clementinebank/gateway/_main.py
+++ b/clementinebank/gateway/_main.py
@@ -10,6 +10,7 @@
 
 from clementinebank.clock import run_service
 from clementinebank.gateway._gateway import Gateway
+from clementinebank.gateway._reload import SettingsWatcher
 from clementinebank.gateway._settings import (
     GatewaySettings,
     load_gateway_settings,
@@ -40,7 +41,10 @@
     sink = LogSink(io.FileIO(sys.stdout.fileno(), 'a', closefd=False))
     eliot.add_destinations(sink)
     gateway = create(loaded.ok_value)
+    watcher = SettingsWatcher(path, loaded.ok_value, gateway.apply)
+    gateway.background.append(watcher.run)
     gateway.stop_signal.install()
+    watcher.signal_waiter.install()
     try:
         return int(run_service(gateway.run))
     finally:
