--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -241,16 +241,20 @@
 
     async def _perform(self, actions: list[Action]) -> None:
         for action in actions:
-            if isinstance(action, SendCall):
-                await self._send(action)
-            elif isinstance(action, CancelCall):
-                pool = self._pools_by_attempt.get(action.attempt_id)
-                if pool is not None:
-                    await pool.cancel(action.attempt_id)
-            elif isinstance(action, Finish):
-                self.ending = Ok(action.answer)
-            elif isinstance(action, Refuse):
-                self.ending = Err(action.failure)
+            match action:
+                case SendCall():
+                    await self._send(action)
+                case CancelCall():
+                    await self._cancel(action)
+                case Finish():
+                    self.ending = Ok(action.answer)
+                case Refuse():
+                    self.ending = Err(action.failure)
+
+    async def _cancel(self, action: CancelCall) -> None:
+        pool = self._pools_by_attempt.get(action.attempt_id)
+        if pool is not None:
+            await pool.cancel(action.attempt_id)
 
     async def _send(self, action: SendCall) -> None:
         pool = self.engine.pool_of(action)
--- a/clementinebank/forwarding/tests/test_forward.py
+++ b/clementinebank/forwarding/tests/test_forward.py
@@ -10,7 +10,6 @@
 from clementinebank.dispatch import Dispatcher
 from clementinebank.errors import Execution
 from clementinebank.forwarding import (
-    Finish,
     Forward,
     GatheredAnswer,
     Refuse,
--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -85,10 +85,10 @@
         Bytes that nobody asked for would be taken for the next response,
         so a connection with any of them is not used again.
         """
+        if self._sock is None or now() >= self._idle_until:
+            return False
         return (
-            self._sock is not None
-            and now() < self._idle_until
-            and self._http.our_state is h11.IDLE
+            self._http.our_state is h11.IDLE
             and not self._http.trailing_data[0]
             and not has_input(self._sock)
         )
--- a/clementinebank/routes/_split.py
+++ b/clementinebank/routes/_split.py
@@ -23,7 +23,9 @@
         if len(route.parts) == 1:
             return route.parts[0].service
         key = (route.name, route.parts)
-        credits = self._credits_by_parts.setdefault(key, [0] * len(route.parts))
+        credits = self._credits_by_parts.setdefault(
+            key, [0 for _ in route.parts]
+        )
         total = sum(part.weight for part in route.parts)
         for index, part in enumerate(route.parts):
             credits[index] += part.weight / total
--- a/clementinebank/search/_engine.py
+++ b/clementinebank/search/_engine.py
@@ -182,14 +182,15 @@
 
     async def _perform(self, actions: list[Action]) -> None:
         for action in actions:
-            if isinstance(action, SendShard):
-                await self._send(action)
-            elif isinstance(action, CancelCall):
-                await self.pools[action.leaf_id].cancel(action.attempt_id)
-            elif isinstance(action, Finish):
-                self.ending = Ok(action.answer)
-            elif isinstance(action, Refuse):
-                self.ending = Err(action.failure)
+            match action:
+                case SendShard():
+                    await self._send(action)
+                case CancelCall():
+                    await self.pools[action.leaf_id].cancel(action.attempt_id)
+                case Finish():
+                    self.ending = Ok(action.answer)
+                case Refuse():
+                    self.ending = Err(action.failure)
 
     async def _send(self, action: SendShard) -> None:
         pool = self.pools[action.leaf_id]
