Load the document only where it is used

The gateway imported the whole document package for LeafSettings, which now stands in clementinebank/leafs.

--- a/clementinebank/document/_model.py
+++ b/clementinebank/document/_model.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from clementinebank.validation import Address
+from clementinebank.leafs import LeafSettings
 
 DEFAULT_MAX_INSTANCES = 8
 MS_PER_S = 1000
@@ -12,25 +12,6 @@
 SINGLE_GROUP = 'all'
 
 
-@attrs.frozen
-class LeafSettings:
-    """One leaf of a group.
-
-    Parameters
-    ----------
-    leaf_id : str
-        Unique name in the service.
-    address : Address
-        Where the leaf listens.
-    data_centre : str
-        Data centre of the leaf.
-    """
-
-    leaf_id: str
-    address: Address
-    data_centre: str
-
-
 @attrs.frozen
 class GroupSettings:
     """Replicas of one shard.
--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -10,7 +10,6 @@
 
 from clementinebank.clock import get_before, now
 from clementinebank.dispatch import CancelCall, SendCall, TraceEvent
-from clementinebank.document import LeafSettings
 from clementinebank.errors import Execution, Failure
 from clementinebank.forwarding._delays import LinkDelays
 from clementinebank.forwarding._forward import Action, Finish, Forward, Refuse
@@ -21,7 +20,7 @@
     LeafCodec,
 )
 from clementinebank.forwarding._topology import LeafTopology, create_topology
-from clementinebank.leafs import LeafDirectory, LeafRecord
+from clementinebank.leafs import LeafDirectory, LeafRecord, LeafSettings
 from clementinebank.routes import Route, RouteTable
 from clementinebank.routing import (
     FORWARDING_POLICY,
--- a/clementinebank/forwarding/_topology.py
+++ b/clementinebank/forwarding/_topology.py
@@ -4,8 +4,7 @@
 
 import attrs
 
-from clementinebank.document import LeafSettings
-from clementinebank.leafs import LeafRecord
+from clementinebank.leafs import LeafRecord, LeafSettings
 
 
 @attrs.frozen
--- a/clementinebank/upstream/_pool.py
+++ b/clementinebank/upstream/_pool.py
@@ -8,7 +8,6 @@
 from result import Err, Ok, Result
 
 from clementinebank.clock import now, run_before
-from clementinebank.document import LeafSettings
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import (
     HttpConnection,
@@ -16,6 +15,7 @@
     HttpRequest,
     HttpResponse,
 )
+from clementinebank.leafs import LeafSettings
 from clementinebank.upstream._protocol import LeafProtocol, SearchLeafProtocol
 
 # A reply that comes later than this after its deadline costs a connection.
--- a/clementinebank/upstream/_pools.py
+++ b/clementinebank/upstream/_pools.py
@@ -9,8 +9,8 @@
 from result import Err
 
 from clementinebank.clock import get_before, now
-from clementinebank.document import LeafSettings
 from clementinebank.http import HttpRequest
+from clementinebank.leafs import LeafSettings
 from clementinebank.upstream._pool import LeafCall, LeafPool, LeafReply
 from clementinebank.upstream._status import LeafStatus, decode_status
 
