--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -12,9 +12,9 @@
 LATENCY_WEIGHT = 0.1
 # A missed call costs another one, for which the budget is a fifth of the
 # requests: four of five retries of a leaf that always refuses have no token.
-MISS_COST_S = 0.2
+MISS_COST_S = 0.3
 MISS_WEIGHT = 0.2
-MISS_HALF_LIFE_S = 2.0
+MISS_HALF_LIFE_S = 5.0
 # The load of other instances changes within a few requests.
 FOREIGN_LOAD_WEIGHT = 0.3
 # A single straggler counts as at most this multiple of the average, so that
--- a/clementinebank/routing/_policy.py
+++ b/clementinebank/routing/_policy.py
@@ -70,6 +70,8 @@
         call ends. Otherwise overtaken calls count as slow replies.
     outlier_rule : OutlierRule
         When a leaf is ejected and trusted again.
+    random_candidates : int
+        Leafs that are compared with the nearest one.
     """
 
     hedge_quantile: float = HEDGE_QUANTILE
@@ -77,6 +79,7 @@
     scarce_hedge_factor: float = SCARCE_HEDGE_FACTOR
     detects_stalls: bool = False
     outlier_rule: OutlierRule = OutlierRule()
+    random_candidates: int = 1
 
 
 FORWARDING_POLICY = RoutingPolicy(
@@ -91,4 +94,6 @@
         readmit_after_probes=1,
         readmits_cold=False,
     ),
+    # Covers a shard of three replicas, of which two may be refusing.
+    random_candidates=2,
 )
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -346,11 +346,9 @@
         others = [leaf for leaf in pool if leaf is not first]
         if not others:
             return first
-        return min(
-            first,
-            self.rng.choice(others),
-            key=lambda leaf: self._cost_of(leaf, now),
-        )
+        count = min(len(others), self.policy.random_candidates)
+        candidates = [first, *self.rng.sample(others, count)]
+        return min(candidates, key=lambda leaf: self._cost_of(leaf, now))
 
     def _cost_of(self, leaf: LeafState, now: float) -> float:
         if self.policy.detects_stalls:
