--- /dev/null
+++ b/clementinebank/gateway/tests/test_settings.py
@@ -0,0 +1,88 @@
+"""Guards the settings of a gateway: every problem names its field."""
+
+import curio
+import pytest
+from result import Err
+
+from clementinebank.clock import FakeClockKernel
+from clementinebank.gateway import load_gateway_settings
+from clementinebank.gateway._reload import CHECK_INTERVAL_S, SettingsWatcher
+
+GOOD = """\
+instance_id: g-1
+data_centre: dc-1
+listen:
+  callers: "127.0.0.1:1"
+  readiness: "127.0.0.1:2"
+  metrics: "127.0.0.1:3"
+control_store: "127.0.0.1:4"
+regions_by_data_centre: {"dc-1": "region-1"}
+bounds:
+  drain_ms: 3000
+  shutdown_s: 6
+  retry_ratio: 0.2
+  retry_burst: 54
+"""
+
+
+@pytest.fixture(name='path')
+def _path(tmp_path):
+    path = tmp_path / 'gateway.yaml'
+    path.write_text(GOOD)
+    return path
+
+
+def test_good_settings_are_read(path):
+    settings = load_gateway_settings(path).ok_value
+    assert settings.bounds.drain_s == 3
+    assert settings.regions_by_data_centre == {'dc-1': 'region-1'}
+
+
+@pytest.mark.parametrize(
+    ('good', 'bad', 'field'),
+    [
+        ('drain_ms: 3000', 'drain_ms: -1', 'bounds.drain_ms'),
+        ('retry_ratio: 0.2', 'retry_ratio: 2', 'bounds.retry_ratio'),
+        ('instance_id: g-1', 'instance_id: 7', 'instance_id'),
+        ('"127.0.0.1:4"', '"store:4"', 'control_store'),
+        ('  metrics: "127.0.0.1:3"\n', '', 'listen.metrics'),
+        ('instance_id', 'instance_name', 'instance_name'),
+    ],
+)
+def test_problem_names_its_field(path, good, bad, field):
+    path.write_text(GOOD.replace(good, bad))
+    loaded = load_gateway_settings(path)
+    assert isinstance(loaded, Err)
+    assert field in [problem.field for problem in loaded.err_value]
+
+
+def _watch(path, act):
+    """Return the settings that a watcher passed on after an act."""
+    taken = []
+
+    async def run():
+        settings = load_gateway_settings(path).ok_value
+        watcher = SettingsWatcher(path, settings, taken.append)
+        await curio.spawn(watcher.run, daemon=True)
+        await curio.sleep(0)
+        act(watcher)
+        await curio.sleep(2 * CHECK_INTERVAL_S)
+
+    with FakeClockKernel() as kernel:
+        kernel.run(run)
+    return taken
+
+
+def test_changed_file_is_loaded_without_a_signal(path):
+    def change(watcher):
+        path.write_text(GOOD.replace('54', '108'))
+
+    assert [each.bounds.retry_burst for each in _watch(path, change)] == [108]
+
+
+def test_signal_without_a_change_alters_nothing(path):
+    assert not _watch(path, lambda watcher: watcher.signal_waiter.notify())
+
+
+def test_invalid_change_leaves_the_settings_in_force(path):
+    assert not _watch(path, lambda watcher: path.write_text('bounds: 3'))
