Spend no retry budget on calls that did not leave

Cause: found by reading: a leaf that an update adds or removes has no pool for a moment, which raised LookupError and answered 500; refused connections of a crashed leaf took tokens although no request arrived anywhere; a fault in one change would have ended the following of the store. Change: such calls end as not run without a token; the follower logs the fault and reads everything again.

--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -7,7 +7,7 @@
 from clementinebank.dispatch._actions import CancelCall, SendCall, TraceEvent
 from clementinebank.dispatch._policy import DispatchPolicy
 from clementinebank.dispatch._shards import Attempt, Shard, Timers
-from clementinebank.errors import Execution, Failure
+from clementinebank.errors import Execution, Failure, Step
 from clementinebank.invariants import check, invariant
 from clementinebank.routing import Router
 
@@ -152,6 +152,8 @@
         if failure.execution is Execution.NOT_RUN:
             self.not_run_count += 1
             shard.not_run_count += 1
+            # A call that failed before a byte was sent loads no leaf.
+            shard.unsent_count += int(failure.step is Step.DISPATCH)
 
     def settle(
         self, shard: Shard, now: float, *, is_abandoned: bool = False
@@ -195,7 +197,8 @@
         is_retry = shard.sent_count > 0
         may_send = not is_retry or self._has_attempt_left(shard)
         if leaf_id is not None and may_send:
-            if not is_retry or self._take(shard):
+            is_extra = shard.sent_count > shard.unsent_count
+            if not is_extra or self._take(shard):
                 if is_retry:
                     self.trace(now, 'retry', leaf=leaf_id)
                 return [self._send(shard, leaf_id, now)]
--- a/clementinebank/dispatch/_shards.py
+++ b/clementinebank/dispatch/_shards.py
@@ -38,6 +38,7 @@
     failed: set[str] = attrs.Factory(set)
     sent_count: int = 0
     not_run_count: int = 0
+    unsent_count: int = 0
     hedge_count: int = 0
     is_waiting: bool = False
     is_settled: bool = False
--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -10,7 +10,7 @@
 
 from clementinebank.clock import get_before, now
 from clementinebank.dispatch import CancelCall, SendCall, TraceEvent
-from clementinebank.errors import Execution, Failure
+from clementinebank.errors import Execution, Failure, Step
 from clementinebank.forwarding._delays import LinkDelays
 from clementinebank.forwarding._forward import Action, Finish, Forward, Refuse
 from clementinebank.forwarding._messages import (
@@ -258,8 +258,8 @@
     async def _send(self, action: SendCall) -> None:
         pool = self.engine.pool_of(action)
         if pool is None:
-            # The pools follow the router within one update.
-            raise LookupError(f'no pool for leaf {action.leaf_id}')
+            await self._refuse_unpooled(action)
+            return
         self._pools_by_attempt[action.attempt_id] = pool
         request = self.forward.request
         finish_at = self.forward.dispatcher.finish_at
@@ -276,6 +276,18 @@
             )
         )
 
+    async def _refuse_unpooled(self, action: SendCall) -> None:
+        """End a call to a leaf that an update adds or removes just now."""
+        failure = Failure(
+            'pool_retired',
+            'the leaf has no connections',
+            Step.DISPATCH,
+            peer=action.leaf_id,
+            execution=Execution.NOT_RUN,
+        )
+        self.engine.router.on_end(action.leaf_id, now(), 0, CallOutcome.UNSENT)
+        await self.replies.put((action.attempt_id, Err(failure)))
+
     async def _deliver(self, reply: LeafReply) -> None:
         """Update the routing state, also after the request has ended."""
         dispatcher = self.forward.dispatcher
--- a/clementinebank/forwarding/tests/test_forward.py
+++ b/clementinebank/forwarding/tests/test_forward.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from clementinebank.dispatch import Dispatcher
-from clementinebank.errors import Execution
+from clementinebank.errors import Execution, Failure, Step
 from clementinebank.forwarding import (
     Forward,
     GatheredAnswer,
@@ -357,3 +357,15 @@
         world.answer(world.first(), answer(record(b'a')))
     world.advance(objective_s - 0.026)
     assert world.endings
+
+
+def test_call_that_did_not_leave_costs_no_budget():
+    """Refused connections of a crashed leaf used up the retries of others."""
+    world = make_world(make_route(), tokens=0).start()
+    first = world.first()
+    world.outstanding.pop(first)
+    failure = Failure('leaf_broken', 'refused', Step.DISPATCH)
+    world.perform(world.forward.on_failure(first, failure, world.now))
+    assert len(world.sent) == 2
+    world.answer(world.first(), answer())
+    assert world.endings[0].answer.response.status == 200
--- a/clementinebank/gateway/_follower.py
+++ b/clementinebank/gateway/_follower.py
@@ -4,7 +4,7 @@
 
 import attrs
 import curio
-from eliot import log_message
+from eliot import log_message, write_traceback
 from result import Err
 
 from clementinebank.clock import now
@@ -66,10 +66,19 @@
         """Follow until cancelled."""
         await curio.spawn(self._expire_leafs, daemon=True)
         while True:
-            if self._revision is None:
-                await self._load()
-            else:
-                await self._follow(self._revision)
+            try:
+                await self._step()
+            except Exception:
+                # A fault in one change must not end the following of others.
+                write_traceback()
+                self._revision = None
+                await curio.sleep(MAX_RETRY_INTERVAL_S)
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            await self._load()
+        else:
+            await self._follow(self._revision)
 
     async def _load(self) -> None:
         loaded = await self.feed.read_all()
--- a/clementinebank/gateway/tests/test_follower.py
+++ b/clementinebank/gateway/tests/test_follower.py
@@ -131,3 +131,20 @@
 def test_revision_never_goes_back():
     follower = follow([state(configured(7))], [batch(revision=2)])
     assert follower.feed.asked[-1][0] == 5
+
+
+def test_fault_in_one_change_does_not_end_the_following(monkeypatch):
+    original = RouteTable.activate
+
+    def fail_once(table, configuration):
+        if configuration.version == 8:
+            raise ValueError('unexpected')
+        return original(table, configuration)
+
+    monkeypatch.setattr(RouteTable, 'activate', fail_once)
+    follower = follow(
+        [state(configured(7)), state(configured(9), revision=8)],
+        [batch(configured(8))],
+        seconds=3,
+    )
+    assert follower.table.version == 9
