Test a leaf again right after a pause, and batch changes for 0.4 s

Change: the first slow reply leads to a test by one request at once; the second to 0.4 s, doubling. A returned watch is renewed after 0.4 s.

--- a/clementinebank/forwarding/tests/test_forward.py
+++ b/clementinebank/forwarding/tests/test_forward.py
@@ -369,3 +369,22 @@
     assert len(world.sent) == 2
     world.answer(world.first(), answer())
     assert world.endings[0].answer.response.status == 200
+
+
+def test_leaf_is_tested_by_one_request_right_after_a_pause():
+    """A longer doubt after each pause sent a tenth of the calls far away."""
+    world = make_world(make_route())
+    router = world.router
+    paused = router.leafs_by_id['s0-0@1']
+    router.on_sent('s0-0@1', world.now)
+    world.now += 0.25
+    router.on_end('s0-0@1', world.now, 0.25, CallOutcome.GOOD, 'r')
+    assert paused.is_ejected
+    assert paused.may_try(world.now)
+    router.on_sent('s0-0@1', world.now)
+    assert not paused.may_try(world.now), 'one request at a time'
+    router.on_end('s0-0@1', world.now + 0.25, 0.25, CallOutcome.GOOD, 'r')
+    assert not paused.may_try(world.now + 0.5), 'still slow'
+    router.on_sent('s0-0@1', world.now + 1)
+    router.on_end('s0-0@1', world.now + 1, 0.01, CallOutcome.GOOD, 'r')
+    assert not paused.is_ejected
--- a/clementinebank/gateway/_follower.py
+++ b/clementinebank/gateway/_follower.py
@@ -26,7 +26,7 @@
 WATCH_WAIT_S = 5.0
 # Each return of a watch costs a call, so that changes in quick succession are
 # taken together; the bounds of drains and changes are seconds.
-BATCH_INTERVAL_S = 0.2
+BATCH_INTERVAL_S = 0.4
 RETRY_INTERVAL_S = 0.1
 # Nothing can be answered before the first contact.
 FIRST_RETRY_INTERVAL_S = 0.2
--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -267,9 +267,10 @@
         if now < self._ejected_until:
             return
         rule = self.outlier_rule
-        ejection_s = min(
-            rule.max_ejection_s, rule.ejection_s * 2**self._ejections
-        )
+        ejection_s = rule.first_ejection_s
+        if self._ejections:
+            growth = 2 ** (self._ejections - 1)
+            ejection_s = min(rule.max_ejection_s, rule.ejection_s * growth)
         self._ejections += 1
         self._good_probes = 0
         self.ejected_since = now
--- a/clementinebank/routing/_policy.py
+++ b/clementinebank/routing/_policy.py
@@ -22,8 +22,9 @@
 # Leafs slow down by a factor of four or more; with log-normal times of spread
 # 0.35 an ordinary reply practically never takes this long.
 SLOW_FACTOR = 4.0
-# Where one request tests a leaf and is hedged, a short doubt costs little: it
-# outlasts a pause of a quarter of a second and doubles for a slow leaf.
+# Where one request tests a leaf and is hedged, a leaf is tested again at once:
+# a pause is over when the overtaken call ends. A leaf that is still slow then
+# waits, twice as long each time.
 SHORT_EJECTION_S = 0.4
 MAX_SHORT_EJECTION_S = 4.0
 
@@ -36,8 +37,10 @@
     ----------
     eject_after_slow : int
         Slow replies in a row after which a leaf is ejected.
+    first_ejection_s : float
+        Time of the first ejection in seconds.
     ejection_s, max_ejection_s : float
-        First and longest time of an ejection in seconds; it doubles.
+        Second and longest time of an ejection in seconds; it doubles.
     readmit_after_probes : int
         Good probes after which the leaf is trusted again.
     readmits_cold : bool
@@ -48,7 +51,8 @@
     """
 
     eject_after_slow: int = EJECT_AFTER_SLOW
-    ejection_s: float = EJECTION_S
+    first_ejection_s: float = EJECTION_S
+    ejection_s: float = 2 * EJECTION_S
     max_ejection_s: float = MAX_EJECTION_S
     readmit_after_probes: int = READMIT_AFTER_PROBES
     readmits_cold: bool = True
@@ -89,6 +93,7 @@
     detects_stalls=True,
     outlier_rule=OutlierRule(
         eject_after_slow=1,
+        first_ejection_s=0,
         ejection_s=SHORT_EJECTION_S,
         max_ejection_s=MAX_SHORT_EJECTION_S,
         readmit_after_probes=1,
