--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -282,7 +282,9 @@
         self.trace(now, 'sent', leaf=leaf_id)
         self._set_waiting(shard, is_waiting=False)
         self.router.on_sent(leaf_id, now, self.request.request_id)
-        delay_s = self.router.hedge_delay_s(leaf_id, self.policy.profile)
+        delay_s = self.router.hedge_delay_s(
+            leaf_id, self.policy.profile, self.policy.expected_s
+        )
         if not shard.sent_count:
             shard.hopeless_at = now + self.patience * delay_s
             self.timers.add(shard.hopeless_at, shard)
--- a/clementinebank/dispatch/_policy.py
+++ b/clementinebank/dispatch/_policy.py
@@ -11,6 +11,7 @@
 MAX_LOCAL_WAIT_S = 0.008
 MAX_ATTEMPTS = 6
 MAX_HEDGES = 2
+EXPECTED_S = 0.03
 # Calls of one shard, with those that no leaf has run.
 MAX_CALLS = 6
 
@@ -40,6 +41,8 @@
     profile : str
         Kind of request whose latencies decide when to hedge; empty for the
         latencies of the group.
+    expected_s : float
+        Usual time of the kind until it is known, in seconds.
     """
 
     is_repeatable: bool = True
@@ -51,3 +54,4 @@
     offer_limit_s: float = inf
     waits_for_budget: bool = True
     profile: str = ''
+    expected_s: float = EXPECTED_S
--- a/clementinebank/forwarding/_forward.py
+++ b/clementinebank/forwarding/_forward.py
@@ -36,6 +36,9 @@
 # caller still has time for another instance.
 OFFER_SHARE = 0.2
 RESEND_INTERVAL_S = 0.004
+# A leaf usually takes this share of the objective; the rest is for links,
+# queues and one hedge.
+EXPECTED_SHARE = 0.1
 MAX_HEDGES = 1
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -135,6 +138,7 @@
             waits_for_budget=route.gathering is not None,
             offer_limit_s=self._offer_limit_s(),
             profile=route.name,
+            expected_s=EXPECTED_SHARE * route.objective_s,
         )
         self.dispatcher = Dispatcher(
             self.request, self.router, 0, policy=policy
--- a/clementinebank/forwarding/tests/test_forward.py
+++ b/clementinebank/forwarding/tests/test_forward.py
@@ -388,3 +388,11 @@
     router.on_sent('s0-0@1', world.now + 1)
     router.on_end('s0-0@1', world.now + 1, 0.01, CallOutcome.GOOD, 'r')
     assert not paused.is_ejected
+
+
+def test_hedge_of_an_unknown_kind_still_meets_the_objective():
+    """The first requests of a quick kind were hedged too late to help."""
+    route = attrs.evolve(make_route(), objective_s=0.13)
+    world = make_world(route).start()
+    world.advance(0.13 / 2)
+    assert len(world.sent) == 2
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -207,7 +207,12 @@
         waiting = self.waiting_by_group.get(group_id, 0)
         self.waiting_by_group[group_id] = max(0, waiting + change)
 
-    def hedge_delay_s(self, leaf_id: str, profile: str = '') -> float:
+    def hedge_delay_s(
+        self,
+        leaf_id: str,
+        profile: str = '',
+        expected_s: float = INITIAL_HEDGE_DELAY_S,
+    ) -> float:
         """Return the time after which a call to the leaf is hedged.
 
         Parameters
@@ -217,6 +222,8 @@
         profile : str
             Kind of request; its latencies over all groups decide, so that a
             quick kind is not measured by a slow one.
+        expected_s : float
+            Usual time of the kind until enough calls were seen, in seconds.
         """
         leaf = self.leafs_by_id[leaf_id]
         budget = self.budget_of(self._group_by_leaf[leaf_id])
@@ -226,8 +233,8 @@
         quantile = self.policy.hedge_quantile
         # Waiting longer than a peer needs from the start gains nothing.
         if profile:
-            window = self._windows_by_profile.get(profile, self._service_window)
-            quantile_s = window.quantile(quantile, INITIAL_HEDGE_DELAY_S)
+            window = self._windows_by_profile.get(profile, LatencyWindow())
+            quantile_s = window.quantile(quantile, expected_s)
             return leaf.round_trip_s + factor * max(
                 MIN_HEDGE_DELAY_S, quantile_s
             )
