Read the own response after a late one; derive the wait of a watch

Cause: a leaf may answer an earlier request late, at the place of the next response. The call then failed, and an unsafe request was lost although its own response followed. The wait of a watch was a constant that suited one site. Change: a response with another id is passed over once where leafs do that; the watch waits for the stable window and the bound of a change less 2 s.

--- a/clementinebank/gateway/_follower.py
+++ b/clementinebank/gateway/_follower.py
@@ -21,9 +21,6 @@
 from clementinebank.leafs import LeafDirectory
 from clementinebank.routes import RouteTable
 
-# A watch that went silent without a reset is renewed after this time; with
-# the stable window of a machine it stays below the bound of a change.
-WATCH_WAIT_S = 5.0
 # Each return of a watch costs a call, so that changes in quick succession are
 # taken together; the bounds of drains and changes are seconds.
 BATCH_INTERVAL_S = 0.4
@@ -49,6 +46,8 @@
         Registered leafs.
     on_changed : callable
         Coroutine function that is called after each change.
+    watch_wait_s : float
+        Time after which a watch without a change is renewed, in seconds.
     confirmed_at : float
         Runtime time of the last answer of the feed.
     """
@@ -57,6 +56,7 @@
     table: RouteTable
     directory: LeafDirectory
     on_changed: OnChanged
+    watch_wait_s: float = 5.0
     confirmed_at: float = float('-inf')
     is_loaded: bool = False
     _revision: int | None = None
@@ -94,7 +94,7 @@
         await self.on_changed()
 
     async def _follow(self, revision: int) -> None:
-        waited = await self.feed.wait_for_changes(revision, WATCH_WAIT_S)
+        waited = await self.feed.wait_for_changes(revision, self.watch_wait_s)
         if isinstance(waited, Err):
             if waited.err_value.code == HISTORY_LOST:
                 log_message(message_type='feed:history_lost', revision=revision)
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -94,7 +94,11 @@
             on_trace=RequestLog(self.metrics, self.table).take,
         )
         self.follower = ControlFollower(
-            self.feed, self.table, self.directory, self._on_changed
+            self.feed,
+            self.table,
+            self.directory,
+            self._on_changed,
+            bounds.watch_wait_s,
         )
         self.server = HttpServer(
             settings.callers.host,
@@ -186,6 +190,7 @@
         bounds = settings.bounds
         self.settings = attrs.evolve(self.settings, bounds=bounds)
         self.directory.drain_limit_s = bounds.drain_s
+        self.follower.watch_wait_s = bounds.watch_wait_s
         self.engine.set_limits(
             ExtraLoadLimits(bounds.retry_ratio, bounds.retry_burst)
         )
--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -9,6 +9,9 @@
 from clementinebank.validation import Address, FieldReader, parse_yaml
 
 MS_PER_S = 1000
+# Time for the timeout of the silent watch and for the call that replaces it.
+WATCH_RESERVE_S = 2.0
+MIN_WATCH_S = 1.0
 
 
 @attrs.frozen
@@ -21,6 +24,10 @@
         Time after which a leaf that leaves must get no work, in seconds.
     shutdown_s : float
         Time from SIGTERM to the kill of the process, in seconds.
+    stable_window_s : float
+        Time after a disturbance from which the bounds hold again, in seconds.
+    change_s : float
+        Time after which a configuration must be in force, in seconds.
     retry_ratio : float
         Extra requests to a service for each request, over the whole fleet.
     retry_burst : float
@@ -31,6 +38,18 @@
     shutdown_s: float
     retry_ratio: float
     retry_burst: float
+    stable_window_s: float = 4.0
+    change_s: float = 3.0
+
+    @property
+    def watch_wait_s(self) -> float:
+        """Return how long one watch may wait for a change, in seconds.
+
+        A watch that went silent in a disturbance has to be renewed before the
+        bound of the first change after it.
+        """
+        wait_s = self.stable_window_s + self.change_s - WATCH_RESERVE_S
+        return max(MIN_WATCH_S, wait_s)
 
 
 @attrs.frozen
@@ -113,6 +132,8 @@
         shutdown_s=reader.number('shutdown_s', minimum=0.1),
         retry_ratio=reader.number('retry_ratio', maximum=1),
         retry_burst=reader.number('retry_burst'),
+        stable_window_s=reader.number('stable_window_ms') / MS_PER_S,
+        change_s=reader.number('change_ms') / MS_PER_S,
     )
     reader.finish()
     return bounds
--- a/clementinebank/gateway/tests/test_settings.py
+++ b/clementinebank/gateway/tests/test_settings.py
@@ -22,6 +22,8 @@
   shutdown_s: 6
   retry_ratio: 0.2
   retry_burst: 54
+  stable_window_ms: 4000
+  change_ms: 3000
 """
 
 
@@ -35,6 +37,7 @@
 def test_good_settings_are_read(path):
     settings = load_gateway_settings(path).ok_value
     assert settings.bounds.drain_s == 3
+    assert settings.bounds.watch_wait_s == 5
     assert settings.regions_by_data_centre == {'dc-1': 'region-1'}
 
 
--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -108,6 +108,31 @@
 
     async def send(self, message: HttpRequest) -> None:
         """Send one request; ``bytes_sent`` counts what left the process."""
+        payload = self._encode(message)
+        self.bytes_sent += len(payload)
+        await self._sock.sendall(payload)
+
+    async def receive_next(self, message: HttpRequest) -> HttpResponse:
+        """Read the response that follows one to an earlier request.
+
+        Parameters
+        ----------
+        message : HttpRequest
+            The request that was sent last and is still unanswered.
+
+        Raises
+        ------
+        HttpProtocolError
+            If the earlier response ended the connection.
+        """
+        if self._http.our_state is not h11.IDLE:
+            raise HttpProtocolError('the connection ended with the response')
+        # The state machine has seen the exchange end; the request itself has
+        # left before, so its bytes are not sent again.
+        self._encode(message)
+        return await self.receive()
+
+    def _encode(self, message: HttpRequest) -> bytes:
         headers = {
             'host': f'{self.host}:{self.port}',
             'content-length': str(len(message.body)),
@@ -122,8 +147,7 @@
         if message.body:
             payload += self._http.send(h11.Data(data=message.body))
         payload += self._http.send(h11.EndOfMessage())
-        self.bytes_sent += len(payload)
-        await self._sock.sendall(payload)
+        return bytes(payload)
 
     async def receive(self) -> HttpResponse:
         """Read the response of the request that was sent last."""
--- a/clementinebank/http/tests/test_client.py
+++ b/clementinebank/http/tests/test_client.py
@@ -59,6 +59,30 @@
     assert isinstance(run_on_fake_clock(_receive, payload), str)
 
 
+async def _receive_two(payload):
+    connection, leaf = _connect()
+    message = HttpRequest('GET', '/')
+    await connection.send(message)
+    sent = await leaf.recv(65_536)
+    await leaf.sendall(payload)
+    first = await connection.receive()
+    second = await connection.receive_next(message)
+    await connection.send(message)
+    assert await leaf.recv(65_536) == sent, 'the request was sent again'
+    return first.body, second.body
+
+
+def test_response_after_a_late_one_is_read():
+    bodies = run_on_fake_clock(_receive_two, GOOD + ANOTHER)
+    assert bodies == (b'{}', b'[]')
+
+
+def test_no_response_follows_one_that_ends_the_connection():
+    ended = GOOD.replace(b'\r\n\r\n', b'\r\nconnection: close\r\n\r\n')
+    with pytest.raises(HttpProtocolError):
+        run_on_fake_clock(_receive_two, ended + ANOTHER)
+
+
 def test_good_reply_is_accepted():
     assert run_on_fake_clock(_receive, GOOD).body == b'{}'
 
--- a/clementinebank/upstream/_pool.py
+++ b/clementinebank/upstream/_pool.py
@@ -1,7 +1,7 @@
 """Connections of one instance to one leaf."""
 
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, cast
 
 import attrs
 import curio
@@ -249,9 +249,7 @@
             if not await self._send(connection, call):
                 return Err(self._expired(call))
             step = Step.READ
-            response = await run_before(
-                call.deadline + LATE_REPLY_LIMIT_S, connection.receive
-            )
+            response = await self._receive(connection, call)
         except curio.TaskTimeout:
             message = 'no reply in time'
             return Err(self._failure('leaf_timeout', message, step, call))
@@ -262,6 +260,20 @@
             return Err(self._failure('leaf_mismatch', message, step, call))
         return Ok(response)
 
+    async def _receive(
+        self, connection: HttpConnection, call: LeafCall
+    ) -> HttpResponse:
+        """Return the response; a late one to an earlier call is passed over."""
+        limit = call.deadline + LATE_REPLY_LIMIT_S
+        response: HttpResponse = await run_before(limit, connection.receive)
+        is_own = self.protocol.echoed_id(response) == call.echoed_id
+        if is_own or not self.protocol.sends_late_responses:
+            return response
+        return cast(
+            HttpResponse,
+            await run_before(limit, connection.receive_next, call.request),
+        )
+
     async def _send(self, connection: HttpConnection, call: LeafCall) -> bool:
         """Send the request, or return that the call has ended before."""
         if not connection.is_reusable:
--- a/clementinebank/upstream/_protocol.py
+++ b/clementinebank/upstream/_protocol.py
@@ -16,6 +16,10 @@
     def allows_unframed(self) -> bool:
         """Whether a response may end with its connection."""
 
+    @property
+    def sends_late_responses(self) -> bool:
+        """Whether a response to an earlier request may come before the own."""
+
     def echoed_id(self, response: HttpResponse) -> str | None:
         """Return the id of the request that the response answers."""
 
@@ -31,6 +35,7 @@
     """Interface of the leafs that the document names."""
 
     allows_unframed: bool = False
+    sends_late_responses: bool = False
 
     def echoed_id(self, response: HttpResponse) -> str | None:
         """Return the id of the request that the response answers."""
