--- /dev/null
+++ b/benchmarks/bench_forwarding.py
@@ -0,0 +1,199 @@
+"""Processor time of one call to a leaf through the forwarding engine.
+
+Leafs run in the same process. A bare loop of the HTTP client calls them
+first, then gatherings of the engine; both figures include the leaf's side, so
+that their difference is what the engine adds.
+
+Run it with ``python -m benchmarks.bench_forwarding``.
+"""
+
+import argparse
+import contextlib
+import socket
+import time
+
+import attrs
+import curio
+
+from clementinebank.clock import now, run_service
+from clementinebank.errors import Execution
+from clementinebank.forwarding import (
+    ExtraLoadLimits,
+    ForwardingEngine,
+    ForwardRequest,
+    LeafAnswer,
+    LinkDelays,
+)
+from clementinebank.http import (
+    HttpConnection,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from clementinebank.leafs import LeafDirectory, LeafRecord
+from clementinebank.routes import (
+    Gathering,
+    Route,
+    RouteKind,
+    RouteTable,
+    RoutingConfiguration,
+)
+from clementinebank.validation import Address
+
+HOST = '127.0.0.1'
+US_PER_S = 1_000_000
+RECORDS = b'0123456789abcdef' * 25
+ID = 'request-id'
+DEADLINE_S = 5.0
+
+
+@attrs.frozen
+class BenchProtocol:
+    """Leafs that echo the id of a request."""
+
+    allows_unframed: bool = False
+    sends_late_responses: bool = False
+
+    def echoed_id(self, response):
+        return response.headers.get(ID)
+
+    def cancel_request(self, call_id):
+        return None
+
+    def ends_connection(self, response):
+        return False
+
+
+@attrs.frozen
+class BenchCodec:
+    """Messages with an id only."""
+
+    protocol: BenchProtocol = BenchProtocol()
+
+    def encode(self, request, leaf_id, remaining_ms):
+        return HttpRequest('GET', '/', {ID: request.request_id})
+
+    def decode(self, response):
+        return LeafAnswer(response, Execution.RAN, 'signed', is_success=True)
+
+
+async def answer(request):
+    """Answer as a leaf does."""
+    return HttpResponse(200, {ID: request.headers[ID]}, RECORDS)
+
+
+def free_ports(count):
+    """Return different ports that are free now."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((HOST, 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
+async def start_leafs(count):
+    """Serve leafs and return their records."""
+    records = []
+    for number, port in enumerate(free_ports(count)):
+        server = HttpServer(HOST, port, answer, HttpLimits())
+        await curio.spawn(server.serve, daemon=True)
+        records.append(
+            LeafRecord(
+                f'leaf-{number}',
+                1,
+                1,
+                f'service-{number}',
+                Address(HOST, port),
+                'dc',
+                3,
+            )
+        )
+    await curio.sleep(0.1)
+    return records
+
+
+async def bare_loop_us(records, calls):
+    """Return the processor time of one call of the HTTP client."""
+    connections = []
+    for record in records:
+        connection = HttpConnection(record.address.host, record.address.port)
+        await connection.connect()
+        connections.append(connection)
+    started = time.process_time()
+    for number in range(calls):
+        connection = connections[number % len(connections)]
+        await connection.request(HttpRequest('GET', '/', {ID: 'q'}))
+    elapsed_s = time.process_time() - started
+    for connection in connections:
+        await connection.close()
+    return elapsed_s / calls * US_PER_S
+
+
+async def engine_us(records, queries):
+    """Return the processor time of one shard call of the engine."""
+    services = tuple(record.service for record in records)
+    route = Route(
+        'r',
+        'h',
+        '/',
+        RouteKind.SAFE,
+        DEADLINE_S,
+        DEADLINE_S,
+        gathering=Gathering(services, 20, 1.0),
+    )
+    table = RouteTable()
+    limits = dict.fromkeys(services, 31)
+    table.activate(RoutingConfiguration(1, (route,), limits))
+    directory = LeafDirectory(3.0)
+    for record in records:
+        directory.register(record)
+    engine = ForwardingEngine(
+        BenchCodec(),
+        table,
+        directory,
+        LinkDelays('dc', {}),
+        ExtraLoadLimits(ratio=0, burst=0),
+    )
+    await engine.update()
+    for number in range(queries // 10):
+        await _query(engine, route, f'warm-{number}')
+    started = time.process_time()
+    for number in range(queries):
+        await _query(engine, route, f'q-{number}')
+    elapsed_s = time.process_time() - started
+    return elapsed_s / (queries * len(records)) * US_PER_S
+
+
+async def _query(engine, route, request_id):
+    request = ForwardRequest(
+        request_id, now() + DEADLINE_S, HttpRequest('GET', '/')
+    )
+    outcome = await engine.forward(request, route)
+    if outcome.ok_value.missing:
+        raise RuntimeError('a shard is missing')
+
+
+async def measure(shards, calls):
+    """Return both times in microseconds."""
+    records = await start_leafs(shards)
+    bare = await bare_loop_us(records, calls)
+    engine = await engine_us(records, calls // shards)
+    return bare, engine
+
+
+def main():
+    """Measure and print."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--calls', type=int, default=6000)
+    options = parser.parse_args()
+    for shards in (10, 15, 36):
+        bare, engine = run_service(measure, shards, options.calls)
+        print(
+            f'{shards} shards: bare call {bare:.0f} us, shard call '
+            f'{engine:.0f} us, ratio {engine / bare:.2f}'
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/benchmarks/tail_simulation.py
+++ b/benchmarks/tail_simulation.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from clementinebank.dispatch import CancelCall
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.routing import OUTCOMES_BY_CODE, CallOutcome, Router
 from clementinebank.search import (
