--- a/clementinebank/dispatch/__init__.py
+++ b/clementinebank/dispatch/__init__.py
@@ -1,16 +1,29 @@
 """Attempts of one request at the replicas of its shards."""
 
-from clementinebank.dispatch._actions import CancelCall, SendCall, TraceEvent
+from clementinebank.dispatch._actions import (
+    Action,
+    CancelCall,
+    Finish,
+    Refuse,
+    SendCall,
+    TraceEvent,
+)
 from clementinebank.dispatch._dispatcher import Dispatcher, EndedAttempt
 from clementinebank.dispatch._policy import DispatchPolicy
+from clementinebank.dispatch._run import DrivenRequest, RequestRun
 from clementinebank.dispatch._shards import Attempt, Shard, Timers
 
 __all__ = (
+    'Action',
     'Attempt',
     'CancelCall',
     'DispatchPolicy',
     'Dispatcher',
+    'DrivenRequest',
     'EndedAttempt',
+    'Finish',
+    'Refuse',
+    'RequestRun',
     'SendCall',
     'Shard',
     'Timers',
--- a/clementinebank/dispatch/_actions.py
+++ b/clementinebank/dispatch/_actions.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from clementinebank.errors import Failure
+
 
 @attrs.frozen
 class TraceEvent:
@@ -39,3 +41,20 @@
 
     attempt_id: str
     leaf_id: str
+
+
+@attrs.frozen
+class Finish:
+    """Answer the caller."""
+
+    answer: Any
+
+
+@attrs.frozen
+class Refuse:
+    """Refuse the request of the caller, or state that it failed."""
+
+    failure: Failure
+
+
+Action = SendCall | CancelCall | Finish | Refuse
--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -33,7 +33,7 @@
     return leaf_id not in excluded
 
 
-Action = SendCall | CancelCall
+CallAction = SendCall | CancelCall
 
 
 class Dispatched(Protocol):
@@ -92,7 +92,7 @@
         is_not_run = self.sent_count == self.not_run_count
         return Execution.NOT_RUN if is_not_run else Execution.UNKNOWN
 
-    def open(self, shard: Shard, now: float) -> list[Action]:
+    def open(self, shard: Shard, now: float) -> list[CallAction]:
         """Send the first request of a shard, and a probe if one is due."""
         if not shard.is_moved:
             self.router.budget_of(shard.group_id).on_request()
@@ -109,7 +109,7 @@
             actions.append(self._send(shard, probe, now))
         return actions
 
-    def on_due(self, shard: Shard, now: float) -> list[Action]:
+    def on_due(self, shard: Shard, now: float) -> list[CallAction]:
         """Retry a shard that waits, or hedge one that is slow."""
         if shard.is_settled or now < shard.due_at:
             return []
@@ -126,7 +126,7 @@
 
     def on_failed(
         self, shard: Shard, leaf_id: str, failure: Failure, now: float
-    ) -> list[Action]:
+    ) -> list[CallAction]:
         """Retry a shard on another replica after a refusal or a failure."""
         self.trace(now, 'failed', leaf=leaf_id, reason=failure.code)
         shard.missing_reason = failure.code
@@ -157,7 +157,7 @@
 
     def settle(
         self, shard: Shard, now: float, *, is_abandoned: bool = False
-    ) -> list[Action]:
+    ) -> list[CallAction]:
         """End a shard and cancel what is still outstanding for it.
 
         An overtaken attempt may go on as a probe of its leaf, but not when
@@ -165,7 +165,7 @@
         """
         shard.is_settled = True
         self._set_waiting(shard, is_waiting=False)
-        actions: list[Action] = []
+        actions: list[CallAction] = []
         for attempt in list(shard.attempts_by_id.values()):
             self.end_attempt(attempt.attempt_id)
             is_kept = self.router.on_cancel(
@@ -185,7 +185,7 @@
             offset_ms = (now - self.started_at) * MS_PER_S
             self.trace_events.append(TraceEvent(offset_ms, event, facts))
 
-    def _send_or_wait(self, shard: Shard, now: float) -> list[Action]:
+    def _send_or_wait(self, shard: Shard, now: float) -> list[CallAction]:
         remaining_s = self.finish_at - now
         leaf_id = self.router.choose(
             shard.group_id,
@@ -249,7 +249,7 @@
     def _may_repeat(self, shard: Shard) -> bool:
         return self.policy.is_repeatable and self._has_attempt_left(shard)
 
-    def _hedge(self, shard: Shard, now: float) -> list[Action]:
+    def _hedge(self, shard: Shard, now: float) -> list[CallAction]:
         if shard.hedge_count >= self.policy.max_hedges:
             return []
         if not self._may_repeat(shard):
--- a/clementinebank/forwarding/__init__.py
+++ b/clementinebank/forwarding/__init__.py
@@ -2,7 +2,7 @@
 
 from clementinebank.forwarding._delays import LinkDelays
 from clementinebank.forwarding._engine import ExtraLoadLimits, ForwardingEngine
-from clementinebank.forwarding._forward import Finish, Forward, Refuse
+from clementinebank.forwarding._forward import Forward
 from clementinebank.forwarding._messages import (
     Answer,
     CallerCodec,
@@ -18,7 +18,6 @@
     'Answer',
     'CallerCodec',
     'ExtraLoadLimits',
-    'Finish',
     'Forward',
     'ForwardRequest',
     'ForwardingEngine',
@@ -27,6 +26,5 @@
     'LeafCodec',
     'LeafLoad',
     'LinkDelays',
-    'Refuse',
     'merge_greatest',
 )
--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -2,17 +2,21 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
 
 import attrs
-import curio
-from result import Err, Ok, Result
-
-from clementinebank.clock import get_before, now
-from clementinebank.dispatch import CancelCall, SendCall, TraceEvent
+from result import Err, Result
+
+from clementinebank.clock import now
+from clementinebank.dispatch import (
+    Action,
+    CancelCall,
+    RequestRun,
+    SendCall,
+    TraceEvent,
+)
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.forwarding._delays import LinkDelays
-from clementinebank.forwarding._forward import Action, Finish, Forward, Refuse
+from clementinebank.forwarding._forward import Forward
 from clementinebank.forwarding._messages import (
     Answer,
     ForwardRequest,
@@ -144,7 +148,7 @@
         forward = Forward(request, route, services, self.router)
         started = now()
         try:
-            return await _ForwardRun(forward, self).run()
+            return await _ForwardRun(driven=forward, engine=self).run()
         finally:
             if self.on_trace is not None:
                 self.on_trace(request, route, forward.trace, now() - started)
@@ -207,62 +211,29 @@
             state.delay_s = self.delays.delay_s(leaf.data_centre)
 
 
-@attrs.define(eq=False)
-class _ForwardRun:
-    """Drives one request: performs its actions and feeds it events."""
+@attrs.define(eq=False, kw_only=True)
+class _ForwardRun(RequestRun):
+    """Runs one forwarded request."""
 
-    forward: Forward
+    driven: Forward
     engine: ForwardingEngine
-    replies: Any = attrs.field(factory=curio.Queue)
-    ending: Result[Answer, Failure] | None = None
     _pools_by_attempt: dict[str, LeafPool] = attrs.Factory(dict)
 
-    async def run(self) -> Result[Answer, Failure]:
-        """Return the answer or the failure of the request."""
-        try:
-            return await self._drive()
-        except curio.CancelledError:
-            async with curio.disable_cancellation():
-                await self._perform(self.forward.abandon(now()))
-            raise
-
-    async def _drive(self) -> Result[Answer, Failure]:
-        await self._perform(self.forward.start(now()))
-        while self.ending is None:
-            # A reply that was delivered late still counts, so the replies
-            # that wait are taken before the time is looked at.
-            delivered = await get_before(self.forward.next_wakeup, self.replies)
-            if delivered is None:
-                await self._perform(self.forward.on_time(now()))
-            else:
-                await self._perform(self._take(*delivered))
-        return self.ending
-
-    async def _perform(self, actions: list[Action]) -> None:
-        for action in actions:
-            match action:
-                case SendCall():
-                    await self._send(action)
-                case CancelCall():
-                    await self._cancel(action)
-                case Finish():
-                    self.ending = Ok(action.answer)
-                case Refuse():
-                    self.ending = Err(action.failure)
-
-    async def _cancel(self, action: CancelCall) -> None:
+    async def cancel(self, action: CancelCall) -> None:
+        """Cancel a call, if it was sent."""
         pool = self._pools_by_attempt.get(action.attempt_id)
         if pool is not None:
             await pool.cancel(action.attempt_id)
 
-    async def _send(self, action: SendCall) -> None:
+    async def send(self, action: SendCall) -> None:
+        """Send the request to a leaf."""
         pool = self.engine.pool_of(action)
         if pool is None:
             await self._refuse_unpooled(action)
             return
         self._pools_by_attempt[action.attempt_id] = pool
-        request = self.forward.request
-        finish_at = self.forward.dispatcher.finish_at
+        request = self.driven.request
+        finish_at = self.driven.dispatcher.finish_at
         remaining_ms = max(1, int((finish_at - now()) * MS_PER_S))
         leaf_id = action.leaf_id.rpartition('@')[0]
         message = self.engine.codec.encode(request, leaf_id, remaining_ms)
@@ -290,7 +261,7 @@
 
     async def _deliver(self, reply: LeafReply) -> None:
         """Update the routing state, also after the request has ended."""
-        dispatcher = self.forward.dispatcher
+        dispatcher = self.driven.dispatcher
         router = self.engine.router
         is_current = reply.call_id in dispatcher.shards_by_attempt
         is_probe = router.end_stall(reply.leaf_id, reply.call_id)
@@ -302,7 +273,7 @@
             now(),
             reply.elapsed_s,
             _call_outcome(outcome) if is_counted else CallOutcome.CANCELLED,
-            self.forward.route.name,
+            self.driven.route.name,
         )
         if is_current and self.ending is None:
             await self.replies.put((reply.call_id, outcome))
@@ -317,12 +288,13 @@
         if load is not None:
             leaf.on_load(load.running, load.waiting)
 
-    def _take(
+    def take(
         self, call_id: str, outcome: Result[LeafAnswer, Failure]
     ) -> list[Action]:
+        """Pass the response of a leaf to the request."""
         if isinstance(outcome, Err):
-            return self.forward.on_failure(call_id, outcome.err_value, now())
-        return self.forward.on_answer(call_id, outcome.ok_value, now())
+            return self.driven.on_failure(call_id, outcome.err_value, now())
+        return self.driven.on_answer(call_id, outcome.ok_value, now())
 
 
 def _call_outcome(outcome: Result[LeafAnswer, Failure]) -> CallOutcome:
--- a/clementinebank/forwarding/_forward.py
+++ b/clementinebank/forwarding/_forward.py
@@ -5,23 +5,23 @@
 import attrs
 
 from clementinebank.dispatch import (
-    CancelCall,
+    Action,
     Dispatcher,
     DispatchPolicy,
     EndedAttempt,
-    SendCall,
-    Shard,
+    Finish,
+    Refuse,
     TraceEvent,
 )
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.forwarding._messages import (
-    Answer,
     ForwardRequest,
     GatheredAnswer,
     LeafAnswer,
 )
+from clementinebank.forwarding._parts import PartShard, failure_of, may_relay
 from clementinebank.forwarding._records import merge_greatest
-from clementinebank.invariants import check, invariant
+from clementinebank.invariants import check
 from clementinebank.routes import Gathering, Route
 from clementinebank.routing import Router
 
@@ -44,61 +44,6 @@
 UNAVAILABLE = 503
 TIMEOUT = 504
 SERVER_ERROR = 500
-# These statuses promise that the request has not run.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-
-
-@invariant('forward-answered-once', 'R3')
-def _is_first_answer(is_finished: bool) -> bool:
-    return not is_finished
-
-
-@invariant('forward-not-run-is-true', 'R4')
-def _is_not_run_true(execution: Execution, sent: int, not_run: int) -> bool:
-    return execution is not Execution.NOT_RUN or sent == not_run
-
-
-@invariant('unsafe-request-runs-once', 'R5')
-def _is_run_once(is_repeatable: bool, sent: int, not_run: int) -> bool:
-    return is_repeatable or sent - not_run <= 1
-
-
-@invariant('parts-are-of-one-version', 'R1')
-def _is_one_version(asked: tuple[str, ...], answered: tuple[str, ...]) -> bool:
-    return len(set(answered)) == len(answered) and set(answered) <= set(asked)
-
-
-@attrs.frozen
-class Finish:
-    """Answer the caller."""
-
-    answer: Answer
-
-
-@attrs.frozen
-class Refuse:
-    """Refuse the request of the caller, or state that it failed."""
-
-    failure: Failure
-
-
-Action = SendCall | CancelCall | Finish | Refuse
-
-
-@attrs.define(eq=False)
-class PartShard(Shard):
-    """One service that gets the request.
-
-    Parameters
-    ----------
-    answer : LeafAnswer or None
-        Answer that counts.
-    last_failure : LeafAnswer or None
-        Failure of a leaf that ran the request.
-    """
-
-    answer: LeafAnswer | None = None
-    last_failure: LeafAnswer | None = None
 
 
 @attrs.define(eq=False)
@@ -199,7 +144,7 @@
             return []
         if answer.is_success or self._is_final(answer):
             return self._take_success(ended, answer, now)
-        failure = _failure_of(answer, ended.attempt.leaf_id)
+        failure = failure_of(answer, ended.attempt.leaf_id)
         shard = self._shards_by_service[ended.shard.group_id]
         if answer.execution is Execution.RAN:
             shard.last_failure = answer
@@ -248,7 +193,7 @@
             self.route.gathering is None
             and answer.execution is Execution.RAN
             and answer.response.status < SERVER_ERROR
-            and _may_relay(answer)
+            and may_relay(answer)
         )
 
     def _take_success(
@@ -299,7 +244,7 @@
             return [*cancels, *self._finish_gathering(gathering, now)]
         for shard in shards:
             relayed = shard.answer or shard.last_failure
-            if relayed is not None and _may_relay(relayed):
+            if relayed is not None and may_relay(relayed):
                 self._end(now, 'relayed', status=relayed.response.status)
                 return [*cancels, Finish(relayed)]
         return [*cancels, *self._refuse_unanswered(now)]
@@ -389,26 +334,3 @@
         for shard in self._shards_by_service.values():
             actions.extend(self.dispatcher.settle(shard, now))
         return actions
-
-
-def _may_relay(answer: LeafAnswer) -> bool:
-    """Return whether a response may reach the caller with its status.
-
-    A leaf may use a status that promises callers that nothing has run
-    although the request has.
-    """
-    return answer.is_success or answer.response.status not in NOT_RUN_STATUSES
-
-
-def _failure_of(answer: LeafAnswer, leaf_id: str) -> Failure:
-    """Return the failure that a response of a leaf stands for."""
-    is_refusal = answer.execution is Execution.NOT_RUN
-    status = answer.response.status
-    return Failure(
-        'shed' if is_refusal else 'leaf_failed',
-        f'status {status}',
-        Step.READ,
-        peer=leaf_id,
-        execution=answer.execution,
-        status=status,
-    )
--- /dev/null
+++ b/clementinebank/forwarding/_parts.py
@@ -0,0 +1,70 @@
+"""Shards of a forwarded request and the rules for what leafs answer."""
+
+import attrs
+
+from clementinebank.dispatch import Shard
+from clementinebank.errors import Execution, Failure, Step
+from clementinebank.forwarding._messages import LeafAnswer
+from clementinebank.invariants import invariant
+
+# These statuses promise that the request has not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
+
+@invariant('forward-answered-once', 'R3')
+def _is_first_answer(is_finished: bool) -> bool:
+    return not is_finished
+
+
+@invariant('forward-not-run-is-true', 'R4')
+def _is_not_run_true(execution: Execution, sent: int, not_run: int) -> bool:
+    return execution is not Execution.NOT_RUN or sent == not_run
+
+
+@invariant('unsafe-request-runs-once', 'R5')
+def _is_run_once(is_repeatable: bool, sent: int, not_run: int) -> bool:
+    return is_repeatable or sent - not_run <= 1
+
+
+@invariant('parts-are-of-one-version', 'R1')
+def _is_one_version(asked: tuple[str, ...], answered: tuple[str, ...]) -> bool:
+    return len(set(answered)) == len(answered) and set(answered) <= set(asked)
+
+
+@attrs.define(eq=False)
+class PartShard(Shard):
+    """One service that gets the request.
+
+    Parameters
+    ----------
+    answer : LeafAnswer or None
+        Answer that counts.
+    last_failure : LeafAnswer or None
+        Failure of a leaf that ran the request.
+    """
+
+    answer: LeafAnswer | None = None
+    last_failure: LeafAnswer | None = None
+
+
+def may_relay(answer: LeafAnswer) -> bool:
+    """Return whether a response may reach the caller with its status.
+
+    A leaf may use a status that promises callers that nothing has run
+    although the request has.
+    """
+    return answer.is_success or answer.response.status not in NOT_RUN_STATUSES
+
+
+def failure_of(answer: LeafAnswer, leaf_id: str) -> Failure:
+    """Return the failure that a response of a leaf stands for."""
+    is_refusal = answer.execution is Execution.NOT_RUN
+    status = answer.response.status
+    return Failure(
+        'shed' if is_refusal else 'leaf_failed',
+        f'status {status}',
+        Step.READ,
+        peer=leaf_id,
+        execution=answer.execution,
+        status=status,
+    )
--- a/clementinebank/forwarding/tests/test_forward.py
+++ b/clementinebank/forwarding/tests/test_forward.py
@@ -8,12 +8,11 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from clementinebank.dispatch import Dispatcher
+from clementinebank.dispatch import Dispatcher, Refuse
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.forwarding import (
     Forward,
     GatheredAnswer,
-    Refuse,
     merge_greatest,
 )
 from clementinebank.forwarding import _forward as forward_module
--- a/clementinebank/forwarding/tests/worlds.py
+++ b/clementinebank/forwarding/tests/worlds.py
@@ -4,14 +4,12 @@
 
 import attrs
 
-from clementinebank.dispatch import CancelCall, SendCall
+from clementinebank.dispatch import CancelCall, Finish, Refuse, SendCall
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.forwarding import (
-    Finish,
     Forward,
     ForwardRequest,
     LeafAnswer,
-    Refuse,
 )
 from clementinebank.forwarding._topology import create_topology
 from clementinebank.http import HttpRequest, HttpResponse
--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -3,10 +3,10 @@
 from pathlib import Path
 
 import attrs
-from result import Err, Ok, Result
+from result import Result
 
 from clementinebank.errors import FieldProblem
-from clementinebank.validation import Address, FieldReader, parse_yaml
+from clementinebank.validation import Address, FieldReader, load_yaml
 
 MS_PER_S = 1000
 # Time for the timeout of the silent watch and for the call that replaces it.
@@ -92,18 +92,7 @@
     Result
         The settings, or every problem found.
     """
-    try:
-        text = path.read_text()
-    except OSError as error:
-        return Err([FieldProblem('$', f'cannot read {path}: {error}')])
-    parsed = parse_yaml(text)
-    if isinstance(parsed, Err):
-        return Err([parsed.err_value])
-    reader = FieldReader(
-        parsed.ok_value.data, lines_by_path=parsed.ok_value.lines_by_path
-    )
-    settings = _read_settings(reader)
-    return Err(reader.problems) if reader.problems else Ok(settings)
+    return load_yaml(path, _read_settings)
 
 
 def _read_settings(reader: FieldReader) -> GatewaySettings:
--- a/clementinebank/search/__init__.py
+++ b/clementinebank/search/__init__.py
@@ -1,9 +1,8 @@
 """Search over many shards."""
 
+from clementinebank.dispatch import Finish, Refuse
 from clementinebank.search._actions import (
     Answer,
-    Finish,
-    Refuse,
     SendShard,
 )
 from clementinebank.search._coverage import Coverage, ShardCoverage
--- a/clementinebank/search/_actions.py
+++ b/clementinebank/search/_actions.py
@@ -2,8 +2,7 @@
 
 import attrs
 
-from clementinebank.dispatch import CancelCall, SendCall
-from clementinebank.errors import Failure
+from clementinebank.dispatch import SendCall
 from clementinebank.search._coverage import Coverage
 from clementinebank.search._messages import Record
 
@@ -36,20 +35,3 @@
     snapshot: str | None
     records: tuple[Record, ...]
     coverage: Coverage
-
-
-@attrs.frozen
-class Finish:
-    """Answer the caller."""
-
-    answer: Answer
-
-
-@attrs.frozen
-class Refuse:
-    """Refuse the request of the caller."""
-
-    failure: Failure
-
-
-Action = SendCall | CancelCall | Finish | Refuse
--- a/clementinebank/search/_engine.py
+++ b/clementinebank/search/_engine.py
@@ -2,25 +2,23 @@
 
 import json
 from collections.abc import Callable
-from typing import Any
 
 import attrs
-import curio
-from result import Err, Ok, Result
+from result import Err, Result
 
-from clementinebank.clock import get_before, now
-from clementinebank.dispatch import CancelCall, TraceEvent
+from clementinebank.clock import now
+from clementinebank.dispatch import (
+    Action,
+    CancelCall,
+    RequestRun,
+    SendCall,
+    TraceEvent,
+)
 from clementinebank.document import Document, LeafSettings, ServiceSettings
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpResponse, json_request
 from clementinebank.routing import OUTCOMES_BY_CODE, CallOutcome, Router
-from clementinebank.search._actions import (
-    Action,
-    Answer,
-    Finish,
-    Refuse,
-    SendShard,
-)
+from clementinebank.search._actions import Answer, SendShard
 from clementinebank.search._messages import (
     SearchRequest,
     ShardReply,
@@ -118,7 +116,9 @@
     async def search(self, request: SearchRequest) -> Result[Answer, Failure]:
         """Run one query to its answer; never later than its deadline."""
         query = Query(request, self.service, self.router, self.catalogue)
-        run = _QueryRun(query, dict(self.leaf_pools.pools_by_leaf), self)
+        run = _QueryRun(
+            driven=query, engine=self, pools=dict(self.leaf_pools.pools_by_leaf)
+        )
         try:
             return await run.run()
         finally:
@@ -148,53 +148,24 @@
         self.router.on_invalid_reply(leaf_id, now())
 
 
-@attrs.define(eq=False)
-class _QueryRun:
-    """Drives one query: performs its actions and feeds it events."""
+@attrs.define(eq=False, kw_only=True)
+class _QueryRun(RequestRun):
+    """Runs one query over the pools of its start."""
 
-    query: Query
-    pools: dict[str, LeafPool]
+    driven: Query
     engine: SearchEngine
-    replies: Any = attrs.field(factory=curio.Queue)
-    ending: Result[Answer, Failure] | None = None
+    pools: dict[str, LeafPool]
 
-    async def run(self) -> Result[Answer, Failure]:
-        """Return the answer or the refusal of the query."""
-        try:
-            return await self._drive()
-        except curio.CancelledError:
-            # The caller is gone: the leafs need not finish the work.
-            async with curio.disable_cancellation():
-                await self._perform(self.query.abandon(now()))
-            raise
-
-    async def _drive(self) -> Result[Answer, Failure]:
-        await self._perform(self.query.start(now()))
-        while self.ending is None:
-            # A reply that was delivered late still counts, so the replies
-            # that wait are taken before the time is looked at.
-            delivered = await get_before(self.query.next_wakeup, self.replies)
-            if delivered is None:
-                await self._perform(self.query.on_time(now()))
-            else:
-                await self._perform(self._take(*delivered))
-        return self.ending
-
-    async def _perform(self, actions: list[Action]) -> None:
-        for action in actions:
-            match action:
-                case SendShard():
-                    await self._send(action)
-                case CancelCall():
-                    await self.pools[action.leaf_id].cancel(action.attempt_id)
-                case Finish():
-                    self.ending = Ok(action.answer)
-                case Refuse():
-                    self.ending = Err(action.failure)
-
-    async def _send(self, action: SendShard) -> None:
+    async def cancel(self, action: CancelCall) -> None:
+        """Cancel a shard request."""
+        await self.pools[action.leaf_id].cancel(action.attempt_id)
+
+    async def send(self, action: SendCall) -> None:
+        """Send a shard request of the pinned snapshot."""
+        if not isinstance(action, SendShard):
+            raise TypeError(f'not a shard request: {action}')
         pool = self.pools[action.leaf_id]
-        request = self.query.request
+        request = self.driven.request
         # The request must reach the leaf and the reply come back in time.
         deadline = request.deadline - 2 * self.engine.delay_to(pool.leaf)
         remaining_ms = max(0, int((deadline - now()) * MS_PER_S))
@@ -218,7 +189,7 @@
 
     async def _deliver(self, reply: LeafReply) -> None:
         """Update the routing state, also after the query has ended."""
-        is_current = reply.call_id in self.query.dispatcher.shards_by_attempt
+        is_current = reply.call_id in self.driven.dispatcher.shards_by_attempt
         outcome = reply.outcome.and_then(
             lambda response: _shard_reply_of(response, reply.call_id)
         )
@@ -231,12 +202,13 @@
         if is_current and self.ending is None:
             await self.replies.put((reply.call_id, outcome))
 
-    def _take(
+    def take(
         self, call_id: str, outcome: Result[ShardReply, Failure]
     ) -> list[Action]:
+        """Pass the reply of a leaf to the query."""
         if isinstance(outcome, Err):
-            return self.query.on_failure(call_id, outcome.err_value, now())
-        return self.query.on_reply(call_id, outcome.ok_value, now())
+            return self.driven.on_failure(call_id, outcome.err_value, now())
+        return self.driven.on_reply(call_id, outcome.ok_value, now())
 
 
 def _call_outcome(outcome: Result[ShardReply, Failure]) -> CallOutcome:
--- a/clementinebank/search/_query.py
+++ b/clementinebank/search/_query.py
@@ -4,17 +4,19 @@
 
 import attrs
 
-from clementinebank.dispatch import Dispatcher, DispatchPolicy, TraceEvent
-from clementinebank.document import ServiceSettings
-from clementinebank.errors import Execution, Failure, Step
-from clementinebank.invariants import check, invariant
-from clementinebank.routing import Router
-from clementinebank.search._actions import (
+from clementinebank.dispatch import (
     Action,
-    Answer,
+    Dispatcher,
+    DispatchPolicy,
     Finish,
     Refuse,
+    TraceEvent,
 )
+from clementinebank.document import ServiceSettings
+from clementinebank.errors import Execution, Failure, Step
+from clementinebank.invariants import check, invariant
+from clementinebank.routing import Router
+from clementinebank.search._actions import Answer
 from clementinebank.search._admission import refuse_admission
 from clementinebank.search._coverage import Coverage, ShardCoverage
 from clementinebank.search._merge import is_truthful, merge, owned_records
--- a/clementinebank/search/tests/test_engine.py
+++ b/clementinebank/search/tests/test_engine.py
@@ -6,8 +6,10 @@
 
 import curio
 import pytest
+from result import Ok
 
 from clementinebank.clock import FakeClockKernel, now
+from clementinebank.dispatch import _run as run_module
 from clementinebank.http import HttpResponse
 from clementinebank.search import Query, SearchRequest
 from clementinebank.search import _engine as engine_module
@@ -44,7 +46,7 @@
                 'records': [],
             }
             response = HttpResponse(200, {}, json.dumps(body).encode())
-            outcome = engine_module.Ok(response)
+            outcome = Ok(response)
             await call.deliver(LeafReply(call.call_id, leaf_id, outcome, 0.01))
 
 
@@ -54,7 +56,7 @@
     query = Query(request, world.service, world.router, world.catalogue)
     engine = SimpleNamespace(router=world.router, delay_to=lambda leaf: 0)
     pools = _Pools()
-    run = engine_module._QueryRun(query, pools, engine)
+    run = engine_module._QueryRun(driven=query, pools=pools, engine=engine)
     await curio.spawn(pools.deliver_after, kernel, pause_s, daemon=True)
     return await run.run()
 
@@ -76,7 +78,7 @@
     async def get_before(deadline, queue):
         return await curio.ignore_after(max(0, deadline - now()), queue.get)
 
-    monkeypatch.setattr(engine_module, 'get_before', get_before)
+    monkeypatch.setattr(run_module, 'get_before', get_before)
     with caplog.at_level(logging.WARNING):
         _is_complete(5)
     assert 'longer than an enclosing timeout' in caplog.text
@@ -88,5 +90,5 @@
             return None
         return await curio.ignore_after(deadline - now(), queue.get)
 
-    monkeypatch.setattr(engine_module, 'get_before', get_before)
+    monkeypatch.setattr(run_module, 'get_before', get_before)
     assert not _is_complete(5)
--- a/clementinebank/settings/_instance.py
+++ b/clementinebank/settings/_instance.py
@@ -3,10 +3,10 @@
 from pathlib import Path
 
 import attrs
-from result import Err, Ok, Result
+from result import Result
 
 from clementinebank.errors import FieldProblem
-from clementinebank.validation import Address, FieldReader, parse_yaml
+from clementinebank.validation import Address, FieldReader, load_yaml
 
 MAX_LIMIT = 100_000
 # Time that a shutdown needs after the drain delay to finish its requests.
@@ -66,18 +66,7 @@
     Result
         The settings, or every problem found.
     """
-    try:
-        text = path.read_text()
-    except OSError as error:
-        return Err([FieldProblem('$', f'cannot read {path}: {error}')])
-    parsed = parse_yaml(text)
-    if isinstance(parsed, Err):
-        return Err([parsed.err_value])
-    reader = FieldReader(
-        parsed.ok_value.data, lines_by_path=parsed.ok_value.lines_by_path
-    )
-    settings = _read_settings(reader)
-    return Err(reader.problems) if reader.problems else Ok(settings)
+    return load_yaml(path, _read_settings)
 
 
 def _read_settings(reader: FieldReader) -> InstanceSettings:
--- a/clementinebank/validation/__init__.py
+++ b/clementinebank/validation/__init__.py
@@ -1,6 +1,14 @@
 """Validation of untrusted input at the boundary."""
 
+from clementinebank.validation._load import load_yaml
 from clementinebank.validation._reader import Address, FieldReader
 from clementinebank.validation._yaml import LOADER, ParsedYaml, parse_yaml
 
-__all__ = ('LOADER', 'Address', 'FieldReader', 'ParsedYaml', 'parse_yaml')
+__all__ = (
+    'LOADER',
+    'Address',
+    'FieldReader',
+    'ParsedYaml',
+    'load_yaml',
+    'parse_yaml',
+)
