--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -8,20 +8,13 @@
 
 from clementinebank.invariants import check, invariant
 from clementinebank.routing._budget import BURST_TOKENS, ExtraLoadBudget
+from clementinebank.routing._latencies import INITIAL_LATENCY_S, Latencies
 from clementinebank.routing._leaf_state import CallOutcome, LeafState
 from clementinebank.routing._policy import RoutingPolicy
-from clementinebank.routing._quantiles import LatencyWindow
 from clementinebank.routing._topology import Topology
 from clementinebank.upstream import LeafStatus
 
 FULL_TOKENS = 20
-# A group that is slow as a whole is hedged at this multiple of the quantile
-# of all groups: its own quantile would wait for its slowest replica.
-MAX_GROUP_FACTOR = 2.0
-INITIAL_HEDGE_DELAY_S = 0.03
-# Below this a hedge mostly repeats the variation of the links.
-MIN_HEDGE_DELAY_S = 0.002
-
 # A reply is not slow for a leaf within this multiple of its average; a hedge
 # to a farther data centre would seldom overtake it.
 USUAL_SPREAD = 1.5
@@ -71,9 +64,7 @@
     budget: ExtraLoadBudget = attrs.field(init=False)
     budgets_by_group: dict[str, ExtraLoadBudget] = attrs.Factory(dict)
     waiting_by_group: dict[str, int] = attrs.Factory(dict)
-    _service_window: LatencyWindow = attrs.Factory(LatencyWindow)
-    _windows_by_group: dict[str, LatencyWindow] = attrs.Factory(dict)
-    _windows_by_profile: dict[str, LatencyWindow] = attrs.Factory(dict)
+    latencies: Latencies = attrs.Factory(Latencies)
     _group_by_leaf: dict[str, str] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
@@ -211,7 +202,7 @@
         self,
         leaf_id: str,
         profile: str = '',
-        expected_s: float = INITIAL_HEDGE_DELAY_S,
+        expected_s: float = INITIAL_LATENCY_S,
     ) -> float:
         """Return the time after which a call to the leaf is hedged.
 
@@ -231,16 +222,15 @@
         scarce = self.policy.scarce_hedge_factor
         factor = scarce - saved * (scarce - self.policy.full_hedge_factor)
         quantile = self.policy.hedge_quantile
-        # Waiting longer than a peer needs from the start gains nothing.
         if profile:
-            window = self._windows_by_profile.get(profile, LatencyWindow())
-            quantile_s = window.quantile(quantile, expected_s)
-            return leaf.round_trip_s + factor * max(
-                MIN_HEDGE_DELAY_S, quantile_s
-            )
+            usual_s = self.latencies.of_profile_s(profile, quantile, expected_s)
+            return leaf.round_trip_s + factor * usual_s
+        # Waiting longer than a peer needs from the start gains nothing.
         usual_s = min(USUAL_SPREAD * leaf.service_s, self._fastest_peer_s(leaf))
-        quantile_s = max(self._quantile_s(leaf_id, quantile), usual_s)
-        return leaf.round_trip_s + factor * quantile_s
+        group_s = self.latencies.of_group_s(
+            self._group_by_leaf[leaf_id], quantile
+        )
+        return leaf.round_trip_s + factor * max(group_s, usual_s)
 
     def on_sent(self, leaf_id: str, now: float, request_id: str = '') -> None:
         """Count a request that goes to the leaf."""
@@ -264,9 +254,13 @@
             return
         if outcome is CallOutcome.GOOD:
             self._add_latency(leaf, elapsed_s, profile)
-        usual_s = self._normalise_s(leaf, elapsed_s, profile)
         slow_s = self._slow_bound_s(leaf, profile)
-        leaf.on_end(now, usual_s, outcome, slow_s)
+        if profile:
+            service_s = max(0, elapsed_s - leaf.round_trip_s)
+            elapsed_s = leaf.round_trip_s + self.latencies.normalise_s(
+                profile, service_s
+            )
+        leaf.on_end(now, elapsed_s, outcome, slow_s)
 
     def on_cancel(
         self,
@@ -390,24 +384,6 @@
             return False
         return not leaf.is_ejected or leaf.may_try(now)
 
-    def _normalise_s(
-        self, leaf: LeafState, elapsed_s: float, profile: str
-    ) -> float:
-        """Return the time as if the request were of the average kind.
-
-        Leafs that get different mixes of kinds would not be comparable
-        otherwise.
-        """
-        window = self._windows_by_profile.get(profile)
-        if window is None:
-            return elapsed_s
-        average_s = self._service_window.quantile(0.5, 0)
-        median_s = window.quantile(0.5, 0)
-        if not average_s or not median_s:
-            return elapsed_s
-        service_s = max(0, elapsed_s - leaf.round_trip_s)
-        return leaf.round_trip_s + service_s * average_s / median_s
-
     def _slow_bound_s(self, leaf: LeafState, profile: str = '') -> float:
         """Return the time above which a reply of the leaf is an outlier.
 
@@ -415,9 +391,8 @@
         not while it answers as fast as its peers do with their links.
         """
         if profile:
-            usual_s = self._service_window.quantile(0.5, INITIAL_HEDGE_DELAY_S)
             factor = self.policy.outlier_rule.slow_factor
-            return leaf.round_trip_s + factor * usual_s
+            return leaf.round_trip_s + factor * self.latencies.median_s
         peers = self._peers(leaf)
         service_s = min((peer.service_s for peer in peers), default=inf)
         bound_s = max(
@@ -426,32 +401,20 @@
         )
         return bound_s + OUTLIER_MARGIN_S
 
-    def _quantile_s(self, leaf_id: str, share: float) -> float:
-        # A group with few calls yet follows the other groups.
-        usual_s = self._service_window.quantile(share, INITIAL_HEDGE_DELAY_S)
-        window = self._windows_by_group[self._group_by_leaf[leaf_id]]
-        group_s = window.quantile(share, usual_s)
-        return max(MIN_HEDGE_DELAY_S, min(group_s, MAX_GROUP_FACTOR * usual_s))
-
     def _add_latency(
         self, leaf: LeafState, elapsed_s: float, profile: str
     ) -> None:
-        window = self._windows_by_group[self._group_by_leaf[leaf.leaf_id]]
         service_s = max(0, elapsed_s - leaf.round_trip_s)
-        window.add(service_s)
-        self._service_window.add(service_s)
-        if profile:
-            of_profile = self._windows_by_profile.setdefault(
-                profile, LatencyWindow()
-            )
-            of_profile.add(service_s)
+        group_id = self._group_by_leaf[leaf.leaf_id]
+        self.latencies.add(group_id, profile, service_s)
 
     def _follow(self, now: float | None) -> None:
         """Keep the state of known leafs; leafs added later are cold."""
         known = self.leafs_by_id
         self.leafs_by_id = {}
+        self._group_by_leaf = {}
+        self.latencies.retain(self.service.groups_by_id)
         for group in self.service.groups_by_id.values():
-            self._windows_by_group.setdefault(group.group_id, LatencyWindow())
             for leaf_id in group.leafs_by_id:
                 self._group_by_leaf[leaf_id] = group.group_id
                 self.leafs_by_id[leaf_id] = known.get(
@@ -466,9 +429,7 @@
                 leaf_id,
                 limit=self.service.slots,
                 cold_since=now,
-                service_s=self._service_window.quantile(
-                    0.5, INITIAL_HEDGE_DELAY_S
-                ),
+                service_s=self.latencies.median_s,
                 queue_factor=inf,
                 outlier_rule=self.policy.outlier_rule,
             )
--- a/clementinebank/routing/tests/test_router.py
+++ b/clementinebank/routing/tests/test_router.py
@@ -17,6 +17,7 @@
 )
 from clementinebank.routing import _leaf_state as leaf_module
 from clementinebank.routing import _router as router_module
+from clementinebank.routing._latencies import Latencies
 from clementinebank.search.tests.worlds import make_service
 from clementinebank.upstream import LeafStatus
 
@@ -329,8 +330,8 @@
         lambda *_: False,
     ),
     check_hedge_delay_follows_the_quantile: (
-        Router,
-        '_quantile_s',
+        Latencies,
+        'of_group_s',
         lambda *_: 0.03,
     ),
     check_connections_bound_the_requests: (
