Share the transport of peer messages as a package of its own

Cause: instances of the gateway need unary calls between each other, and the transport was tied to the messages of the document's distribution. Change: rpc holds connection, channel and server; peer keeps its messages. No behaviour changes.

--- a/clementinebank/http/__init__.py
+++ b/clementinebank/http/__init__.py
@@ -4,6 +4,7 @@
     HttpConnection,
     HttpProtocolError,
     fetch,
+    open_socket,
 )
 from clementinebank.http._limits import HttpLimits
 from clementinebank.http._messages import (
@@ -32,4 +33,5 @@
     'fetch',
     'json_request',
     'json_response',
+    'open_socket',
 )
--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -72,7 +72,7 @@
             If the other side does not accept it.
         """
         await self.close()
-        self._sock = await _connect(self.host, self.port)
+        self._sock = await open_socket(self.host, self.port)
         self._idle_until = float('inf')
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_REPLY_HEADER_BYTES
@@ -221,8 +221,8 @@
             self._http.receive_data(await self._sock.recv(READ_SIZE_BYTES))
 
 
-async def _connect(host: str, port: int) -> Any:
-    """Connect to an IP number.
+async def open_socket(host: str, port: int) -> Any:
+    """Return a curio socket that is connected to an IP number.
 
     ``curio.open_connection`` would resolve it in a thread, which cost more
     than the rest of the connect.
--- a/clementinebank/peer/__init__.py
+++ b/clementinebank/peer/__init__.py
@@ -1,4 +1,4 @@
-"""Messages between instances and their transport."""
+"""Messages between instances."""
 
 from clementinebank.peer._client import PeerClient
 from clementinebank.peer._codec import (
@@ -6,18 +6,12 @@
     decode_message,
     encode_message,
 )
-from clementinebank.peer._connection import (
-    MAX_MESSAGE_BYTES,
-    PeerProtocolError,
-)
-from clementinebank.peer._server import PeerServer
+from clementinebank.peer._server import create_peer_server
 
 __all__ = (
-    'MAX_MESSAGE_BYTES',
     'PROTOCOL_VERSION',
     'PeerClient',
-    'PeerProtocolError',
-    'PeerServer',
+    'create_peer_server',
     'decode_message',
     'encode_message',
 )
--- a/clementinebank/peer/_codec.py
+++ b/clementinebank/peer/_codec.py
@@ -13,7 +13,7 @@
 from clementinebank.document import AcceptedChange, Section
 from clementinebank.membership import Member, MemberReport, MemberState
 from clementinebank.peer import peer_pb2
-from clementinebank.peer._connection import PeerProtocolError
+from clementinebank.rpc import RpcProtocolError
 from clementinebank.validation import Address
 
 PROTOCOL_VERSION = 1
@@ -52,17 +52,17 @@
 
     Raises
     ------
-    PeerProtocolError
+    RpcProtocolError
         If the payload is no valid message of a supported version.
     """
     try:
         raw = peer_pb2.SyncMessage.FromString(payload)
     except DecodeError as error:
-        raise PeerProtocolError(f'malformed message: {error}') from error
+        raise RpcProtocolError(f'malformed message: {error}') from error
     if raw.protocol_version < 1:
-        raise PeerProtocolError('protocol_version is missing')
+        raise RpcProtocolError('protocol_version is missing')
     if len(raw.members) > MAX_MEMBERS:
-        raise PeerProtocolError(f'{len(raw.members)} members in a message')
+        raise RpcProtocolError(f'{len(raw.members)} members in a message')
     return SyncMessage(
         sender=_member_of(raw.sender),
         revision=raw.revision,
@@ -103,11 +103,11 @@
 
 def _member_of(raw: peer_pb2.Member) -> Member:
     if not raw.instance_id or not raw.data_centre:
-        raise PeerProtocolError('a member lacks instance_id or data_centre')
+        raise RpcProtocolError('a member lacks instance_id or data_centre')
     try:
         state = MemberState(raw.state)
     except ValueError as error:
-        raise PeerProtocolError(f'unknown state {raw.state}') from error
+        raise RpcProtocolError(f'unknown state {raw.state}') from error
     return Member(
         raw.instance_id,
         raw.incarnation,
--- a/clementinebank/peer/tests/test_peer.py
+++ b/clementinebank/peer/tests/test_peer.py
@@ -16,16 +16,20 @@
 from clementinebank.document import AcceptedChange, Section
 from clementinebank.membership import Member, MemberReport, MemberState
 from clementinebank.peer import (
-    MAX_MESSAGE_BYTES,
     PeerClient,
-    PeerProtocolError,
-    PeerServer,
+    create_peer_server,
     decode_message,
     encode_message,
     peer_pb2,
 )
-from clementinebank.peer._client import _Channel
-from clementinebank.peer._connection import PeerConnection, frame, unframe
+from clementinebank.rpc import (
+    MAX_MESSAGE_BYTES,
+    RpcChannel,
+    RpcConnection,
+    RpcProtocolError,
+    frame,
+    unframe,
+)
 from clementinebank.validation import Address
 
 ADDRESS = Address('127.0.0.1', 7)
@@ -76,7 +80,7 @@
     'payload', [b'', b'\xff\xff', b'not protobuf', b'\x08\x01']
 )
 def test_malformed_message_is_refused(payload):
-    with pytest.raises(PeerProtocolError):
+    with pytest.raises(RpcProtocolError):
         decode_message(payload)
 
 
@@ -87,14 +91,14 @@
     try:
         decode_message(payload)
         unframe(payload)
-    except PeerProtocolError:
+    except RpcProtocolError:
         return
 
 
 def test_frame_with_wrong_length_is_refused():
     assert unframe(frame(b'abc')) == b'abc'
     for body in (b'', frame(b'abc')[:-1], b'\x01' + frame(b'abc')[1:]):
-        with pytest.raises(PeerProtocolError):
+        with pytest.raises(RpcProtocolError):
             unframe(body)
 
 
@@ -103,8 +107,8 @@
     near, far = socket.socketpair()
     task = await curio.spawn(server.serve_connection, far, 'peer')
     client = PeerClient()
-    channel = _Channel(ADDRESS)
-    channel.connection = PeerConnection(near, is_client=True)
+    channel = RpcChannel(ADDRESS)
+    channel.connection = RpcConnection(near, is_client=True)
     await channel.connection.start()
     client._channels[ADDRESS] = channel
     return client, task
@@ -116,7 +120,7 @@
 
 def test_calls_share_one_connection():
     async def run():
-        server = PeerServer('127.0.0.1', 0, _echo)
+        server = create_peer_server('127.0.0.1', 0, _echo)
         client, task = await _connected(server)
         for _ in range(5):
             reply = await client.sync(SENDER, message())
@@ -135,7 +139,9 @@
 
 def test_message_of_one_megabyte_passes():
     async def run():
-        client, task = await _connected(PeerServer('127.0.0.1', 0, _echo))
+        client, task = await _connected(
+            create_peer_server('127.0.0.1', 0, _echo)
+        )
         large = message('x' * 1_000_000)
         for _ in range(5):
             reply = await client.sync(SENDER, large)
@@ -161,11 +167,11 @@
 )
 def test_bad_message_closes_only_its_connection(body):
     async def run():
-        server = PeerServer('127.0.0.1', 0, _echo)
+        server = create_peer_server('127.0.0.1', 0, _echo)
         good, good_task = await _connected(server)
         near, far = socket.socketpair()
         task = await curio.spawn(server.serve_connection, far, 'bad')
-        connection = PeerConnection(near, is_client=True)
+        connection = RpcConnection(near, is_client=True)
         await connection.start()
         headers = {
             ':method': 'POST',
@@ -179,7 +185,7 @@
             connection._http.end_stream(1)
             await connection.flush()
             assert await connection.receive() is None
-        except (OSError, PeerProtocolError):
+        except (OSError, RpcProtocolError):
             pass
         await task.join()
         assert server.refused == 1
@@ -193,7 +199,7 @@
 
 def test_bytes_that_are_no_http2_close_only_their_connection():
     async def run():
-        server = PeerServer('127.0.0.1', 0, _echo)
+        server = create_peer_server('127.0.0.1', 0, _echo)
         near, far = socket.socketpair()
         task = await curio.spawn(server.serve_connection, far, 'bad')
         await near.sendall(b'GET / HTTP/1.1' + bytes(100))
@@ -206,7 +212,7 @@
 
 def test_failed_call_names_the_step_and_the_peer():
     async def run():
-        server = PeerServer('127.0.0.1', 0, _refuse)
+        server = create_peer_server('127.0.0.1', 0, _refuse)
         client, task = await _connected(server)
         reply = await client.sync(SENDER, message())
         # The close shows as an end or, with unread bytes, as a reset.
@@ -221,4 +227,4 @@
 
 
 async def _refuse(received):
-    raise PeerProtocolError('refused')
+    raise RpcProtocolError('refused')
--- a/clementinebank/peer/_connection.py
+++ b/clementinebank/rpc/_connection.py
@@ -16,7 +16,6 @@
 MAX_MESSAGE_BYTES = 1_500_000
 # One message fits into the window, so that a receiver never blocks a sender.
 WINDOW_BYTES = 2_000_000
-SYNC_PATH = '/clementinebank.Peer/Sync'
 CONTENT_TYPE = 'application/grpc+proto'
 FRAME_HEADER = struct.Struct('>BI')
 _HEADER_EVENTS: Any = (
@@ -27,7 +26,7 @@
 _END_EVENTS = (events.StreamReset, events.ConnectionTerminated)
 
 
-class PeerProtocolError(Exception):
+class RpcProtocolError(Exception):
     """The other side broke the protocol or closed in a message."""
 
 
@@ -41,15 +40,15 @@
 
     Raises
     ------
-    PeerProtocolError
+    RpcProtocolError
         If the prefix does not fit the body.
     """
     if len(body) < FRAME_HEADER.size:
-        raise PeerProtocolError('the message has no gRPC prefix')
+        raise RpcProtocolError('the message has no gRPC prefix')
     compressed, length = FRAME_HEADER.unpack_from(body)
     payload = body[FRAME_HEADER.size :]
     if compressed or length != len(payload):
-        raise PeerProtocolError('the gRPC prefix does not fit the message')
+        raise RpcProtocolError('the gRPC prefix does not fit the message')
     return payload
 
 
@@ -63,7 +62,7 @@
 
 
 @attrs.define(eq=False)
-class PeerConnection:
+class RpcConnection:
     """HTTP/2 over a socket with one message at a time.
 
     Parameters
@@ -124,7 +123,7 @@
 
         Raises
         ------
-        PeerProtocolError
+        RpcProtocolError
             If the other side breaks the protocol.
         """
         message = self._next_message()
@@ -133,7 +132,7 @@
             await self.flush()
             if not await self._fill():
                 if self._body or self._headers:
-                    raise PeerProtocolError('closed within a message')
+                    raise RpcProtocolError('closed within a message')
                 return None
             message = self._next_message()
         return message
@@ -157,7 +156,7 @@
         try:
             self._events.extend(self._http.receive_data(chunk))
         except ProtocolError as error:
-            raise PeerProtocolError(f'invalid HTTP/2: {error!r}') from error
+            raise RpcProtocolError(f'invalid HTTP/2: {error!r}') from error
         await self.flush()
         return True
 
@@ -174,7 +173,7 @@
                 continue
             await self.flush()
             if not await self._fill():
-                raise PeerProtocolError('closed while a message was sent')
+                raise RpcProtocolError('closed while a message was sent')
 
     def _next_message(self) -> ReceivedMessage | None:
         message = None
@@ -188,7 +187,7 @@
         elif isinstance(event, _HEADER_EVENTS):
             self._headers.update(event.headers)
         elif isinstance(event, _END_EVENTS):
-            raise PeerProtocolError('the stream was reset')
+            raise RpcProtocolError('the stream was reset')
         elif isinstance(event, events.StreamEnded):
             return self._take_message(event.stream_id)
         return None
@@ -196,7 +195,7 @@
     def _take_data(self, event: Any) -> None:
         self._body += event.data
         if len(self._body) > MAX_MESSAGE_BYTES + FRAME_HEADER.size:
-            raise PeerProtocolError(
+            raise RpcProtocolError(
                 f'the message is larger than {MAX_MESSAGE_BYTES} bytes'
             )
         self._http.acknowledge_received_data(
--- /dev/null
+++ b/clementinebank/rpc/_server.py
@@ -0,0 +1,117 @@
+"""Listener for the calls of other instances."""
+
+import errno
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import attrs
+import curio
+from eliot import log_message
+from h2.exceptions import ProtocolError
+
+from clementinebank.clock import now
+from clementinebank.errors import Step
+from clementinebank.rpc._channel import failure_of
+from clementinebank.rpc._connection import (
+    CONTENT_TYPE,
+    ReceivedMessage,
+    RpcConnection,
+    RpcProtocolError,
+    unframe,
+)
+
+BACKLOG = 512
+# Clients close connections that they have not used for a shorter time.
+IDLE_LIMIT_S = 120.0
+SEND_LIMIT_S = 10.0
+# A predecessor that drains may still hold the address.
+BIND_TIMEOUT_S = 60.0
+BIND_RETRY_S = 0.1
+REPLY_HEADERS = {':status': '200', 'content-type': CONTENT_TYPE}
+STATUS_UNIMPLEMENTED = '12'
+
+Answer = Callable[[bytes], Awaitable[bytes]]
+
+
+@attrs.define(eq=False)
+class RpcServer:
+    """Listener that passes messages to the handler of their method.
+
+    Parameters
+    ----------
+    host : str
+        IP number to listen on.
+    port : int
+        TCP port to listen on.
+    answers_by_path : mapping of str to callable
+        Coroutine function from message to reply of each method.
+    send_limit_s : float
+        Longest time of one answer, in seconds.
+    """
+
+    host: str
+    port: int
+    answers_by_path: Mapping[str, Answer]
+    send_limit_s: float = SEND_LIMIT_S
+    messages: int = 0
+    refused: int = 0
+
+    async def serve(self) -> None:
+        """Accept connections until the task is cancelled.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound in time.
+        """
+        end = now() + BIND_TIMEOUT_S
+        while True:
+            try:
+                return await curio.tcp_server(
+                    self.host, self.port, self.serve_connection, backlog=BACKLOG
+                )
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or now() >= end:
+                    raise
+            await curio.sleep(BIND_RETRY_S)
+
+    async def serve_connection(self, sock: Any, peer: Any) -> None:
+        """Serve one connection; an error closes only this connection."""
+        connection = RpcConnection(sock, is_client=False)
+        try:
+            await self._serve_messages(connection)
+        except (RpcProtocolError, ProtocolError) as error:
+            self.refused += 1
+            failure = failure_of(error, Step.DISTRIBUTE, str(peer))
+            log_message(message_type='peer:refused', reason=str(failure))
+        except (OSError, curio.TaskTimeout):
+            # The peer is gone or silent; it connects again when it needs to.
+            return
+        finally:
+            await connection.close()
+
+    async def _serve_messages(self, connection: RpcConnection) -> None:
+        await connection.start()
+        while True:
+            async with curio.timeout_after(IDLE_LIMIT_S):
+                message = await connection.receive()
+            if message is None:
+                return
+            async with curio.timeout_after(self.send_limit_s):
+                await self._answer_one(connection, message)
+
+    async def _answer_one(
+        self, connection: RpcConnection, message: ReceivedMessage
+    ) -> None:
+        answer = self.answers_by_path.get(message.headers_by_name[':path'])
+        if answer is None:
+            trailers = {'grpc-status': STATUS_UNIMPLEMENTED}
+            await connection.send(
+                message.stream_id, REPLY_HEADERS, b'', trailers
+            )
+            return
+        self.messages += 1
+        reply = await answer(unframe(message.body))
+        await connection.send(
+            message.stream_id, REPLY_HEADERS, reply, {'grpc-status': '0'}
+        )
--- a/clementinebank/server/_instance.py
+++ b/clementinebank/server/_instance.py
@@ -15,10 +15,11 @@
 from clementinebank.document import Document, HeadRecord, ServiceSettings
 from clementinebank.errors import Failure, Step
 from clementinebank.http import HttpServer
-from clementinebank.peer import PeerClient, PeerServer
+from clementinebank.peer import PeerClient, create_peer_server
+from clementinebank.rpc import RpcServer
 from clementinebank.search import SearchEngine
 from clementinebank.server._life_cycle import LifeCycle
-from clementinebank.server._listeners import create_listeners, serve_peers
+from clementinebank.server._listeners import create_listeners
 from clementinebank.server._loop_monitor import LoopMonitor
 from clementinebank.server._observer import Observer
 from clementinebank.server._routes import Listener
@@ -45,7 +46,7 @@
     instance_list: InstanceList = attrs.field()
     peer_client: PeerClient = attrs.Factory(PeerClient)
     follower: DocumentFollower = attrs.field(init=False)
-    peer_server: PeerServer = attrs.field(init=False)
+    peer_server: RpcServer = attrs.field(init=False)
     document: Document | None = None
     engines_by_service: dict[str, SearchEngine] = attrs.Factory(dict)
     bookings: BookingEngines = attrs.field(init=False)
@@ -77,7 +78,7 @@
             self._put_in_force,
         )
         peers = self.settings.peers
-        self.peer_server = PeerServer(
+        self.peer_server = create_peer_server(
             peers.host, peers.port, self.follower.answer
         )
         self.life_cycle.on_leaving(self.follower.announce_leaving)
@@ -131,7 +132,7 @@
         """
         group = curio.TaskGroup(wait=object)
         async with group:
-            await group.spawn(serve_peers, self.peer_server)
+            await group.spawn(self.peer_server.serve)
             await group.spawn(self.follower.run)
             await group.spawn(self.loop_monitor.run)
             for server in self.listeners.values():
--- a/clementinebank/server/_listeners.py
+++ b/clementinebank/server/_listeners.py
@@ -1,15 +1,12 @@
 """Listeners of an instance."""
 
-import errno
 import uuid
 from typing import Any
 
 import attrs
-import curio
 from eliot import start_action
 from result import Err
 
-from clementinebank.clock import now
 from clementinebank.errors import Failure
 from clementinebank.http import (
     Handler,
@@ -19,7 +16,6 @@
     HttpServer,
 )
 from clementinebank.metrics import names
-from clementinebank.peer import PeerServer
 from clementinebank.server._observer import error_of
 from clementinebank.server._routes import (
     REQUEST_ID_PATTERN,
@@ -31,7 +27,6 @@
 
 # A predecessor on the same address frees it at the end of its drain.
 BIND_TIMEOUT_S = 60.0
-BIND_RETRY_S = 0.1
 CLIENT_ERROR = 400
 REQUEST_ID = 'request-id'
 
@@ -66,18 +61,6 @@
     }
 
 
-async def serve_peers(server: PeerServer) -> None:
-    """Serve peers as soon as a predecessor has freed the address."""
-    end = now() + BIND_TIMEOUT_S
-    while True:
-        try:
-            return await server.serve()
-        except OSError as error:
-            if error.errno != errno.EADDRINUSE or now() >= end:
-                raise
-        await curio.sleep(BIND_RETRY_S)
-
-
 def _handler(instance: Any, listener: Listener) -> Handler:
     async def handle(request: HttpRequest) -> HttpResponse:
         instance.loop_monitor.check()
