Let one relay in each data centre watch the store for the others

Ruled out: a registration of every instance (two writes each); two subscriptions at once (twice the messages; one with a change of relay stays within the bound); stale reads (seconds behind). Change: relay passes entries on over rpc. The instances that the settings name register first under a lease, any other one when its data centre has no relay. Replies state the age of the knowledge; a relay that grows old is left for the next one and then for the store. Registrations count the followers, which gives the size of the fleet.

--- a/clementinebank/gateway/__init__.py
+++ b/clementinebank/gateway/__init__.py
@@ -1,14 +1,11 @@
 """An instance that forwards requests by routes from a control store."""
 
 from clementinebank.gateway._feed import (
-    HISTORY_LOST,
     Change,
-    ChangeBatch,
     ConfigurationWritten,
-    ControlFeed,
+    DecodeEntry,
     LeafRemoved,
     LeafWritten,
-    StoredState,
 )
 from clementinebank.gateway._follower import ControlFollower
 from clementinebank.gateway._gateway import Gateway
@@ -21,19 +18,16 @@
 )
 
 __all__ = (
-    'HISTORY_LOST',
     'Change',
-    'ChangeBatch',
     'ConfigurationWritten',
-    'ControlFeed',
     'ControlFollower',
+    'DecodeEntry',
     'Gateway',
     'GatewayBounds',
     'GatewaySettings',
     'LeafRemoved',
     'LeafWritten',
     'RequestLog',
-    'StoredState',
     'load_gateway_settings',
     'run_gateway',
 )
--- a/clementinebank/gateway/_follower.py
+++ b/clementinebank/gateway/_follower.py
@@ -10,24 +10,29 @@
 from clementinebank.clock import now
 from clementinebank.errors import Failure
 from clementinebank.gateway._feed import (
-    HISTORY_LOST,
     Change,
     ConfigurationWritten,
-    ControlFeed,
+    DecodeEntry,
     LeafRemoved,
     LeafWritten,
-    StoredState,
 )
 from clementinebank.leafs import LeafDirectory
+from clementinebank.relay import (
+    HISTORY_LOST,
+    KEY_PREFIX,
+    ControlFeed,
+    Entry,
+    EntryLog,
+    RelayDirectory,
+)
 from clementinebank.routes import RouteTable
 
-# Each return of a watch costs a call, so that changes in quick succession are
-# taken together; the bounds of drains and changes are seconds.
-BATCH_INTERVAL_S = 0.4
 RETRY_INTERVAL_S = 0.1
 # Nothing can be answered before the first contact.
 FIRST_RETRY_INTERVAL_S = 0.2
 MAX_RETRY_INTERVAL_S = 0.8
+# How often removed registrations are looked at.
+EXPIRY_INTERVAL_S = 0.4
 
 OnChanged = Callable[[], Awaitable[None]]
 
@@ -39,29 +44,44 @@
     Parameters
     ----------
     feed : ControlFeed
-        Source of routes and leafs.
+        Source of the entries.
+    decode : callable
+        Returns what an entry means.
     table : RouteTable
         Routes in force.
     directory : LeafDirectory
         Registered leafs.
+    relays : RelayDirectory
+        Registered relays.
+    log : EntryLog
+        Entries that are known, for other instances.
     on_changed : callable
         Coroutine function that is called after each change.
     watch_wait_s : float
         Time after which a watch without a change is renewed, in seconds.
-    confirmed_at : float
-        Runtime time of the last answer of the feed.
     """
 
     feed: ControlFeed
+    decode: DecodeEntry
     table: RouteTable
     directory: LeafDirectory
+    relays: RelayDirectory
+    log: EntryLog
     on_changed: OnChanged
     watch_wait_s: float = 5.0
-    confirmed_at: float = float('-inf')
-    is_loaded: bool = False
-    _revision: int | None = None
+    _is_gap: bool = True
     _failures: int = 0
 
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether the entries are known."""
+        return self.log.is_loaded
+
+    @property
+    def confirmed_at(self) -> float:
+        """Return the runtime time at which the store was heard of last."""
+        return self.log.confirmed_at
+
     async def run(self) -> None:
         """Follow until cancelled."""
         await curio.spawn(self._expire_leafs, daemon=True)
@@ -71,14 +91,14 @@
             except Exception:
                 # A fault in one change must not end the following of others.
                 write_traceback()
-                self._revision = None
+                self._is_gap = True
                 await curio.sleep(MAX_RETRY_INTERVAL_S)
 
     async def _step(self) -> None:
-        if self._revision is None:
+        if self._is_gap:
             await self._load()
         else:
-            await self._follow(self._revision)
+            await self._follow(self.log.revision)
 
     async def _load(self) -> None:
         loaded = await self.feed.read_all()
@@ -87,10 +107,12 @@
             return
         self._on_contact()
         state = loaded.ok_value
-        self._revision = state.revision
-        self.directory.retain(_leaf_ids(state), now())
-        self._apply(state.changes)
-        self.is_loaded = True
+        await self.log.load(state)
+        self._is_gap = False
+        self.relays.load(filter(_is_of_relay, state.entries), now())
+        changes = self._decode_all(state.entries)
+        self.directory.retain(_leaf_ids(changes), now())
+        self._apply(changes)
         await self.on_changed()
 
     async def _follow(self, revision: int) -> None:
@@ -98,17 +120,24 @@
         if isinstance(waited, Err):
             if waited.err_value.code == HISTORY_LOST:
                 log_message(message_type='feed:history_lost', revision=revision)
-                self._revision = None
+                self._is_gap = True
                 return
             await self._back_off(waited.err_value)
             return
         self._on_contact()
         batch = waited.ok_value
-        self._revision = max(revision, batch.revision)
-        if batch.changes:
-            self._apply(batch.changes)
+        await self.log.append(batch)
+        for entry in filter(_is_of_relay, batch.entries):
+            self.relays.take(entry, now())
+        if batch.entries:
+            self._apply(self._decode_all(batch.entries))
             await self.on_changed()
-            await curio.sleep(BATCH_INTERVAL_S)
+
+    def _decode_all(self, entries: Iterable[Entry]) -> list[Change]:
+        decoded = [
+            self.decode(entry) for entry in entries if not _is_of_relay(entry)
+        ]
+        return [change for change in decoded if change is not None]
 
     def _apply(self, changes: Iterable[Change]) -> None:
         for change in changes:
@@ -127,7 +156,6 @@
                 silent_s=round(now() - self.confirmed_at, 3),
             )
         self._failures = 0
-        self.confirmed_at = now()
 
     async def _back_off(self, failure: Failure) -> None:
         if not self._failures:
@@ -145,15 +173,19 @@
 
     async def _expire_leafs(self) -> None:
         while True:
-            await curio.sleep(BATCH_INTERVAL_S)
+            await curio.sleep(EXPIRY_INTERVAL_S)
             if now() >= self.directory.next_expiry():
                 self.directory.expire(now())
                 await self.on_changed()
 
 
-def _leaf_ids(state: StoredState) -> set[str]:
+def _is_of_relay(entry: Entry) -> bool:
+    return entry.key.startswith(KEY_PREFIX)
+
+
+def _leaf_ids(changes: Iterable[Change]) -> set[str]:
     return {
         change.record.leaf_id
-        for change in state.changes
+        for change in changes
         if isinstance(change, LeafWritten)
     }
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -16,7 +16,7 @@
     LeafCodec,
     LinkDelays,
 )
-from clementinebank.gateway._feed import ControlFeed
+from clementinebank.gateway._feed import DecodeEntry
 from clementinebank.gateway._follower import ControlFollower
 from clementinebank.gateway._request_log import RequestLog
 from clementinebank.gateway._settings import GatewaySettings
@@ -29,7 +29,18 @@
 from clementinebank.leafs import LeafDirectory
 from clementinebank.metrics import Metrics, expose, names, sample
 from clementinebank.process import SignalWaiter
+from clementinebank.relay import (
+    WATCH_PATH,
+    ControlStore,
+    EntryLog,
+    RelayClient,
+    RelayDirectory,
+    RelayRegistration,
+    RelayService,
+    SharedFeed,
+)
 from clementinebank.routes import CallerLimits, RouteTable
+from clementinebank.rpc import RpcServer
 
 NOT_FOUND = 404
 UNAVAILABLE = 503
@@ -56,8 +67,10 @@
     ----------
     settings : GatewaySettings
         Addresses and bounds.
-    feed : ControlFeed
-        Source of routes and leafs.
+    store : ControlStore
+        Holds routes, registered leafs and registered relays.
+    decode : callable
+        Returns what an entry of the store means.
     callers : CallerCodec
         Interface of the callers.
     leafs : LeafCodec
@@ -67,7 +80,8 @@
     """
 
     settings: GatewaySettings
-    feed: ControlFeed
+    store: ControlStore
+    decode: DecodeEntry
     callers: CallerCodec
     leafs: LeafCodec
     stop_signal: SignalWaiter = attrs.Factory(SignalWaiter)
@@ -75,9 +89,14 @@
     metrics: Metrics = attrs.Factory(Metrics)
     is_leaving: bool = False
     background: list[Any] = attrs.Factory(list)
+    log: EntryLog = attrs.Factory(EntryLog)
+    relays: RelayDirectory = attrs.Factory(RelayDirectory)
     directory: LeafDirectory = attrs.field(init=False)
     engine: ForwardingEngine = attrs.field(init=False)
+    registration: RelayRegistration = attrs.field(init=False)
+    feed: SharedFeed = attrs.field(init=False)
     follower: ControlFollower = attrs.field(init=False)
+    peer_server: RpcServer = attrs.field(init=False)
     server: HttpServer = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -93,10 +112,14 @@
             ExtraLoadLimits(bounds.retry_ratio, bounds.retry_burst),
             on_trace=RequestLog(self.metrics, self.table).take,
         )
+        self._create_feed()
         self.follower = ControlFollower(
             self.feed,
+            self.decode,
             self.table,
             self.directory,
+            self.relays,
+            self.log,
             self._on_changed,
             bounds.watch_wait_s,
         )
@@ -130,6 +153,8 @@
             self._listen(self.settings.readiness, self._on_readiness).serve,
             self._listen(self.settings.metrics, self._on_metrics).serve,
             self.follower.run,
+            self.peer_server.serve,
+            self.registration.run,
             self.server.serve,
             self.server.watch_departures,
             *self.background,
@@ -191,14 +216,46 @@
         self.settings = attrs.evolve(self.settings, bounds=bounds)
         self.directory.drain_limit_s = bounds.drain_s
         self.follower.watch_wait_s = bounds.watch_wait_s
+        self.feed.bounds = bounds.freshness
         self.engine.set_limits(
             ExtraLoadLimits(bounds.retry_ratio, bounds.retry_burst)
         )
 
+    def _create_feed(self) -> None:
+        """Create what reads the store and passes its entries on."""
+        settings = self.settings
+        service = RelayService(self.log)
+        self.peer_server = RpcServer(
+            settings.peers.host,
+            settings.peers.port,
+            {WATCH_PATH: service.answer},
+        )
+        self.registration = RelayRegistration(
+            settings.instance_id,
+            settings.data_centre,
+            settings.peers,
+            self.store,
+            self.relays,
+            self.log,
+            service,
+            is_first=settings.peers in settings.seeds,
+        )
+        self.feed = SharedFeed(
+            self.store,
+            RelayClient(settings.instance_id, settings.peers, self.log),
+            self.relays,
+            self.registration,
+            self.log,
+            settings.bounds.freshness,
+            settings.seeds,
+            settings.regions_by_data_centre,
+        )
+
     async def _on_changed(self) -> None:
         configuration = self.table.configuration
         if configuration is not None:
             self.server.state.limits = _http_limits(configuration.limits)
+        self.engine.fleet_size = self.relays.fleet_size(now())
         await self.engine.update()
 
     async def _drain(self) -> int:
@@ -209,6 +266,7 @@
         log_message(
             message_type='gateway:leaving', in_flight=self.server.in_flight
         )
+        await curio.spawn(self.registration.leave, daemon=True)
         await curio.sleep(
             min(DRAIN_DELAY_S, self.settings.bounds.shutdown_s / 2)
         )
@@ -244,7 +302,7 @@
 
     def _samples(self) -> list[Any]:
         return [
-            sample(names.KEY_VALUE_CALLS, self.feed.calls),
+            sample(names.KEY_VALUE_CALLS, self.store.calls),
             sample(
                 names.CONNECTIONS,
                 self.server.open_connections,
--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -6,6 +6,7 @@
 from result import Result
 
 from clementinebank.errors import FieldProblem
+from clementinebank.relay import FreshnessBounds
 from clementinebank.validation import Address, FieldReader, load_yaml
 
 MS_PER_S = 1000
@@ -41,6 +42,11 @@
     stable_window_s: float = 4.0
     change_s: float = 3.0
 
+    @property
+    def freshness(self) -> FreshnessBounds:
+        """Return how old the knowledge of an instance may become."""
+        return FreshnessBounds(min(self.change_s, self.drain_s))
+
     @property
     def watch_wait_s(self) -> float:
         """Return how long one watch may wait for a change, in seconds.
@@ -62,14 +68,17 @@
         Unique name.
     data_centre : str
         Data centre of the instance.
-    callers, readiness, metrics : Address
-        Listeners for requests, readiness checks and metrics.
+    callers, readiness, metrics, peers : Address
+        Listeners for requests, readiness checks, metrics and other instances.
     control_store : Address
         Store that holds routes and registered leafs.
     regions_by_data_centre : dict of str to str
         Region of each data centre.
     bounds : GatewayBounds
         Figures of the platform.
+    seeds : tuple of Address
+        Listeners for other instances of a few instances, maybe of this one
+        and maybe of some that are gone.
     """
 
     instance_id: str
@@ -77,9 +86,11 @@
     callers: Address
     readiness: Address
     metrics: Address
+    peers: Address
     control_store: Address
     regions_by_data_centre: dict[str, str]
     bounds: GatewayBounds
+    seeds: tuple[Address, ...] = ()
 
 
 def load_gateway_settings(
@@ -104,11 +115,13 @@
         callers=listen.address('callers'),
         readiness=listen.address('readiness'),
         metrics=listen.address('metrics'),
+        peers=listen.address('peers'),
         control_store=reader.address('control_store'),
         regions_by_data_centre={
             name: regions.text(name) for name in regions.data
         },
         bounds=_read_bounds(reader.child('bounds')),
+        seeds=reader.addresses('seeds'),
     )
     for part in (reader, listen, regions):
         part.finish()
--- a/clementinebank/gateway/tests/test_settings.py
+++ b/clementinebank/gateway/tests/test_settings.py
@@ -7,6 +7,7 @@
 from clementinebank.clock import FakeClockKernel
 from clementinebank.gateway import load_gateway_settings
 from clementinebank.gateway._reload import CHECK_INTERVAL_S, SettingsWatcher
+from clementinebank.validation import Address
 
 GOOD = """\
 instance_id: g-1
@@ -15,6 +16,8 @@
   callers: "127.0.0.1:1"
   readiness: "127.0.0.1:2"
   metrics: "127.0.0.1:3"
+  peers: "127.0.0.1:5"
+seeds: ["127.0.0.1:5", "127.0.0.1:6"]
 control_store: "127.0.0.1:4"
 regions_by_data_centre: {"dc-1": "region-1"}
 bounds:
@@ -38,6 +41,8 @@
     settings = load_gateway_settings(path).ok_value
     assert settings.bounds.drain_s == 3
     assert settings.bounds.watch_wait_s == 5
+    assert settings.bounds.freshness.change_s == 3
+    assert settings.seeds == (Address('127.0.0.1', 5), Address('127.0.0.1', 6))
     assert settings.regions_by_data_centre == {'dc-1': 'region-1'}
 
 
@@ -49,6 +54,8 @@
         ('instance_id: g-1', 'instance_id: 7', 'instance_id'),
         ('"127.0.0.1:4"', '"store:4"', 'control_store'),
         ('  metrics: "127.0.0.1:3"\n', '', 'listen.metrics'),
+        ('"127.0.0.1:6"]', '7]', 'seeds'),
+        ('["127.0.0.1:5", "127.0.0.1:6"]', '"127.0.0.1:5"', 'seeds'),
         ('instance_id', 'instance_name', 'instance_name'),
     ],
 )
--- /dev/null
+++ b/clementinebank/relay/__init__.py
@@ -0,0 +1,48 @@
+"""Control entries from the store, passed on between instances.
+
+One registered relay in each data centre watches the store; the other
+instances learn of changes from the relays, so that calls to the store grow
+with the data centres and not with the instances.
+"""
+
+from clementinebank.relay._client import RelayClient
+from clementinebank.relay._directory import (
+    KEY_PREFIX,
+    RelayDirectory,
+    RelayRecord,
+)
+from clementinebank.relay._log import EntryLog
+from clementinebank.relay._model import (
+    CONFLICT,
+    HISTORY_LOST,
+    LEASE_ENDED,
+    ChangeBatch,
+    ControlFeed,
+    ControlStore,
+    Entry,
+    StoredState,
+)
+from clementinebank.relay._registration import RelayRegistration
+from clementinebank.relay._service import WATCH_PATH, RelayService
+from clementinebank.relay._sources import FreshnessBounds, SharedFeed
+
+__all__ = (
+    'CONFLICT',
+    'HISTORY_LOST',
+    'KEY_PREFIX',
+    'LEASE_ENDED',
+    'WATCH_PATH',
+    'ChangeBatch',
+    'ControlFeed',
+    'ControlStore',
+    'Entry',
+    'EntryLog',
+    'FreshnessBounds',
+    'RelayClient',
+    'RelayDirectory',
+    'RelayRecord',
+    'RelayRegistration',
+    'RelayService',
+    'SharedFeed',
+    'StoredState',
+)
--- /dev/null
+++ b/clementinebank/relay/_codec.py
@@ -0,0 +1,177 @@
+"""Conversion between typed messages and protobuf.
+
+``relay_pb2.py`` is generated from ``relay.proto`` in this directory with
+``python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. relay.proto``.
+"""
+
+import math
+
+import attrs
+from google.protobuf.message import DecodeError
+
+from clementinebank.relay import relay_pb2
+from clementinebank.relay._model import Entry
+from clementinebank.rpc import RpcProtocolError
+from clementinebank.validation import Address, FieldReader
+
+PROTOCOL_VERSION = 1
+MS_PER_S = 1000
+# Ages are sent as 32 bits; 24 days are as good as never heard.
+MAX_AGE_MS = 2_147_483_647
+
+
+@attrs.frozen
+class WatchRequest:
+    """Question of a follower for entries or changes.
+
+    Parameters
+    ----------
+    instance_id : str
+        Who asks.
+    address : Address
+        Where it answers other instances itself.
+    revision : int
+        Revision that it knows; 0 asks for every entry.
+    wait_s : float
+        Time to wait for news, in seconds.
+    after_key : str
+        Last key of the page before, if every entry is read.
+    age_s : float
+        Time since it heard from the store, in seconds.
+    """
+
+    instance_id: str
+    address: Address
+    revision: int
+    wait_s: float = 0
+    after_key: str = ''
+    age_s: float = 0
+
+
+@attrs.frozen
+class WatchReply:
+    """Answer of a relay.
+
+    Parameters
+    ----------
+    entries : tuple of Entry
+        A page of all entries, or the changes.
+    revision : int
+        Revision after which to continue.
+    age_s : float
+        Time since the relay heard of the store, in seconds.
+    is_loaded : bool
+        Whether the relay knows any entries.
+    is_history_lost : bool
+        Whether it lacks the changes since the revision of the request.
+    has_more : bool
+        Whether another page follows.
+    """
+
+    entries: tuple[Entry, ...] = ()
+    revision: int = 0
+    age_s: float = 0
+    is_loaded: bool = True
+    is_history_lost: bool = False
+    has_more: bool = False
+
+
+def encode_request(request: WatchRequest) -> bytes:
+    """Return the protobuf encoding of a request."""
+    return relay_pb2.WatchRequest(
+        protocol_version=PROTOCOL_VERSION,
+        instance_id=request.instance_id,
+        revision=request.revision,
+        wait_ms=max(0, int(request.wait_s * MS_PER_S)),
+        after_key=request.after_key,
+        address=str(request.address),
+        age_ms=_age_ms(request.age_s),
+    ).SerializeToString()
+
+
+def decode_request(payload: bytes) -> WatchRequest:
+    """Decode a request.
+
+    Raises
+    ------
+    RpcProtocolError
+        If the payload is no request of a supported version.
+    """
+    raw = relay_pb2.WatchRequest()
+    _parse(raw, payload)
+    if not raw.instance_id:
+        raise RpcProtocolError('the request lacks instance_id')
+    reader = FieldReader({'address': raw.address})
+    address = reader.address('address')
+    if reader.problems:
+        raise RpcProtocolError(str(reader.problems[0]))
+    return WatchRequest(
+        raw.instance_id,
+        address,
+        raw.revision,
+        raw.wait_ms / MS_PER_S,
+        raw.after_key,
+        raw.age_ms / MS_PER_S,
+    )
+
+
+def encode_reply(reply: WatchReply) -> bytes:
+    """Return the protobuf encoding of a reply."""
+    return relay_pb2.WatchReply(
+        protocol_version=PROTOCOL_VERSION,
+        entries=[
+            relay_pb2.Entry(
+                key=each.key, value=each.value, revision=each.revision
+            )
+            for each in reply.entries
+        ],
+        revision=reply.revision,
+        age_ms=_age_ms(reply.age_s),
+        is_loaded=reply.is_loaded,
+        is_history_lost=reply.is_history_lost,
+        has_more=reply.has_more,
+    ).SerializeToString()
+
+
+def decode_reply(payload: bytes) -> WatchReply:
+    """Decode a reply.
+
+    Raises
+    ------
+    RpcProtocolError
+        If the payload is no reply of a supported version.
+    """
+    raw = relay_pb2.WatchReply()
+    _parse(raw, payload)
+    return WatchReply(
+        tuple(
+            Entry(
+                each.key,
+                each.value if each.HasField('value') else None,
+                each.revision,
+            )
+            for each in raw.entries
+        ),
+        raw.revision,
+        raw.age_ms / MS_PER_S,
+        raw.is_loaded,
+        raw.is_history_lost,
+        raw.has_more,
+    )
+
+
+def _age_ms(age_s: float) -> int:
+    # Rounded up, so that an age never shrinks over a chain of relays.
+    age_ms = math.ceil(min(age_s * MS_PER_S, MAX_AGE_MS))
+    return max(0, age_ms)
+
+
+def _parse(
+    raw: relay_pb2.WatchRequest | relay_pb2.WatchReply, payload: bytes
+) -> None:
+    try:
+        raw.ParseFromString(payload)
+    except DecodeError as error:
+        raise RpcProtocolError(f'malformed message: {error}') from error
+    if raw.protocol_version < 1:
+        raise RpcProtocolError('protocol_version is missing')
--- /dev/null
+++ b/clementinebank/relay/tests/test_fleet.py
@@ -0,0 +1,239 @@
+"""Guards the time to force and the store against the size of the fleet.
+
+A change must reach every instance that is in touch with the store within the
+bound, whichever relays fail, and calls must not grow with the instances.
+"""
+
+import random
+
+import curio
+import pytest
+
+from clementinebank.clock import FakeClockKernel
+from clementinebank.relay import KEY_PREFIX
+from clementinebank.relay.tests.world import CHANGE_S, Fleet
+
+SETTLE_S = 12.0
+STABLE_S = 4.0
+
+
+def play(scenario, size=7, seed=1):
+    async def run():
+        fleet = Fleet(size, seed)
+        await fleet.store.write('op', b'v0')
+        await fleet.start()
+        await curio.sleep(SETTLE_S)
+        return await scenario(fleet)
+
+    with FakeClockKernel() as kernel:
+        return kernel.run(run)
+
+
+async def assert_in_force(fleet, value, exempt=()):
+    await fleet.store.write('op', value)
+    await curio.sleep(CHANGE_S)
+    assert not fleet.lagging('op', value, exempt)
+
+
+async def kill(instance):
+    await instance.kill()
+
+
+async def cut(instance):
+    instance.is_cut = True
+    instance.store.is_silent = True
+
+
+async def cut_from_store(instance):
+    instance.store.is_silent = True
+
+
+async def turn_away(instance):
+    instance.store.refusal = 'refused'
+
+
+FAULTS = (kill, cut, cut_from_store, turn_away)
+
+
+@pytest.mark.parametrize('size', [1, 2, 7, 60])
+def test_one_relay_for_each_data_centre(size):
+    async def scenario(fleet):
+        held = [each.registration.data_centre for each in fleet.relays]
+        assert sorted(held) == [
+            f'dc-{number}' for number in range(min(3, size))
+        ]
+        await assert_in_force(fleet, b'v1')
+        sizes = [each.directory.fleet_size(0) for each in fleet.instances]
+        assert min(sizes) >= size
+
+    play(scenario, size)
+
+
+def test_calls_to_the_store_do_not_grow_with_the_fleet():
+    async def scenario(fleet):
+        before = fleet.calls
+        await curio.sleep(30)
+        return fleet.calls - before
+
+    assert play(scenario, 60) <= 1.2 * play(scenario, 6)
+
+
+def test_start_of_a_large_fleet_makes_few_calls():
+    async def scenario(fleet):
+        return fleet.calls
+
+    # Three relays watch for the time; others make no call each.
+    assert play(scenario, 120) < 120
+
+
+@pytest.mark.parametrize('fault', FAULTS)
+@pytest.mark.parametrize('count', [1, 2, 3])
+@pytest.mark.parametrize('seed', range(4))
+def test_change_is_in_force_although_relays_fail(fault, count, seed):
+    """The fault strikes at any moment before the change, down to none."""
+
+    async def scenario(fleet):
+        rng = random.Random(seed)
+        broken = rng.sample(fleet.relays, count)
+        for instance in broken:
+            await fault(instance)
+        await curio.sleep(rng.uniform(0, 2))
+        await assert_in_force(fleet, b'v1', broken)
+
+    play(scenario, 12, seed)
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_fleet_catches_up_after_an_outage_of_the_store(seed):
+    async def scenario(fleet):
+        rng = random.Random(seed)
+        for instance in fleet.instances:
+            instance.store.is_silent = seed % 2 == 0
+            instance.store.refusal = 'refused'
+        await curio.sleep(rng.uniform(1, 9))
+        calls = fleet.calls
+        await fleet.store.write('op', b'v1')
+        await curio.sleep(4)
+        # Refused calls have a price as well.
+        assert fleet.calls - calls <= 4 * len(fleet.instances)
+        for instance in fleet.instances:
+            instance.store.is_silent = False
+            instance.store.refusal = ''
+        await curio.sleep(STABLE_S)
+        assert not fleet.lagging('op', b'v1')
+
+    play(scenario, 30, seed)
+
+
+def test_turned_away_instances_learn_from_the_others():
+    async def scenario(fleet):
+        for instance in fleet.instances[:4]:
+            instance.store.refusal = 'refused'
+        await curio.sleep(STABLE_S)
+        await assert_in_force(fleet, b'v1')
+
+    play(scenario)
+
+
+def test_lost_history_is_read_again_by_everyone():
+    async def scenario(fleet):
+        for instance in fleet.instances:
+            instance.is_cut = True
+            instance.store.is_silent = True
+        await fleet.store.write('op', b'v1')
+        await fleet.store.write('op', None)
+        fleet.store.compact()
+        for instance in fleet.instances:
+            instance.is_cut = False
+            instance.store.is_silent = False
+        await curio.sleep(STABLE_S + CHANGE_S)
+        assert not fleet.lagging('op', None)
+
+    play(scenario)
+
+
+def test_instance_that_starts_without_the_store_learns_from_a_relay():
+    async def scenario(fleet):
+        instance = fleet.instances[5]
+        await instance.kill()
+        instance.store.refusal = 'refused'
+        await instance.start()
+        await curio.sleep(0.2)
+        assert instance.value_of('op') == b'v0'
+
+    play(scenario)
+
+
+def test_whole_fleet_restarts_with_the_registrations_of_before():
+    async def scenario(fleet):
+        for instance in fleet.instances:
+            await instance.kill()
+        await curio.sleep(0.8)
+        for instance in fleet.instances:
+            await instance.start()
+        await curio.sleep(0.3)
+        assert not fleet.lagging('op', b'v0')
+        await curio.sleep(STABLE_S)
+        assert len(fleet.relays) == 3
+        await assert_in_force(fleet, b'v1')
+
+    play(scenario)
+
+
+def test_revoked_registration_is_written_again():
+    """The store can remove keys of an instance without telling it."""
+
+    async def scenario(fleet):
+        for data_centre in range(3):
+            await fleet.store.write(f'{KEY_PREFIX}dc-{data_centre}', None)
+        await curio.sleep(STABLE_S)
+        assert len(fleet.relays) == 3
+        await assert_in_force(fleet, b'v1')
+
+    play(scenario)
+
+
+def test_relay_that_stops_hands_over():
+    async def scenario(fleet):
+        relay = fleet.relays[0]
+        await relay.registration.leave()
+        await relay.kill()
+        await curio.sleep(STABLE_S)
+        data_centre = relay.registration.data_centre
+        heirs = [
+            each
+            for each in fleet.relays
+            if each.registration.data_centre == data_centre
+        ]
+        assert len(heirs) == 1
+
+    play(scenario)
+
+
+def test_all_named_instances_may_be_gone_for_good():
+    async def scenario(fleet):
+        for instance in fleet.instances[:3]:
+            await instance.kill()
+        await curio.sleep(20)
+        alive = fleet.instances[3:]
+        assert len([each for each in alive if each.registration.is_held]) == 3
+        before = fleet.calls
+        await curio.sleep(10)
+        # Each of three watches returns about once a second.
+        assert fleet.calls - before < 50
+        await assert_in_force(fleet, b'v1', fleet.instances[:3])
+
+    play(scenario, 12)
+
+
+def test_changes_in_quick_succession_are_taken_together():
+    """Each return of a watch has a price."""
+
+    async def scenario(fleet):
+        before = fleet.calls
+        for number in range(30):
+            await fleet.store.write('op', b'v%d' % number)
+            await curio.sleep(0.1)
+        return fleet.calls - before
+
+    assert play(scenario) <= 3 * 10
--- /dev/null
+++ b/clementinebank/relay/tests/test_log.py
@@ -0,0 +1,134 @@
+"""Guards what an instance passes on against gaps, reorderings and size."""
+
+import random
+
+import curio
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from clementinebank.clock import FakeClockKernel
+from clementinebank.relay import ChangeBatch, Entry, EntryLog, StoredState
+from clementinebank.relay import _log as log_module
+
+KEYS = ('a', 'b', 'c', 'd')
+# Key and whether it is written or deleted.
+CHANGES = st.lists(st.tuples(st.sampled_from(KEYS), st.booleans()), max_size=40)
+
+
+def play(scenario):
+    with FakeClockKernel() as kernel:
+        return kernel.run(scenario)
+
+
+def history_of(changes):
+    return [
+        Entry(key, b'%d' % number if is_written else None, number)
+        for number, (key, is_written) in enumerate(changes, 2)
+    ]
+
+
+def stored_at(history, revision):
+    """Return the entries that exist at a revision."""
+    found = {}
+    for entry in history:
+        if entry.revision <= revision:
+            found.pop(entry.key, None)
+            if entry.value is not None:
+                found[entry.key] = entry
+    return found
+
+
+@seed(5)
+@settings(max_examples=150, deadline=None)
+@given(CHANGES, st.integers(0, 2**32), st.sampled_from([3, 4096]))
+def test_chain_of_logs_ends_with_what_is_stored(changes, draw, kept):
+    """A follower that reads from a log at any moments misses nothing."""
+
+    async def scenario():
+        rng = random.Random(draw)
+        history = history_of(changes)
+        relay, follower = EntryLog(), EntryLog()
+        await relay.load(StoredState((), 1))
+        await follower.load(StoredState((), 1))
+        for at in range(0, len(history), 3):
+            batch = tuple(history[at : at + 3])
+            await relay.append(ChangeBatch(batch, batch[-1].revision))
+            if rng.random() < 0.4:
+                await catch_up(follower, relay)
+        await catch_up(follower, relay)
+        expected = stored_at(history, relay.revision)
+        assert relay.entries_by_key == expected
+        assert follower.entries_by_key == expected
+        assert follower.revision == relay.revision
+
+    original = log_module.MAX_CHANGES
+    log_module.MAX_CHANGES = kept
+    try:
+        play(scenario)
+    finally:
+        log_module.MAX_CHANGES = original
+
+
+async def catch_up(follower, relay):
+    changes = relay.changes_since(follower.revision)
+    if changes is None:
+        page = relay.page_after('')
+        await follower.load(StoredState(page.entries, relay.revision))
+    else:
+        await follower.append(ChangeBatch(changes, relay.revision))
+
+
+def test_log_that_drops_changes_says_so():
+    async def scenario():
+        log = EntryLog()
+        await log.load(StoredState((), 10))
+        assert log.changes_since(9) is None
+        assert log.changes_since(10) == ()
+
+    play(scenario)
+
+
+def test_older_change_does_not_replace_a_newer_one():
+    """Pages of a state can hold writes that the changes repeat."""
+
+    async def scenario():
+        log = EntryLog()
+        await log.load(StoredState((Entry('a', b'new', 7),), 5))
+        await log.append(ChangeBatch((Entry('a', b'old', 6),), 6))
+        assert log.entries_by_key['a'].value == b'new'
+
+    play(scenario)
+
+
+def test_pages_hold_every_entry_within_the_limit_of_a_message():
+    async def scenario():
+        log = EntryLog()
+        entries = tuple(
+            Entry(f'k{number:02}', bytes(400_000), 1) for number in range(7)
+        )
+        await log.load(StoredState(entries, 1))
+        found, key, has_more = [], '', True
+        while has_more:
+            page = log.page_after(key)
+            assert sum(len(each.value) for each in page.entries) <= 1_000_000
+            found.extend(page.entries)
+            key, has_more = found[-1].key, page.has_more
+        assert tuple(found) == entries
+
+    play(scenario)
+
+
+def test_confirmation_wakes_waiting_followers_and_never_goes_back():
+    async def scenario():
+        log = EntryLog()
+        await log.load(StoredState((), 1, age_s=0.5))
+        waiting = await curio.spawn(log.wait_for_news, 100)
+        await curio.sleep(1)
+        await log.append(ChangeBatch((), 1, age_s=5))
+        await waiting.join()
+        assert log.age_s(log.confirmed_at) == 0
+        await curio.sleep(1)
+        return log
+
+    log = play(scenario)
+    assert log.confirmed_at < float('inf')
--- /dev/null
+++ b/clementinebank/relay/tests/test_messages.py
@@ -0,0 +1,133 @@
+"""Guards the messages of relays against malformed and foreign input."""
+
+import attrs
+import curio
+import pytest
+from result import Ok
+
+from clementinebank.relay import (
+    WATCH_PATH,
+    Entry,
+    EntryLog,
+    RelayClient,
+    RelayService,
+    StoredState,
+)
+from clementinebank.relay._codec import (
+    WatchReply,
+    WatchRequest,
+    decode_reply,
+    decode_request,
+    encode_reply,
+    encode_request,
+)
+from clementinebank.relay._directory import RelayDirectory, decode_record
+from clementinebank.rpc import RpcProtocolError, RpcServer
+from clementinebank.validation import Address
+
+ADDRESS = Address('127.0.0.1', 7)
+REQUEST = WatchRequest('i-1', ADDRESS, 9, 1.5, 'key', 0.25)
+ENTRIES = (Entry('a', b'\x00raw', 3), Entry('b', None, 4), Entry('c', b'', 5))
+
+
+def test_messages_survive_encoding():
+    assert decode_request(encode_request(REQUEST)) == REQUEST
+    reply = WatchReply(ENTRIES, 5, 1.25, has_more=True)
+    assert decode_reply(encode_reply(reply)) == reply
+    lost = WatchReply(revision=5, is_history_lost=True)
+    assert decode_reply(encode_reply(lost)) == lost
+
+
+def test_age_never_shrinks_and_unknown_age_is_huge():
+    reply = decode_reply(encode_reply(WatchReply(age_s=1.0001)))
+    assert reply.age_s >= 1.0001
+    assert (
+        decode_reply(encode_reply(WatchReply(age_s=float('inf')))).age_s > 1e6
+    )
+
+
+@pytest.mark.parametrize('payload', [b'', b'\xff\xff', b'no protobuf'])
+def test_malformed_message_is_refused(payload):
+    for decode in (decode_request, decode_reply):
+        with pytest.raises(RpcProtocolError):
+            decode(payload)
+
+
+def test_request_without_a_name_or_an_address_is_refused():
+    nameless = attrs.evolve(REQUEST, instance_id='')
+    homeless = attrs.evolve(REQUEST, address=Address('', 0))
+    for request in (nameless, homeless):
+        with pytest.raises(RpcProtocolError):
+            decode_request(encode_request(request))
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'',
+        b'[]',
+        b'{"instance_id": 1}',
+        b'{"instance_id": "i", "address": "x"}',
+    ],
+)
+def test_registration_that_cannot_be_read_names_no_relay(value):
+    assert decode_record(Entry('relays/dc', value, 1)).is_err()
+    directory = RelayDirectory()
+    directory.take(Entry('relays/dc', value, 1), 0)
+    assert not directory.records_by_data_centre
+
+
+def test_state_passes_between_processes_in_pages():
+    """The whole path over a socket, with entries larger than one message."""
+
+    async def run():
+        log = EntryLog()
+        entries = tuple(
+            Entry(f'k{number}', bytes(600_000), 1) for number in range(4)
+        )
+        await log.load(StoredState(entries, 12))
+        server = RpcServer(
+            '127.0.0.1', 0, {WATCH_PATH: RelayService(log).answer}
+        )
+        listening = curio.tcp_server_socket('127.0.0.1', 0)
+        address = Address(*listening.getsockname()[:2])
+
+        async def accept():
+            sock, peer = await listening.accept()
+            await server.serve_connection(sock, peer)
+
+        task = await curio.spawn(accept)
+        client = RelayClient('i-2', ADDRESS, EntryLog())
+        found = await client.read_all(address, 1)
+        assert found == Ok(StoredState(entries, 12, found.ok_value.age_s))
+        changes = await client.wait_for_changes(address, 12, 0)
+        assert changes.ok_value.entries == ()
+        lost = await client.wait_for_changes(address, 11, 0)
+        assert lost.err_value.code == 'history_lost'
+        await client.close()
+        await task.join()
+        await listening.close()
+
+    curio.run(run)
+
+
+def test_method_that_is_unknown_is_refused():
+    async def run():
+        server = RpcServer('127.0.0.1', 0, {})
+        listening = curio.tcp_server_socket('127.0.0.1', 0)
+        address = Address(*listening.getsockname()[:2])
+
+        async def accept():
+            sock, peer = await listening.accept()
+            await server.serve_connection(sock, peer)
+
+        task = await curio.spawn(accept)
+        client = RelayClient('i-2', ADDRESS, EntryLog())
+        found = await client.read_all(address, 1)
+        assert found.err_value.code == 'peer_protocol'
+        assert '12' in found.err_value.message
+        await client.close()
+        await task.join()
+        await listening.close()
+
+    curio.run(run)
--- /dev/null
+++ b/clementinebank/relay/tests/world.py
@@ -0,0 +1,330 @@
+"""A fleet of feeds over a store in memory, with faults, on a fake clock."""
+
+import random
+
+import attrs
+import curio
+from result import Err, Ok
+
+from clementinebank.clock import now, run_before
+from clementinebank.errors import Failure, Step
+from clementinebank.relay import (
+    CONFLICT,
+    HISTORY_LOST,
+    KEY_PREFIX,
+    LEASE_ENDED,
+    ChangeBatch,
+    Entry,
+    EntryLog,
+    FreshnessBounds,
+    RelayClient,
+    RelayDirectory,
+    RelayRegistration,
+    RelayService,
+    SharedFeed,
+    StoredState,
+)
+from clementinebank.validation import Address
+
+CHANGE_S = 3.0
+DELAY_S = 0.01
+STORE_TIMEOUT_S = 1.5
+WATCH_WAIT_S = 5.0
+NEVER_S = 1e6
+REGIONS = {'dc-0': 'r-0', 'dc-1': 'r-0', 'dc-2': 'r-1'}
+
+
+def failure(code):
+    return Err(Failure(code, code, Step.READ_HEAD))
+
+
+@attrs.define(eq=False)
+class FakeStore:
+    """Linearizable keys with history and leases."""
+
+    revision: int = 10
+    items: dict = attrs.Factory(dict)
+    history: list = attrs.Factory(list)
+    oldest: int = 0
+    leases: dict = attrs.Factory(dict)
+    changed: object = attrs.Factory(curio.Event)
+
+    async def write(self, key, value, lease=''):
+        self.revision += 1
+        entry = Entry(key, value, self.revision)
+        self.history.append(entry)
+        self.items.pop(key, None)
+        if value is not None:
+            self.items[key] = (entry, lease)
+        changed = self.changed
+        self.changed = curio.Event()
+        await changed.set()
+        return self.revision
+
+    def compact(self):
+        """Drop the history."""
+        self.oldest = self.revision
+        self.history.clear()
+
+    async def end_lease(self, lease):
+        self.leases.pop(lease, None)
+        held = [key for key, (_, owner) in self.items.items() if owner == lease]
+        for key in held:
+            await self.write(key, None)
+
+    async def expire_leases(self):
+        while True:
+            await curio.sleep(0.1)
+            for lease, end in list(self.leases.items()):
+                if now() >= end:
+                    await self.end_lease(lease)
+
+
+@attrs.define(eq=False)
+class StoreClient:
+    """Calls of one instance, which may be refused or get no answer."""
+
+    store: FakeStore
+    calls: int = 0
+    refusal: str = ''
+    is_silent: bool = False
+    ttl_s: float = 0
+
+    async def _enter(self):
+        self.calls += 1
+        await curio.sleep(DELAY_S)
+        if self.is_silent:
+            await curio.sleep(STORE_TIMEOUT_S)
+            return failure('unreachable')
+        return failure(self.refusal) if self.refusal else None
+
+    async def read_all(self):
+        refused = await self._enter()
+        if refused:
+            return refused
+        entries = tuple(entry for entry, _ in self.store.items.values())
+        return Ok(StoredState(entries, self.store.revision))
+
+    async def wait_for_changes(self, revision, wait_s):
+        refused = await self._enter()
+        if refused:
+            return refused
+        end = now() + wait_s
+        while True:
+            store = self.store
+            if revision < store.oldest:
+                return failure(HISTORY_LOST)
+            entries = tuple(
+                each for each in store.history if each.revision > revision
+            )
+            if (entries or now() >= end) and not self.is_silent:
+                return Ok(ChangeBatch(entries, store.revision))
+            if now() >= end + STORE_TIMEOUT_S:
+                return failure('unreachable')
+            left_s = end - now() if now() < end else STORE_TIMEOUT_S
+            async with curio.ignore_after(left_s):
+                await store.changed.wait()
+
+    async def create_lease(self, ttl_s):
+        refused = await self._enter()
+        if refused:
+            return refused
+        lease = f'lease-{self.store.revision}-{len(self.store.leases)}'
+        self.ttl_s = ttl_s
+        self.store.leases[lease] = now() + ttl_s
+        return Ok(lease)
+
+    async def renew_lease(self, lease_id):
+        refused = await self._enter()
+        if refused:
+            return refused
+        if lease_id not in self.store.leases:
+            return failure(LEASE_ENDED)
+        self.store.leases[lease_id] = now() + self.ttl_s
+        return Ok(None)
+
+    async def end_lease(self, lease_id):
+        refused = await self._enter()
+        if refused:
+            return refused
+        await self.store.end_lease(lease_id)
+        return Ok(None)
+
+    async def put(self, entry, lease_id):
+        refused = await self._enter()
+        if refused:
+            return refused
+        known = self.store.items.get(entry.key)
+        if (known[0].revision if known else 0) != entry.revision:
+            return failure(CONFLICT)
+        if lease_id not in self.store.leases:
+            return failure(LEASE_ENDED)
+        return Ok(await self.store.write(entry.key, entry.value, lease_id))
+
+
+@attrs.define(eq=False)
+class FakeChannel:
+    """Channel to an instance of the fleet in the same process."""
+
+    fleet: object
+    caller: int
+    address: Address
+
+    async def call_before(self, deadline, path, payload):
+        return await run_before(deadline, self._call, payload)
+
+    async def close(self):
+        return None
+
+    async def _call(self, payload):
+        target = self.fleet.by_address.get(self.address)
+        if target is None or target.is_dead:
+            raise ConnectionRefusedError('no process')
+        caller = self.fleet.instances[self.caller]
+        if caller.is_cut or target.is_cut:
+            await curio.sleep(NEVER_S)
+        await curio.sleep(DELAY_S)
+        reply = await target.service.answer(payload)
+        while target.is_cut or caller.is_cut:
+            await curio.sleep(NEVER_S)
+        await curio.sleep(DELAY_S)
+        return reply
+
+
+@attrs.define(eq=False, slots=False)
+class Instance:
+    """One instance: its feed and what it knows."""
+
+    fleet: object
+    number: int
+    is_cut: bool = False
+    is_dead: bool = False
+    tasks: list = attrs.Factory(list)
+    store: StoreClient = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        """Create what the instance consists of."""
+        self.store = StoreClient(self.fleet.store)
+        self._create()
+
+    @property
+    def address(self):
+        return Address('127.0.0.1', 1 + self.number)
+
+    def _create(self):
+        fleet = self.fleet
+        rng = random.Random(f'{fleet.seed}-{self.number}')
+        self.log = EntryLog()
+        self.service = RelayService(self.log)
+        self.directory = RelayDirectory()
+        data_centre = f'dc-{self.number % 3}'
+        self.registration = RelayRegistration(
+            f'i-{self.number}',
+            data_centre,
+            self.address,
+            self.store,
+            self.directory,
+            self.log,
+            self.service,
+            is_first=self.address in fleet.seeds,
+            rng=rng,
+        )
+        self.client = RelayClient(
+            f'i-{self.number}',
+            self.address,
+            self.log,
+            lambda address: FakeChannel(fleet, self.number, address),
+        )
+        self.feed = SharedFeed(
+            self.store,
+            self.client,
+            self.directory,
+            self.registration,
+            self.log,
+            FreshnessBounds(CHANGE_S),
+            fleet.seeds,
+            REGIONS,
+            rng,
+        )
+
+    async def start(self):
+        self.is_dead = False
+        for corofunc in (self._follow, self.registration.run):
+            self.tasks.append(await curio.spawn(corofunc, daemon=True))
+
+    async def kill(self):
+        self.is_dead = True
+        for task in self.tasks:
+            await task.cancel()
+        self.tasks.clear()
+        self._create()
+
+    async def _follow(self):
+        """Do what the follower of a gateway does with its entries."""
+        is_gap = True
+        while True:
+            if is_gap:
+                found = await self.feed.read_all()
+            else:
+                found = await self.feed.wait_for_changes(
+                    self.log.revision, WATCH_WAIT_S
+                )
+            if isinstance(found, Err):
+                is_gap = is_gap or found.err_value.code == HISTORY_LOST
+                await curio.sleep(0.1)
+                continue
+            taken = found.ok_value
+            await (self.log.load if is_gap else self.log.append)(taken)
+            for entry in taken.entries:
+                if entry.key.startswith(KEY_PREFIX):
+                    self.directory.take(entry, now())
+            if is_gap:
+                relays = [
+                    entry
+                    for entry in taken.entries
+                    if entry.key.startswith(KEY_PREFIX)
+                ]
+                self.directory.load(relays, now())
+            is_gap = False
+
+    def value_of(self, key):
+        entry = self.log.entries_by_key.get(key)
+        return entry.value if entry else None
+
+
+@attrs.define(eq=False, slots=False)
+class Fleet:
+    """Instances in three data centres, the first three named to all."""
+
+    size: int = 7
+    seed: int = 1
+    store: FakeStore = attrs.Factory(FakeStore)
+
+    def __attrs_post_init__(self):
+        """Create the instances."""
+        self.seeds = tuple(
+            Address('127.0.0.1', 1 + number) for number in range(3)
+        )
+        self.instances = [Instance(self, each) for each in range(self.size)]
+        self.by_address = {each.address: each for each in self.instances}
+
+    @property
+    def calls(self):
+        return sum(each.store.calls for each in self.instances)
+
+    @property
+    def relays(self):
+        return [each for each in self.instances if each.registration.is_held]
+
+    async def start(self):
+        await curio.spawn(self.store.expire_leases, daemon=True)
+        for instance in self.instances:
+            await instance.start()
+
+    def lagging(self, key, value, exempt=()):
+        """Return the instances that do not know a value yet."""
+        return [
+            each.number
+            for each in self.instances
+            if each not in exempt and each.value_of(key) != value
+        ]
--- a/clementinebank/validation/_reader.py
+++ b/clementinebank/validation/_reader.py
@@ -158,16 +158,21 @@
     def address(self, name: str) -> Address:
         """Read an address written as ``IP:PORT``."""
         found = self.text(name)
-        host, _, port = found.rpartition(':')
-        numbers = host.split('.')
-        is_ip = len(numbers) == 4 and all(
-            _is_number(number, 255) for number in numbers
-        )
-        if is_ip and _is_number(port, MAX_PORT):
-            return Address(host, int(port))
-        if found:
+        address = _address_of(found)
+        if address is None and found:
             self._report(name, f'must be IP:PORT, got {found!r}')
-        return Address('0.0.0.0', 0)  # noqa: S104
+        return address or Address('0.0.0.0', 0)  # noqa: S104
+
+    def addresses(self, name: str) -> tuple[Address, ...]:
+        """Read a list of addresses written as ``IP:PORT``."""
+        found = self._take(name, None)
+        if found is None:
+            return ()
+        rows = found if isinstance(found, list) else [found]
+        addresses = [_address_of(row) for row in rows]
+        if not isinstance(found, list) or None in addresses:
+            self._report(name, f'must be a list of IP:PORT, got {found!r}')
+        return tuple(each for each in addresses if each is not None)
 
     def child(self, name: str, *, required: bool = True) -> 'FieldReader':
         """Return a reader of a nested mapping."""
@@ -235,6 +240,19 @@
         self.problems.append(FieldProblem(path or '$', message, line))
 
 
+def _address_of(text: Any) -> Address | None:
+    if not isinstance(text, str):
+        return None
+    host, _, port = text.rpartition(':')
+    numbers = host.split('.')
+    is_ip = len(numbers) == 4 and all(
+        _is_number(number, 255) for number in numbers
+    )
+    if is_ip and _is_number(port, MAX_PORT):
+        return Address(host, int(port))
+    return None
+
+
 def _is_number(text: str, maximum: int) -> bool:
     # Leading zeros are refused, as some resolvers read them as octal.
     is_plain = text.isascii() and text.isdecimal() and len(text) <= 5
