Keep the burn report out of the metrics that a gateway loads

Cause: a gateway imported the product's document through the burn report, which made each start slower; after a loss of all instances nothing is answered until the first has started. Change: the report is the package burn; metrics has what runs in an instance.

--- /dev/null
+++ b/clementinebank/burn/__init__.py
@@ -0,0 +1,23 @@
+"""Report on how fast the objectives of services are used up."""
+
+from clementinebank.burn._html import burn_html
+from clementinebank.burn._records import (
+    InstanceRecord,
+    ServiceRecord,
+    decode_instance_record,
+)
+from clementinebank.burn._report import BurnReport, burn_report
+from clementinebank.burn._text import burn_data, burn_text
+from clementinebank.burn._windows import WINDOW_PAIRS
+
+__all__ = (
+    'WINDOW_PAIRS',
+    'BurnReport',
+    'InstanceRecord',
+    'ServiceRecord',
+    'burn_data',
+    'burn_html',
+    'burn_report',
+    'burn_text',
+    'decode_instance_record',
+)
--- a/clementinebank/metrics/_burn_html.py
+++ b/clementinebank/burn/_html.py
@@ -2,18 +2,18 @@
 
 import html
 
-from clementinebank.metrics._burn import (
+from clementinebank.burn._report import (
     BurnReport,
     ObjectiveBurn,
     ServiceBurn,
 )
-from clementinebank.metrics._burn_text import (
+from clementinebank.burn._text import (
     LIMITATION,
     coverage_lines,
     objective_title,
     worst_text,
 )
-from clementinebank.metrics._burn_windows import BUDGET_WINDOW
+from clementinebank.burn._windows import BUDGET_WINDOW
 
 SECONDS_PER_MINUTE = 60
 PLOT_WIDTH = 720
--- a/clementinebank/metrics/_burn_records.py
+++ b/clementinebank/burn/_records.py
@@ -7,7 +7,7 @@
 
 from clementinebank.document import Objectives
 from clementinebank.errors import FieldProblem
-from clementinebank.metrics._slots import MinuteSlot, read_slot
+from clementinebank.metrics import MinuteSlot, read_slot
 from clementinebank.validation import FieldReader
 
 
--- a/clementinebank/metrics/_burn.py
+++ b/clementinebank/burn/_report.py
@@ -4,16 +4,16 @@
 
 import attrs
 
-from clementinebank.document import Objectives
-from clementinebank.metrics._burn_records import InstanceRecord, ServiceRecord
-from clementinebank.metrics._burn_windows import (
+from clementinebank.burn._records import InstanceRecord, ServiceRecord
+from clementinebank.burn._windows import (
     BUDGET_WINDOW,
     WINDOW_PAIRS,
     WINDOWS,
     Window,
     WindowPair,
 )
-from clementinebank.metrics._slots import MinuteSlot
+from clementinebank.document import Objectives
+from clementinebank.metrics import MinuteSlot
 
 SECONDS_PER_MINUTE = 60
 OBJECTIVES = ('latency', 'coverage')
--- a/clementinebank/metrics/_burn_text.py
+++ b/clementinebank/burn/_text.py
@@ -4,13 +4,13 @@
 
 import attrs
 
-from clementinebank.metrics._burn import (
+from clementinebank.burn._report import (
     BurnReport,
     ObjectiveBurn,
     ServiceBurn,
     Worst,
 )
-from clementinebank.metrics._burn_windows import BUDGET_WINDOW
+from clementinebank.burn._windows import BUDGET_WINDOW
 
 LIMITATION = (
     'Instances keep nothing beyond their own life: requests of instances '
--- a/clementinebank/metrics/tests/test_burn.py
+++ b/clementinebank/burn/tests/test_burn.py
@@ -6,19 +6,18 @@
 import attrs
 import pytest
 
-from clementinebank.clock import FakeClock
-from clementinebank.document import Objectives
-from clementinebank.metrics import (
-    AnswerFacts,
+from clementinebank.burn import (
     InstanceRecord,
     ServiceRecord,
-    SlotRing,
     burn_data,
     burn_html,
     burn_report,
     burn_text,
     decode_instance_record,
 )
+from clementinebank.clock import FakeClock
+from clementinebank.document import Objectives
+from clementinebank.metrics import AnswerFacts, SlotRing
 
 GOALS = Objectives(100, 0.99, 0.999)
 HOUR_S = 3600
--- a/clementinebank/cli/_report_command.py
+++ b/clementinebank/cli/_report_command.py
@@ -6,12 +6,7 @@
 
 from result import Err, Ok, Result
 
-from clementinebank.cli._client import Reply
-from clementinebank.cli._commands import ExitStatus, Report, command
-from clementinebank.cli._instances import add_instances, read_each
-from clementinebank.clock import wall_time
-from clementinebank.errors import Failure, Step
-from clementinebank.metrics import (
+from clementinebank.burn import (
     BurnReport,
     InstanceRecord,
     burn_data,
@@ -20,6 +15,11 @@
     burn_text,
     decode_instance_record,
 )
+from clementinebank.cli._client import Reply
+from clementinebank.cli._commands import ExitStatus, Report, command
+from clementinebank.cli._instances import add_instances, read_each
+from clementinebank.clock import wall_time
+from clementinebank.errors import Failure, Step
 
 
 def _configure(parser: argparse.ArgumentParser) -> None:
