Tell the story of a request from the logs of instances

Cause: on call, only logs and metrics are left of a failed request, and finding its lines, the version and what was believed of its leafs was handwork. Ended requests state instance, objective and the age of the control knowledge; sent calls the cost that chose the leaf; a hedge that is not sent its reason and the tokens left.

--- a/clementinebank/cli/_explain_command.py
+++ b/clementinebank/cli/_explain_command.py
@@ -2,35 +2,53 @@
 
 import argparse
 import re
+import sys
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
+import attrs
 from result import Err, Ok, Result
 
 from clementinebank.cli._client import Reply
 from clementinebank.cli._commands import ExitStatus, Report, command
 from clementinebank.cli._instances import add_instances, read_each
+from clementinebank.cli._request_story import (
+    LogLine,
+    not_on_record,
+    read_log,
+    stories_of,
+    story_text,
+)
 from clementinebank.cli._search_command import missing_text
 from clementinebank.errors import Failure, Step
 
 NOT_FOUND = 404
+STANDARD_INPUT = '-'
 DETAILS = ('snapshot', 'coverage', 'error')
 REQUEST_ID_PATTERN = re.compile(r'[A-Za-z0-9_-]{1,64}')
 
 
 def _configure(parser: argparse.ArgumentParser) -> None:
     parser.add_argument('request_id', help='id of the request')
-    add_instances(parser)
+    add_instances(parser, required=False)
+    parser.add_argument(
+        '--log',
+        action='extend',
+        nargs='+',
+        metavar='FILE',
+        help='logs of instances to read instead; - is standard input',
+    )
 
 
 @command(
     'explain',
-    'print what became of a request, from the instances that handled it',
+    'print what became of a request, from its instances or their logs',
     'clementinebank explain req-17 --operators 127.0.0.1:9002 127.0.0.1:9012',
     _configure,
 )
 def explain(options: argparse.Namespace) -> Result[Report, Failure]:
-    """Ask each instance for the traces of a request id."""
+    """Tell what instances or their logs know of a request id."""
     if not REQUEST_ID_PATTERN.fullmatch(options.request_id):
         message = 'must be 1 to 64 of A-Z a-z 0-9 _ -'
         return Err(
@@ -38,6 +56,49 @@
                 'invalid_argument', message, Step.ACCEPT, field='request_id'
             )
         )
+    if options.log:
+        return _explain_from_logs(options.request_id, options.log)
+    if not options.operators:
+        message = 'one of --operators and --log is needed'
+        return Err(
+            Failure('invalid_argument', message, Step.ACCEPT, field='operators')
+        )
+    return _explain_from_instances(options)
+
+
+def _explain_from_logs(
+    request_id: str, names: list[str]
+) -> Result[Report, Failure]:
+    lines: list[LogLine] = []
+    for name in names:
+        try:
+            lines.extend(_read(name))
+        except (OSError, UnicodeDecodeError) as error:
+            message = f'{name}: {error}'
+            return Err(
+                Failure('invalid_argument', message, Step.READ, field='log')
+            )
+    stories = stories_of(request_id, lines)
+    if not stories:
+        return Err(not_on_record(request_id))
+    text = '\n'.join(story_text(each) for each in stories)
+    data = {
+        'request_id': request_id,
+        'stories': [attrs.asdict(each) for each in stories],
+    }
+    return Ok(Report(text, data, ExitStatus.DONE))
+
+
+def _read(name: str) -> list[LogLine]:
+    if name == STANDARD_INPUT:
+        return list(read_log(name, sys.stdin))
+    with Path(name).open(encoding='utf-8') as stream:
+        return list(read_log(name, stream))
+
+
+def _explain_from_instances(
+    options: argparse.Namespace,
+) -> Result[Report, Failure]:
     target = f'/v1/requests/{options.request_id}'
     found: list[dict[str, Any]] = []
     unreachable: list[str] = []
--- a/clementinebank/cli/_instances.py
+++ b/clementinebank/cli/_instances.py
@@ -12,13 +12,15 @@
 READ_TIMEOUT_S = 5.0
 
 
-def add_instances(parser: argparse.ArgumentParser) -> None:
+def add_instances(
+    parser: argparse.ArgumentParser, *, required: bool = True
+) -> None:
     """Add ``--operators`` with the listeners of several instances."""
     parser.add_argument(
         '--operators',
         action='extend',
         nargs='+',
-        required=True,
+        required=required,
         type=address,
         metavar='ADDR',
         help='operators listeners of the instances to ask',
--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -258,6 +258,7 @@
             shard.group_id, now, shard.excluded, self.finish_at - now
         )
         if leaf_id is None or not self._take(shard, HEDGE_RESERVE):
+            self._trace_denial(shard, leaf_id, now)
             self._wake(shard, now + self.policy.resend_interval_s)
             return []
         check(
@@ -270,6 +271,22 @@
         self.trace(now, 'hedge', leaf=leaf_id)
         return [self._send(shard, leaf_id, now)]
 
+    def _trace_denial(
+        self, shard: Shard, leaf_id: str | None, now: float
+    ) -> None:
+        """Record once for each shard why a hedge that is due is not sent."""
+        if not shard.is_hedge_denied:
+            shard.is_hedge_denied = True
+            reason = 'no_leaf_with_room' if leaf_id is None else 'no_budget'
+            tokens = self.router.budget_of(shard.group_id).tokens
+            self.trace(
+                now,
+                'hedge_denied',
+                group=shard.group_id,
+                reason=reason,
+                tokens=round(tokens, 1),
+            )
+
     def _send(self, shard: Shard, leaf_id: str, now: float) -> SendCall:
         check(
             'nothing-sent-after-deadline',
@@ -279,7 +296,8 @@
         )
         attempt_id = f'{self.request.request_id}.{self.sent_count}'
         self.sent_count += 1
-        self.trace(now, 'sent', leaf=leaf_id)
+        reasons = self.router.reasons_for(leaf_id)
+        self.trace(now, 'sent', leaf=leaf_id, **reasons)
         self._set_waiting(shard, is_waiting=False)
         self.router.on_sent(leaf_id, now, self.request.request_id)
         delay_s = self.router.hedge_delay_s(
--- a/clementinebank/dispatch/_shards.py
+++ b/clementinebank/dispatch/_shards.py
@@ -40,6 +40,7 @@
     not_run_count: int = 0
     unsent_count: int = 0
     hedge_count: int = 0
+    is_hedge_denied: bool = False
     is_waiting: bool = False
     is_settled: bool = False
     due_at: float = 0
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -110,7 +110,9 @@
             self.directory,
             LinkDelays(settings.data_centre, settings.regions_by_data_centre),
             ExtraLoadLimits(bounds.retry_ratio, bounds.retry_burst),
-            on_trace=RequestLog(self.metrics, self.table).take,
+            on_trace=RequestLog(
+                self.metrics, self.table, self.log, settings.instance_id
+            ).take,
         )
         self._create_feed()
         self.follower = ControlFollower(
@@ -200,6 +202,8 @@
         log_message(
             message_type='request:refused',
             request_id=request_id,
+            instance=self.settings.instance_id,
+            version=self.table.version,
             code=code,
             reason=message,
             confirmed_s=round(now() - self.follower.confirmed_at, 3),
--- a/clementinebank/gateway/_request_log.py
+++ b/clementinebank/gateway/_request_log.py
@@ -3,9 +3,11 @@
 import attrs
 from eliot import log_message
 
+from clementinebank.clock import now
 from clementinebank.dispatch import TraceEvent
 from clementinebank.forwarding import ForwardRequest
 from clementinebank.metrics import Metrics, names
+from clementinebank.relay import EntryLog
 from clementinebank.routes import Route, RouteTable
 
 MS_PER_S = 1000
@@ -32,10 +34,16 @@
         Receives counts and latencies.
     table : RouteTable
         Tells the version in force.
+    known : EntryLog
+        Tells the age of routes and leafs.
+    instance_id : str
+        Name of this instance.
     """
 
     metrics: Metrics
     table: RouteTable
+    known: EntryLog
+    instance_id: str
     suppressed_lines: int = 0
     _ordinary: int = 0
     _second: int = 0
@@ -86,10 +94,13 @@
         log_message(
             message_type='request:ended',
             request_id=request.request_id,
+            instance=self.instance_id,
             route=route.name,
             version=self.table.version,
             outcome=outcome,
             elapsed_ms=round(elapsed_ms, 1),
+            objective_ms=round(route.objective_s * MS_PER_S, 1),
+            confirmed_s=round(self.known.age_s(now()), 3),
             suppressed_lines=self.suppressed_lines,
             events=[
                 [round(each.offset_ms, 1), each.event, each.facts]
--- a/clementinebank/gateway/tests/test_request_log.py
+++ b/clementinebank/gateway/tests/test_request_log.py
@@ -2,6 +2,8 @@
 
 from unittest import mock
 
+import curio
+
 from clementinebank.dispatch import TraceEvent
 from clementinebank.forwarding import ForwardRequest
 from clementinebank.forwarding.tests.worlds import make_route
@@ -9,6 +11,7 @@
 from clementinebank.gateway import _request_log as module
 from clementinebank.http import HttpRequest
 from clementinebank.metrics import Metrics, names
+from clementinebank.relay import EntryLog
 from clementinebank.routes import RouteTable
 
 REQUEST = ForwardRequest('q-1', 1000.0, HttpRequest('GET', '/'))
@@ -22,10 +25,14 @@
 def logged(trace, elapsed_s=0.01, count=1):
     """Return the lines and the metrics of some equal requests."""
     metrics = Metrics()
-    log = RequestLog(metrics, RouteTable())
-    with mock.patch.object(module, 'log_message') as write:
+    log = RequestLog(metrics, RouteTable(), EntryLog(), 'g-1')
+
+    async def run():
         for _ in range(count):
             log.take(REQUEST, make_route(), trace, elapsed_s)
+
+    with mock.patch.object(module, 'log_message') as write:
+        curio.run(run)
     return [call.kwargs for call in write.call_args_list], metrics
 
 
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -14,6 +14,7 @@
 from clementinebank.routing._topology import Topology
 from clementinebank.upstream import LeafStatus
 
+MS_PER_S = 1000
 FULL_TOKENS = 20
 # A reply is not slow for a leaf within this multiple of its average; a hedge
 # to a farther data centre would seldom overtake it.
@@ -232,6 +233,16 @@
         )
         return leaf.round_trip_s + factor * max(group_s, usual_s)
 
+    def reasons_for(self, leaf_id: str) -> dict[str, float]:
+        """Return the figures that decide whether a leaf is chosen."""
+        leaf = self.leafs_by_id.get(leaf_id)
+        if leaf is None:
+            return {}
+        return {
+            'cost_ms': round(leaf.cost * MS_PER_S, 1),
+            'in_flight': leaf.in_flight,
+        }
+
     def on_sent(self, leaf_id: str, now: float, request_id: str = '') -> None:
         """Count a request that goes to the leaf."""
         leaf = self.leafs_by_id.get(leaf_id)
