--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -213,11 +213,14 @@
         )
 
     def apply(self, settings: GatewaySettings) -> None:
-        """Take changed bounds; the addresses stay until a restart."""
-        if attrs.evolve(settings, bounds=self.settings.bounds) != self.settings:
+        """Take changed bounds and seeds; the rest stays until a restart."""
+        bounds, seeds = settings.bounds, settings.seeds
+        followed = attrs.evolve(self.settings, bounds=bounds, seeds=seeds)
+        if followed != settings:
             log_message(message_type='gateway:restart_needed')
-        bounds = settings.bounds
-        self.settings = attrs.evolve(self.settings, bounds=bounds)
+        self.settings = followed
+        self.feed.first_relays = seeds
+        self.registration.is_first = followed.peers in seeds
         self.directory.drain_limit_s = bounds.drain_s
         self.follower.watch_wait_s = bounds.watch_wait_s
         self.feed.bounds = bounds.freshness
