--- a/clementinebank/leafs/_directory.py
+++ b/clementinebank/leafs/_directory.py
@@ -64,6 +64,7 @@
             message_type='leaf:registered',
             leaf=record.key,
             service=record.service,
+            data_centre=record.data_centre,
             is_draining=record.is_draining,
         )
         return True
