Do not wait for other instances while the store is down at a start

Cause: found in a read of the code: an instance that starts while the store refuses it waited half a second at each named instance that had nothing loaded either, so it asked the store every second or so instead of every 0.2 s, and a fleet that lost everything was slower to serve when the store came back. Change: a start asks relays for what they know now, without a wait. Test: test_fleet_that_starts_before_the_store_loads_when_it_comes failed for three of twelve cases before.

--- a/clementinebank/relay/_client.py
+++ b/clementinebank/relay/_client.py
@@ -54,15 +54,13 @@
     calls: int = 0
     _channels: OrderedDict[Address, RpcChannel] = attrs.Factory(OrderedDict)
 
-    async def read_all(
-        self, address: Address, wait_s: float
-    ) -> Result[StoredState, Failure]:
-        """Return every entry that a relay knows."""
+    async def read_all(self, address: Address) -> Result[StoredState, Failure]:
+        """Return every entry that a relay knows now."""
         entries: list[Entry] = []
         first: WatchReply | None = None
         after_key = ''
         while True:
-            request = self._request(0, wait_s, after_key)
+            request = self._request(0, 0, after_key)
             called = await self._call(address, request)
             if isinstance(called, Err):
                 return called
--- a/clementinebank/relay/_sources.py
+++ b/clementinebank/relay/_sources.py
@@ -32,8 +32,6 @@
 FRESH_SHARE = 0.6
 MIN_WATCH_S = 0.3
 RELAY_PAUSE_S = 1.0
-# Time for a relay that is loading itself.
-LOAD_WAIT_S = 0.5
 # Instances start within 0.3 s of each other and register after two calls.
 REGISTRATION_S = 1.0
 # First and longest time before a store that fails is asked again. Relays ask
@@ -249,7 +247,7 @@
             Failure('no_relay', 'no relay answers', Step.READ_HEAD)
         )
         for address in self._relays():
-            called = await self.client.read_all(address, LOAD_WAIT_S)
+            called = await self.client.read_all(address)
             if isinstance(called, Err):
                 continue
             state = called.ok_value
--- a/clementinebank/relay/tests/test_fleet.py
+++ b/clementinebank/relay/tests/test_fleet.py
@@ -240,3 +240,26 @@
         return fleet.calls - before
 
     assert play(scenario) <= 3 * 10
+
+
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('dark', [(), (0,), (0, 1)])
+def test_fleet_that_starts_before_the_store_loads_when_it_comes(dark, seed):
+    """Instances that wait for each other would not look at the store."""
+
+    async def run():
+        fleet = Fleet(7, seed)
+        await fleet.store.write('op', b'v0')
+        for instance in fleet.instances:
+            instance.store.refusal = 'refused'
+            instance.is_cut = instance.number in dark
+        await fleet.start()
+        await curio.sleep(random.Random(seed).uniform(3, 5))
+        for instance in fleet.instances:
+            instance.store.refusal = ''
+        await curio.sleep(1.2 if dark else 0.5)
+        exempt = [fleet.instances[number] for number in dark]
+        assert not fleet.lagging('op', b'v0', exempt)
+
+    with FakeClockKernel() as kernel:
+        kernel.run(run)
--- a/clementinebank/relay/tests/test_messages.py
+++ b/clementinebank/relay/tests/test_messages.py
@@ -99,7 +99,7 @@
 
         task = await curio.spawn(accept)
         client = RelayClient('i-2', ADDRESS, EntryLog())
-        found = await client.read_all(address, 1)
+        found = await client.read_all(address)
         assert found == Ok(StoredState(entries, 12, found.ok_value.age_s))
         changes = await client.wait_for_changes(address, 12, 0)
         assert changes.ok_value.entries == ()
@@ -124,7 +124,7 @@
 
         task = await curio.spawn(accept)
         client = RelayClient('i-2', ADDRESS, EntryLog())
-        found = await client.read_all(address, 1)
+        found = await client.read_all(address)
         assert found.err_value.code == 'peer_protocol'
         assert '12' in found.err_value.message
         await client.close()
