--- a/clementinebank/relay/tests/test_messages.py
+++ b/clementinebank/relay/tests/test_messages.py
@@ -78,6 +78,20 @@
     assert not directory.records_by_data_centre
 
 
+async def follow(server):
+    """Return a client, the address of a server and its task."""
+    listening = curio.tcp_server_socket('127.0.0.1', 0)
+    address = Address(*listening.getsockname()[:2])
+
+    async def serve_one():
+        async with listening:
+            sock, peer = await listening.accept()
+        await server.serve_connection(sock, peer)
+
+    task = await curio.spawn(serve_one)
+    return RelayClient('i-2', ADDRESS, EntryLog()), address, task
+
+
 def test_state_passes_between_processes_in_pages():
     """The whole path over a socket, with entries larger than one message."""
 
@@ -90,15 +104,7 @@
         server = RpcServer(
             '127.0.0.1', 0, {WATCH_PATH: RelayService(log).answer}
         )
-        listening = curio.tcp_server_socket('127.0.0.1', 0)
-        address = Address(*listening.getsockname()[:2])
-
-        async def accept():
-            sock, peer = await listening.accept()
-            await server.serve_connection(sock, peer)
-
-        task = await curio.spawn(accept)
-        client = RelayClient('i-2', ADDRESS, EntryLog())
+        client, address, task = await follow(server)
         found = await client.read_all(address)
         assert found == Ok(StoredState(entries, 12, found.ok_value.age_s))
         changes = await client.wait_for_changes(address, 12, 0)
@@ -107,7 +113,6 @@
         assert lost.err_value.code == 'history_lost'
         await client.close()
         await task.join()
-        await listening.close()
 
     curio.run(run)
 
@@ -115,21 +120,12 @@
 def test_method_that_is_unknown_is_refused():
     async def run():
         server = RpcServer('127.0.0.1', 0, {})
-        listening = curio.tcp_server_socket('127.0.0.1', 0)
-        address = Address(*listening.getsockname()[:2])
-
-        async def accept():
-            sock, peer = await listening.accept()
-            await server.serve_connection(sock, peer)
-
-        task = await curio.spawn(accept)
-        client = RelayClient('i-2', ADDRESS, EntryLog())
+        client, address, task = await follow(server)
         found = await client.read_all(address)
         assert found.err_value.code == 'peer_protocol'
         assert '12' in found.err_value.message
         await client.close()
         await task.join()
-        await listening.close()
 
     curio.run(run)
 
