Probe the store without a wait while knowledge is old

The store was silent from 2.1 to about 7 s; its relays grew old, so their followers sent a watch to the store at 4.8 s, which is never answered, and waited for it until 13.3 s, while the relays had the new version from 7.3 s on. Ruled out: the relays themselves (in force at 7.4 to 8.9 s). Change: knowledge that is old is only compared, by a watch that waits for nothing, so that a call into the silence ends after 1.5 s. Test: test_store_that_was_silent_is_heard_again_within_the_stable_window failed for three of four outages before; the stand-in of the store now keeps a call that began in a silence unanswered for its whole time.

--- a/clementinebank/relay/_sources.py
+++ b/clementinebank/relay/_sources.py
@@ -219,9 +219,9 @@
     ) -> Result[ChangeBatch, Failure]:
         if self._batch_until > now():
             await curio.sleep(self._batch_until - now())
-        if self.registration.is_expected:
-            wait_s = min(wait_s, self.bounds.relay_watch_s)
-        called = await self.store.wait_for_changes(revision, wait_s)
+        called = await self.store.wait_for_changes(
+            revision, self._store_wait_s(wait_s)
+        )
         if isinstance(called, Ok):
             self._on_store_answer()
             if called.ok_value.entries:
@@ -230,6 +230,19 @@
             self._pause_store()
         return called
 
+    def _store_wait_s(self, longest_s: float) -> float:
+        """Return how long a watch of the store waits for a change.
+
+        A store that went silent answers no call of that time, so that old
+        knowledge is only compared: a watch would hide that the store or a
+        relay is back.
+        """
+        if not self._is_fresh(self.log.age_s(now())):
+            return 0
+        if self.registration.is_expected:
+            return min(longest_s, self.bounds.relay_watch_s)
+        return longest_s
+
     async def _read_from_store(self) -> Result[StoredState, Failure]:
         called = await self.store.read_all()
         if isinstance(called, Ok):
--- a/clementinebank/relay/tests/test_fleet.py
+++ b/clementinebank/relay/tests/test_fleet.py
@@ -263,3 +263,26 @@
 
     with FakeClockKernel() as kernel:
         kernel.run(run)
+
+
+@pytest.mark.parametrize('outage_s', [2.0, 2.4, 3.0, 3.8])
+def test_store_that_was_silent_is_heard_again_within_the_stable_window(
+    outage_s,
+):
+    """A watch that began in the silence is never answered.
+
+    Found as hunt-0ea8-7 on Blockwood: followers went on with an old version
+    until the watch of their call to the silent store had timed out.
+    """
+
+    async def scenario(fleet):
+        for instance in fleet.instances:
+            instance.store.is_silent = True
+        await curio.sleep(outage_s)
+        await fleet.store.write('op', b'v1')
+        for instance in fleet.instances:
+            instance.store.is_silent = False
+        await curio.sleep(STABLE_S)
+        assert not fleet.lagging('op', b'v1')
+
+    play(scenario)
--- a/clementinebank/relay/tests/world.py
+++ b/clementinebank/relay/tests/world.py
@@ -90,11 +90,12 @@
     is_silent: bool = False
     ttl_s: float = 0
 
-    async def _enter(self):
+    async def _enter(self, wait_s=0):
         self.calls += 1
         await curio.sleep(DELAY_S)
         if self.is_silent:
-            await curio.sleep(STORE_TIMEOUT_S)
+            # It gets no answer either when the store is back.
+            await curio.sleep(wait_s + STORE_TIMEOUT_S)
             return failure('unreachable')
         return failure(self.refusal) if self.refusal else None
 
@@ -106,7 +107,7 @@
         return Ok(StoredState(entries, self.store.revision))
 
     async def wait_for_changes(self, revision, wait_s):
-        refused = await self._enter()
+        refused = await self._enter(wait_s)
         if refused:
             return refused
         end = now() + wait_s
