--- a/clementinebank/relay/_registration.py
+++ b/clementinebank/relay/_registration.py
@@ -76,6 +76,7 @@
     _lease_id: str | None = None
     _renew_at: float = 0
     _retry_at: float = 0
+    _is_leaving: bool = False
     _failures: int = 0
     _vacant_since: float | None = None
     _candidate_delay_s: float = 0
@@ -96,7 +97,8 @@
         """Register and renew until cancelled."""
         while True:
             await curio.sleep(CHECK_INTERVAL_S)
-            if self.log.is_loaded and now() >= self._retry_at:
+            is_due = self.log.is_loaded and now() >= self._retry_at
+            if is_due and not self._is_leaving:
                 await self.step()
 
     async def step(self) -> None:
@@ -111,7 +113,7 @@
 
     async def leave(self) -> None:
         """End the registration before this instance stops."""
-        self._retry_at = float('inf')
+        self._is_leaving = True
         await self._give_up_lease()
 
     @property
