Decode the reply of a call under the lock of its channel

Found in the last read: a malformed reply closed the channel outside its lock, where another call can wait on the same socket, the same kind of fault that ended a process at SIGTERM; peer and relay clients repeated the close, and the bytes of failed calls were no longer counted. Change: the channel decodes, closes and counts in one place. Tests: a malformed reply beside a waiting call; peer, relay and platform pass.

--- a/benchmarks/bench_relay.py
+++ b/benchmarks/bench_relay.py
@@ -52,14 +52,8 @@
 
     def bytes_moved(self):
         """Return the bytes in both directions on the open connections."""
-        connections = [
-            channel.connection
-            for channel in self.client._channels.values()
-            if channel.connection is not None
-        ]
-        return sum(
-            each.bytes_sent + each.bytes_received for each in connections
-        )
+        channels = self.client._channels.values()
+        return sum(each.bytes_sent + each.bytes_received for each in channels)
 
 
 async def measure(count, rounds, size):
--- a/clementinebank/peer/_client.py
+++ b/clementinebank/peer/_client.py
@@ -15,7 +15,6 @@
     MAX_MESSAGE_BYTES,
     CallError,
     RpcChannel,
-    RpcProtocolError,
     failure_of,
 )
 from clementinebank.validation import Address
@@ -70,22 +69,13 @@
         self, channel: RpcChannel, payload: bytes, deadline: float
     ) -> SyncMessage:
         try:
-            body = await channel.call_before(deadline, SYNC_PATH, payload)
+            return await channel.call_before(
+                deadline, SYNC_PATH, payload, decode_message
+            )
         finally:
-            self._count(channel)
-        try:
-            return decode_message(body)
-        except RpcProtocolError:
-            await channel.close()
-            raise
-
-    def _count(self, channel: RpcChannel) -> None:
-        connection = channel.connection
-        if connection is not None:
-            self.bytes_sent += connection.bytes_sent
-            self.bytes_received += connection.bytes_received
-            connection.bytes_sent = 0
-            connection.bytes_received = 0
+            sent, received = channel.take_bytes()
+            self.bytes_sent += sent
+            self.bytes_received += received
 
     async def _channel(self, address: Address) -> RpcChannel:
         channel = self._channels.get(address)
--- a/clementinebank/peer/tests/test_peer.py
+++ b/clementinebank/peer/tests/test_peer.py
@@ -22,6 +22,7 @@
     encode_message,
     peer_pb2,
 )
+from clementinebank.peer._server import SYNC_PATH
 from clementinebank.rpc import (
     MAX_MESSAGE_BYTES,
     RpcChannel,
@@ -228,3 +229,29 @@
 
 async def _refuse(received):
     raise RpcProtocolError('refused')
+
+
+def test_reply_that_cannot_be_decoded_ends_no_other_call_on_the_channel():
+    """A close beside a call that waits on the socket ends the process."""
+
+    async def run():
+        replies = [b'garbage', encode_message(message())]
+
+        async def answer(payload):
+            await curio.sleep(0.01)
+            return replies.pop(0)
+
+        server = create_peer_server('127.0.0.1', 0, _echo)
+        server.answers_by_path = {SYNC_PATH: answer}
+        client, task = await _connected(server)
+        calls = [
+            await curio.spawn(client.sync, SENDER, message()) for _ in '12'
+        ]
+        results = [await call.join() for call in calls]
+        assert results[0].err_value.code == 'peer_protocol'
+        assert client.bytes_received > 0
+        assert results[1].err_value.code == 'peer_unreachable'
+        await client.close()
+        await task.join()
+
+    curio.run(run)
--- a/clementinebank/relay/_client.py
+++ b/clementinebank/relay/_client.py
@@ -112,10 +112,10 @@
         deadline = now() + request.wait_s + CALL_TIMEOUT_S
         payload = encode_request(request)
         try:
-            body = await channel.call_before(deadline, WATCH_PATH, payload)
-            reply = decode_reply(body)
+            reply = await channel.call_before(
+                deadline, WATCH_PATH, payload, decode_reply
+            )
         except CallError as error:
-            await channel.close()
             return Err(failure_of(error, Step.DISTRIBUTE, str(address)))
         if not reply.is_loaded:
             message = 'the relay knows no entries yet'
--- a/clementinebank/relay/tests/world.py
+++ b/clementinebank/relay/tests/world.py
@@ -171,8 +171,8 @@
     caller: int
     address: Address
 
-    async def call_before(self, deadline, path, payload):
-        return await run_before(deadline, self._call, payload)
+    async def call_before(self, deadline, path, payload, decode):
+        return decode(await run_before(deadline, self._call, payload))
 
     async def close(self):
         return None
--- a/clementinebank/rpc/_channel.py
+++ b/clementinebank/rpc/_channel.py
@@ -1,6 +1,7 @@
 """Calls to one server over a connection that is kept open."""
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import attrs
 import curio
@@ -20,6 +21,9 @@
 CallError = (OSError, RpcProtocolError, ProtocolError, curio.TaskTimeout)
 
 
+Reply = TypeVar('Reply')
+
+
 @attrs.define(eq=False)
 class RpcChannel:
     """Client side of the calls to one address, one call at a time.
@@ -34,49 +38,83 @@
     lock: Any = attrs.Factory(curio.Lock)
     connection: RpcConnection | None = None
     used_at: float = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
 
-    async def call(self, path: str, payload: bytes) -> bytes:
-        """Send a message and return the reply.
+    async def call_before(
+        self,
+        deadline: float,
+        path: str,
+        payload: bytes,
+        decode: Callable[[bytes], Reply],
+    ) -> Reply:
+        """Return the decoded reply to a message.
 
         A call that ends without its reply closes the connection, as a late
         reply on it would be taken for that of the next call.
 
+        Parameters
+        ----------
+        deadline : float
+            Runtime time in seconds.
+        path : str
+            Method to call.
+        payload : bytes
+            Encoded message.
+        decode : callable
+            Raises ``RpcProtocolError`` for a malformed reply.
+
         Raises
         ------
+        curio.TaskTimeout
+            If there is no reply in time.
         OSError
             If the transport fails.
         RpcProtocolError, h2.exceptions.ProtocolError
             If the other side breaks the protocol or reports an error.
         """
+        reply: Reply = await run_before(
+            deadline, self._call, path, payload, decode
+        )
+        return reply
+
+    def take_bytes(self) -> tuple[int, int]:
+        """Return the bytes sent and received since the last question."""
+        taken = (self.bytes_sent, self.bytes_received)
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        return taken
+
+    async def close(self) -> None:
+        """Close the connection; the next call opens another one."""
+        connection = self.connection
+        self.connection = None
+        if connection is not None:
+            await connection.close()
+
+    async def _call(
+        self, path: str, payload: bytes, decode: Callable[[bytes], Reply]
+    ) -> Reply:
+        # Decoded under the lock: a close for a malformed reply must not meet
+        # another call that waits on the socket.
         async with self.lock:
             is_done = False
             try:
-                reply = await self._exchange(path, payload)
+                reply = decode(await self._exchange(path, payload))
                 is_done = True
             finally:
+                self._count()
                 if not is_done:
                     await self.close()
         return reply
 
-    async def call_before(
-        self, deadline: float, path: str, payload: bytes
-    ) -> bytes:
-        """Make a call that ends at a runtime time, in seconds.
-
-        Raises
-        ------
-        curio.TaskTimeout
-            If there is no reply in time; besides what ``call`` raises.
-        """
-        reply: bytes = await run_before(deadline, self.call, path, payload)
-        return reply
-
-    async def close(self) -> None:
-        """Close the connection; the next call opens another one."""
+    def _count(self) -> None:
         connection = self.connection
-        self.connection = None
         if connection is not None:
-            await connection.close()
+            self.bytes_sent += connection.bytes_sent
+            self.bytes_received += connection.bytes_received
+            connection.bytes_sent = 0
+            connection.bytes_received = 0
 
     async def _exchange(self, path: str, payload: bytes) -> bytes:
         if self.connection is None:
