--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -138,6 +138,7 @@
         }
         known_leaf_ids = set(self.router.leafs_by_id)
         self.router.update_service(topology, now(), delays_s_by_leaf, MAX_SLOTS)
+        self._update_budgets()
         for record in self.directory.records_by_id.values():
             self._update_leaf(
                 record, is_new=record.incarnation_id not in known_leaf_ids
@@ -158,9 +159,7 @@
     def set_limits(self, limits: ExtraLoadLimits) -> None:
         """Apply changed bounds of the extra requests to every budget."""
         self.limits = limits
-        for budget in self.router.budgets_by_group.values():
-            budget.ratio = BUDGET_SAFETY_FACTOR * limits.ratio
-            budget.capacity = self._burst_share()
+        self._update_budgets()
 
     async def forward(
         self, request: ForwardRequest, route: Route
@@ -225,6 +224,13 @@
             1, BUDGET_SAFETY_FACTOR * self.limits.burst / self.fleet_size
         )
 
+    def _update_budgets(self) -> None:
+        """Apply the limits and the size of the fleet to every budget."""
+        for budget in self.router.budgets_by_group.values():
+            budget.set_limits(
+                BUDGET_SAFETY_FACTOR * self.limits.ratio, self._burst_share()
+            )
+
     def _ensure_budget(self, service: str) -> None:
         """Create the budget of extra requests of a service if it has none."""
         if service not in self.router.budgets_by_group:
--- a/clementinebank/forwarding/tests/simulation.py
+++ b/clementinebank/forwarding/tests/simulation.py
@@ -69,6 +69,18 @@
     )
 
 
+def make_leaf_record(service, number):
+    return LeafRecord(
+        f'{service}-{number}',
+        1,
+        1,
+        service,
+        Address('127.0.0.1', 1),
+        f'dc-{number}',
+        3,
+    )
+
+
 @attrs.define
 class Simulation:
     """One forwarded request with simulated time and leafs.
@@ -160,15 +172,7 @@
     records = {}
     for service in SERVICES:
         for number in range(replicas):
-            record = LeafRecord(
-                f'{service}-{number}',
-                1,
-                1,
-                service,
-                Address('127.0.0.1', 1),
-                f'dc-{number}',
-                3,
-            )
+            record = make_leaf_record(service, number)
             records[record.leaf_id] = record
     router = Router(
         create_topology(records, 1000, 0.2),
--- a/clementinebank/routing/_budget.py
+++ b/clementinebank/routing/_budget.py
@@ -47,6 +47,12 @@
         """Return the saved tokens as a share of the capacity, 0 to 1."""
         return self.tokens / self.capacity
 
+    def set_limits(self, ratio: float, capacity: float) -> None:
+        """Apply changed limits; tokens beyond the capacity are removed."""
+        self.ratio = ratio
+        self.capacity = capacity
+        self.tokens = min(self.tokens, capacity)
+
     def on_request(self) -> None:
         """Add the tokens for one shard request."""
         self.requests += 1
