Let a few instances of each data centre gather for the others

Cause: at 77 and 195 instances each one sees 0.3 to 1 queries a second. Its share of the connections (125 // 195) and of the burst (2 tokens) serves nothing, and it meets each slow leaf as if it were the first one. Change: the relay of a data centre names its aggregators in its registration (a quarter of the processors, at least three, none below six instances). An entry instance hands a scatter-gather request, whole, to one of them beside the leafs. The aggregator accepts at once; one that is silent is overtaken, at the cost of tokens; with none left the instance gathers itself. Half of the burst and of the connections is the aggregators'. Pools are resized instead of replaced when the fleet changes. Ruled out: a registration of its own for each aggregator (writes and a lease each), a ping before each request (a round trip), hedging the hand-over by time (doubles 42 calls when leafs are slow). Tests fail first where a new relay dropped its aggregators (4 cases).

--- /dev/null
+++ b/clementinebank/aggregation/_client.py
@@ -0,0 +1,86 @@
+"""Client of the aggregators, with a few connections to each."""
+
+from collections.abc import Callable
+
+import attrs
+from result import Err
+
+from clementinebank.aggregation._messages import (
+    GatherOutcome,
+    GatherRequest,
+    decode_outcome,
+    encode_request,
+)
+from clementinebank.clock import now
+from clementinebank.errors import Execution, Step
+from clementinebank.rpc import CALL_ERRORS, RpcChannel, failure_from_error
+from clementinebank.validation import Address
+
+GATHER_PATH = '/clementinebank.Aggregation/Gather'
+# Idle connections that are kept to one aggregator.
+MAX_IDLE_CHANNELS = 2
+BAD_GATEWAY = 502
+
+
+@attrs.define(eq=False)
+class AggregationClient:
+    """Client that asks aggregators to gather requests.
+
+    Parameters
+    ----------
+    create_channel : callable
+        Returns a new channel to an address.
+    """
+
+    create_channel: Callable[[Address], RpcChannel] = RpcChannel
+    _idle_by_address: dict[Address, list[RpcChannel]] = attrs.Factory(dict)
+
+    async def gather(
+        self,
+        address: Address,
+        request: GatherRequest,
+        on_accepted: Callable[[], None],
+    ) -> GatherOutcome:
+        """Ask an aggregator and return the answer or why there is none.
+
+        A call that is cancelled closes its connection, at which the aggregator
+        ends its work.
+
+        Parameters
+        ----------
+        address : Address
+            Where the aggregator answers.
+        request : GatherRequest
+            Request to gather.
+        on_accepted : callable
+            Called when the aggregator has begun.
+        """
+        idle = self._idle_by_address.setdefault(address, [])
+        channel = idle.pop() if idle else self.create_channel(address)
+        channel.on_accepted = on_accepted
+        try:
+            outcome: GatherOutcome = await channel.call_before(
+                now() + request.deadline_s,
+                GATHER_PATH,
+                encode_request(request),
+                decode_outcome,
+            )
+        except CALL_ERRORS as error:
+            failure = failure_from_error(error, Step.DISPATCH, str(address))
+            if channel.is_sent:
+                failure = attrs.evolve(
+                    failure, execution=Execution.UNKNOWN, status=BAD_GATEWAY
+                )
+            return Err(failure)
+        channel.on_accepted = None
+        if len(idle) < MAX_IDLE_CHANNELS:
+            idle.append(channel)
+        else:
+            await channel.close()
+        return outcome
+
+    async def retain(self, addresses: set[Address]) -> None:
+        """Close the idle connections to all other addresses."""
+        for address in self._idle_by_address.keys() - addresses:
+            for channel in self._idle_by_address.pop(address):
+                await channel.close()
--- /dev/null
+++ b/clementinebank/aggregation/_selector.py
@@ -0,0 +1,160 @@
+"""Choice of the aggregators that may gather a request."""
+
+import random
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from clementinebank.forwarding import LinkDelays
+from clementinebank.leafs import LeafRecord
+from clementinebank.relay import FleetMember
+from clementinebank.validation import Address
+
+# A data centre gathers a request if it holds leafs of at least this share of
+# its services; the parts of the others come from another data centre.
+MIN_COVERED_SHARE = 0.9
+# Aggregators that are asked for one request before the instance gathers the
+# answers itself.
+MAX_CANDIDATES = 2
+# An aggregator that failed or stayed silent isn't asked for this time, twice as
+# long after each further failure.
+PAUSE_S = 1.0
+MAX_PAUSE_S = 8.0
+
+
+@attrs.define
+class _Pause:
+    """Time for which an aggregator isn't asked, in runtime seconds."""
+
+    until: float = 0
+    failures: int = 0
+
+
+@attrs.define(eq=False)
+class AggregatorSelector:
+    """Selector of the aggregators for the requests of this instance.
+
+    Load patterns that it answers: an aggregator that is silent, killed or
+    overloaded is left out for a time that grows, so that few requests meet
+    it; requests spread over aggregators by their processors, so that a
+    small one isn't overloaded while a large one is idle.
+
+    Parameters
+    ----------
+    address : Address
+        Where this instance answers other instances.
+    delays : LinkDelays
+        Estimates of the link delays to the data centres.
+    rng : random.Random
+        Source of randomness for the order of the aggregators.
+    """
+
+    address: Address
+    delays: LinkDelays
+    rng: random.Random = attrs.Factory(random.Random)
+    _members_by_data_centre: Mapping[str, tuple[FleetMember, ...]] = (
+        attrs.Factory(dict)
+    )
+    _services_by_data_centre: dict[str, set[str]] = attrs.Factory(dict)
+    _pauses_by_address: dict[Address, _Pause] = attrs.Factory(dict)
+
+    def update(
+        self,
+        members_by_data_centre: Mapping[str, tuple[FleetMember, ...]],
+        records: Iterable[LeafRecord],
+    ) -> None:
+        """Apply the registered aggregators and leafs.
+
+        Parameters
+        ----------
+        members_by_data_centre : mapping of str to tuple of FleetMember
+            Aggregators of each data centre.
+        records : iterable of LeafRecord
+            Registered leafs; draining ones are ignored.
+        """
+        self._members_by_data_centre = members_by_data_centre
+        self._services_by_data_centre = {}
+        for record in records:
+            if not record.is_draining:
+                self._services_by_data_centre.setdefault(
+                    record.data_centre, set()
+                ).add(record.service)
+
+    def addresses_for(self, services: Iterable[str]) -> set[Address]:
+        """Return the aggregators of the data centres that hold the services."""
+        return {
+            member.address
+            for data_centre in self._covering_data_centres(services)
+            for member in self._members_by_data_centre.get(data_centre, ())
+        }
+
+    def candidates(
+        self, services: Iterable[str], now: float
+    ) -> list[tuple[Address, float]]:
+        """Return the aggregators to ask for a request, best first.
+
+        Parameters
+        ----------
+        services : iterable of str
+            Services whose parts make the answer.
+        now : float
+            Runtime time in seconds.
+
+        Returns
+        -------
+        list of (Address, float)
+            Addresses with the one-way delay to each in seconds; empty if this
+            instance should gather the answers itself, because it is an
+            aggregator or near to the leafs without any aggregator.
+        """
+        covering = self._covering_data_centres(services)
+        members_by_data_centre = {
+            data_centre: self._members_by_data_centre.get(data_centre, ())
+            for data_centre in covering
+        }
+        own = members_by_data_centre.get(self.delays.data_centre)
+        is_own_covering = own is not None
+        if is_own_covering and not own:
+            return []
+        if own and self.address in {member.address for member in own}:
+            return []
+        usable = [
+            (self.delays.delay_s(data_centre), -self._weight(member), member)
+            for data_centre, members in members_by_data_centre.items()
+            for member in members
+            if not self._is_paused(member.address, now)
+        ]
+        usable.sort(key=lambda each: each[:2])
+        return [
+            (member.address, delay_s)
+            for delay_s, _, member in usable[:MAX_CANDIDATES]
+        ]
+
+    def on_failure(self, address: Address, now: float) -> float:
+        """Pause an aggregator that failed; return the pause in seconds."""
+        pause = self._pauses_by_address.setdefault(address, _Pause())
+        pause_s = min(MAX_PAUSE_S, PAUSE_S * 2**pause.failures)
+        pause.failures = min(pause.failures + 1, 8)
+        pause.until = now + pause_s
+        return pause_s
+
+    def on_success(self, address: Address) -> None:
+        """End the pause of an aggregator that answered."""
+        self._pauses_by_address.pop(address, None)
+
+    def _is_paused(self, address: Address, now: float) -> bool:
+        pause = self._pauses_by_address.get(address)
+        return pause is not None and now < pause.until
+
+    def _covering_data_centres(self, services: Iterable[str]) -> list[str]:
+        """Return the data centres with leafs of nearly all services."""
+        required = set(services)
+        return [
+            data_centre
+            for data_centre, held in self._services_by_data_centre.items()
+            if len(required & held) >= MIN_COVERED_SHARE * len(required)
+        ]
+
+    def _weight(self, member: FleetMember) -> float:
+        """Return a random sort key; large members are first more often."""
+        return float(self.rng.random() ** (1 / member.cores))
--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from typing import cast
 
 import attrs
 from result import Err, Result
@@ -22,7 +23,9 @@
     ForwardRequest,
     LeafCodec,
     LeafResponse,
+    MergedAnswer,
 )
+from clementinebank.forwarding._shares import FleetShares
 from clementinebank.forwarding._topology import LeafTopology, create_topology
 from clementinebank.leafs import LeafDirectory, LeafEndpoint, LeafRecord
 from clementinebank.routes import Route, RouteTable
@@ -92,12 +95,15 @@
         Estimates of the link delays to the data centres.
     limits : ExtraLoadLimits
         Bound of the retries and hedges to one service by the whole fleet.
-    fleet_size : int
-        Number of instances. Each one gets an equal share of the connections
-        to a leaf and of the burst of extra requests.
+    shares : FleetShares
+        Shares of this instance in the connections to a leaf and in the burst
+        of extra requests.
     on_request_end : callable or None
         Called when a request has ended, with the request, its route, its
         trace and its duration in seconds.
+    on_gathering_end : callable or None
+        Called in the same way when a request has ended that was gathered for
+        another instance, or that another instance failed to gather.
     rng : random.Random
         Source of randomness for the choice of leafs.
     router : Router
@@ -109,11 +115,13 @@
     directory: LeafDirectory
     delays: LinkDelays
     limits: ExtraLoadLimits = ExtraLoadLimits()
-    fleet_size: int = 8
+    shares: FleetShares = FleetShares(8)
     on_request_end: OnRequestEnd | None = None
+    on_gathering_end: OnRequestEnd | None = None
     rng: random.Random = attrs.Factory(random.Random)
     router: Router = attrs.field(init=False)
     _pools_by_service: dict[str, LeafPools] = attrs.Factory(dict)
+    _aggregated_services: set[str] = attrs.Factory(set)
 
     def __attrs_post_init__(self) -> None:
         """Create a router without leafs, which ``update`` adds."""
@@ -123,12 +131,29 @@
             policy=FORWARDING_ROUTING_POLICY,
         )
 
+    def set_fleet(
+        self, size: int, aggregator_count: int, *, is_aggregator: bool
+    ) -> None:
+        """Change the shares of this instance; ``update`` applies them.
+
+        Parameters
+        ----------
+        size : int
+            Number of instances.
+        aggregator_count : int
+            Number of instances that gather requests for the others.
+        is_aggregator : bool
+            Whether this instance is one of them.
+        """
+        self.shares = FleetShares(size, aggregator_count, is_aggregator)
+
     async def update(self) -> None:
         """Apply the current leaf records and routing configuration.
 
         Updates the routing state, opens and retires connection pools, and
         stops the pools of services that have no leaf any more.
         """
+        self._aggregated_services = self.aggregated_services()
         topology = create_topology(
             self.directory.records_by_id, MAX_SLOTS, self.limits.ratio
         )
@@ -149,9 +174,13 @@
             if pools is None:
                 pools = self._create_pools()
                 self._pools_by_service[service] = pools
-            await pools.update(
-                group.leafs_by_id, self._connections_per_instance(service)
-            )
+            share = self._connection_share(service)
+            await pools.update(group.leafs_by_id, max(1, int(share)))
+            for pool in pools.pools_by_leaf.values():
+                # All instances together must not hold more connections than
+                # the leaf accepts, so one without a whole share closes its
+                # connection after each call.
+                pool.keeps_connections = share >= 1
         for service in list(self._pools_by_service):
             if service not in topology.groups_by_id:
                 await self._pools_by_service.pop(service).stop()
@@ -180,15 +209,62 @@
         """
         services = self.table.choose_services(route)
         forward = ForwardStateMachine(request, route, services, self.router)
+        return await self._run(forward, self.on_request_end)
+
+    async def gather(
+        self, request: ForwardRequest, route: Route, is_repeat: bool
+    ) -> Result[MergedAnswer, Failure]:
+        """Gather the answers to one scatter-gather request.
+
+        Parameters
+        ----------
+        request : ForwardRequest
+            Request of a caller of another instance.
+        route : Route
+            Scatter-gather route, as the other instance knows it.
+        is_repeat : bool
+            Whether another instance may have sent the request to leafs before.
+            Each call then costs a token of the budget.
+
+        Returns
+        -------
+        Result
+            The merged answer, or the failure if too few leafs answered.
+        """
+        forward = ForwardStateMachine(
+            request, route, route.services, self.router, is_repeat=is_repeat
+        )
+        outcome = await self._run(forward, self.on_gathering_end)
+        return cast(Result[MergedAnswer, Failure], outcome)
+
+    async def _run(
+        self, forward: ForwardStateMachine, on_end: OnRequestEnd | None
+    ) -> Result[Answer, Failure]:
+        """Run a request and report its end."""
         started_at = now()
         try:
             return await _ForwardRun(state_machine=forward, engine=self).run()
         finally:
-            if self.on_request_end is not None:
-                self.on_request_end(
-                    request, route, forward.trace, now() - started_at
+            if on_end is not None:
+                on_end(
+                    forward.request,
+                    forward.route,
+                    forward.trace,
+                    now() - started_at,
                 )
 
+    def aggregated_services(self) -> set[str]:
+        """Return the services whose requests aggregators gather."""
+        configuration = self.table.configuration
+        if configuration is None:
+            return set()
+        return {
+            service
+            for route in configuration.routes
+            if route.scatter_gather is not None
+            for service in route.scatter_gather.services
+        }
+
     def pool_of(self, action: SendCall) -> LeafPool | None:
         """Return the pool of the leaf to call, ``None`` if it has no pool."""
         pools = self._pools_by_service.get(action.group_id)
@@ -201,7 +277,7 @@
         """
         leaf = self.router.leafs_by_id[record.incarnation_id]
         leaf.set_capacity(
-            record.slots, self._connections_per_instance(record.service)
+            record.slots, max(1, int(self._connection_share(record.service)))
         )
         if record.is_draining:
             leaf.start_drain(now())
@@ -211,30 +287,35 @@
                 now() + cold_s - SLOW_START_S if cold_s > 0 else None
             )
 
-    def _connections_per_instance(self, service: str) -> int:
-        """Return how many connections to each leaf this instance may hold."""
+    def _connection_share(self, service: str) -> float:
+        """Return how many connections to each leaf are this instance's."""
         configuration = self.table.configuration
         limits = configuration.connections_by_service if configuration else {}
-        connections = limits.get(service, DEFAULT_CONNECTIONS_PER_LEAF)
-        return max(1, connections // self.fleet_size)
+        return self.shares.share_of(
+            limits.get(service, DEFAULT_CONNECTIONS_PER_LEAF),
+            is_aggregated=service in self._aggregated_services,
+        )
 
-    def _burst_share(self) -> float:
+    def _burst_share(self, service: str) -> float:
         """Return the burst of extra requests that this instance may send."""
-        return max(
-            1, BUDGET_SAFETY_FACTOR * self.limits.burst / self.fleet_size
+        burst_share = self.shares.share_of(
+            BUDGET_SAFETY_FACTOR * self.limits.burst,
+            is_aggregated=service in self._aggregated_services,
         )
+        return max(1, burst_share)
 
     def _update_budgets(self) -> None:
-        """Apply the limits and the size of the fleet to every budget."""
-        for budget in self.router.budgets_by_group.values():
+        """Apply the limits and the shares of this instance to every budget."""
+        for service, budget in self.router.budgets_by_group.items():
             budget.set_limits(
-                BUDGET_SAFETY_FACTOR * self.limits.ratio, self._burst_share()
+                BUDGET_SAFETY_FACTOR * self.limits.ratio,
+                self._burst_share(service),
             )
 
     def _ensure_budget(self, service: str) -> None:
         """Create the budget of extra requests of a service if it has none."""
         if service not in self.router.budgets_by_group:
-            capacity = self._burst_share()
+            capacity = self._burst_share(service)
             initial_tokens = INITIAL_BURST_SHARE * capacity
             self.router.budgets_by_group[service] = ExtraLoadBudget(
                 BUDGET_SAFETY_FACTOR * self.limits.ratio,
--- a/clementinebank/gateway/__init__.py
+++ b/clementinebank/gateway/__init__.py
@@ -16,6 +16,7 @@
 from clementinebank.gateway._settings import (
     GatewayBounds,
     GatewaySettings,
+    ResourceLimits,
     load_gateway_settings,
 )
 from clementinebank.gateway._updater import ControlStateUpdater
@@ -28,6 +29,7 @@
     'Gateway',
     'GatewayBounds',
     'GatewaySettings',
+    'ResourceLimits',
     'LeafRemoved',
     'LeafWritten',
     'RequestLog',
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -7,6 +7,12 @@
 from eliot import log_message
 from result import Err
 
+from clementinebank.aggregation import (
+    GATHER_PATH,
+    AggregationService,
+    AggregatorSelector,
+    Delegator,
+)
 from clementinebank.clock import now
 from clementinebank.errors import Failure, Step
 from clementinebank.forwarding import (
@@ -101,6 +107,8 @@
     engine: ForwardingEngine = attrs.field(init=False)
     registration: RelayRegistration = attrs.field(init=False)
     feed: RelayedFeed = attrs.field(init=False)
+    delegator: Delegator = attrs.field(init=False)
+    aggregation: AggregationService = attrs.field(init=False)
     updater: ControlStateUpdater = attrs.field(init=False)
     peer_server: RpcServer = attrs.field(init=False)
     server: HttpServer = attrs.field(init=False)
@@ -110,19 +118,7 @@
         settings = self.settings
         bounds = settings.bounds
         self.leaf_directory = LeafDirectory(bounds.drain_s)
-        self.engine = ForwardingEngine(
-            self.leaf_codec,
-            self.route_table,
-            self.leaf_directory,
-            LinkDelays(settings.data_centre, settings.regions_by_data_centre),
-            ExtraLoadLimits(bounds.retry_ratio, bounds.retry_burst),
-            on_request_end=RequestLog(
-                self.metrics,
-                self.route_table,
-                self.entry_log,
-                settings.instance_id,
-            ).record,
-        )
+        self._create_engine()
         self._create_feed()
         self.updater = ControlStateUpdater(
             self.feed,
@@ -171,6 +167,7 @@
             self._create_server(self.settings.metrics, self._on_metrics).serve,
             self.updater.run,
             self.peer_server.serve,
+            self.peer_server.cancel_disconnected,
             self.registration.run,
             self.server.serve,
             self.server.cancel_disconnected,
@@ -204,7 +201,7 @@
                 f'no route of version {self.route_table.version} matches',
                 NOT_FOUND,
             )
-        outcome = await self.engine.forward(request, route)
+        outcome = await self.delegator.forward(request, route)
         if isinstance(outcome, Err):
             return self.caller_codec.encode_failure(
                 request.request_id, outcome.err_value, RETRY_AFTER_S
@@ -248,14 +245,54 @@
             ExtraLoadLimits(bounds.retry_ratio, bounds.retry_burst)
         )
 
+    def _create_engine(self) -> None:
+        """Create the forwarding of requests, here and by aggregators."""
+        settings = self.settings
+        bounds = settings.bounds
+        delays = LinkDelays(
+            settings.data_centre, settings.regions_by_data_centre
+        )
+        request_log = RequestLog(
+            self.metrics,
+            self.route_table,
+            self.entry_log,
+            settings.instance_id,
+        )
+        self.engine = ForwardingEngine(
+            self.leaf_codec,
+            self.route_table,
+            self.leaf_directory,
+            delays,
+            ExtraLoadLimits(bounds.retry_ratio, bounds.retry_burst),
+            on_request_end=request_log.record,
+            on_gathering_end=request_log.record_gathering,
+        )
+        self.delegator = Delegator(
+            self.engine,
+            self.relays,
+            AggregatorSelector(settings.peers, delays),
+            on_request_end=request_log.record,
+        )
+        self.aggregation = AggregationService(
+            self.engine.gather, self._has_leafs, self.metrics
+        )
+
+    def _has_leafs(self, service: str) -> bool:
+        return service in self.engine.router.service.groups_by_id
+
     def _create_feed(self) -> None:
         """Create the feed of control entries and the relay of this instance."""
         settings = self.settings
         service = RelayService(self.entry_log)
+        cores = settings.resources.cores
         self.peer_server = RpcServer(
             settings.peers.host,
             settings.peers.port,
-            {WATCH_PATH: service.handle_watch},
+            {
+                WATCH_PATH: service.handle_watch,
+                GATHER_PATH: self.aggregation.handle_gather,
+            },
+            accepting_paths=(GATHER_PATH,),
         )
         self.registration = RelayRegistration(
             settings.instance_id,
@@ -266,10 +303,17 @@
             self.entry_log,
             service,
             is_seed=settings.peers in settings.seeds,
+            cores=cores,
         )
         self.feed = RelayedFeed(
             self.store,
-            RelayClient(settings.instance_id, settings.peers, self.entry_log),
+            RelayClient(
+                settings.instance_id,
+                settings.peers,
+                self.entry_log,
+                data_centre=settings.data_centre,
+                cores=cores,
+            ),
             self.relays,
             self.registration,
             self.entry_log,
@@ -283,8 +327,8 @@
         configuration = self.route_table.configuration
         if configuration is not None:
             self.server.state.limits = _http_limits(configuration.limits)
-        self.engine.fleet_size = self.relays.fleet_size(now())
-        await self.engine.update()
+        await self.delegator.update()
+        self.aggregation.is_accepting = not self.is_draining
 
     async def _drain(self) -> int:
         """Finish accepted requests and return the exit status.
@@ -295,6 +339,7 @@
         """
         started = now()
         self.is_draining = True
+        self.aggregation.is_accepting = False
         self.server.announce_close()
         log_message(
             message_type='gateway:leaving', in_flight=self.server.in_flight
@@ -306,6 +351,7 @@
         end = started + DRAIN_TIME_SHARE * self.settings.bounds.shutdown_s
         await self.server.stop_accepting()
         cut_count = await self.server.drain(max(0, end - now()))
+        cut_count += await self.aggregation.drain(max(0, end - now()))
         log_message(message_type='gateway:stopped', requests_cut=cut_count)
         return 0
 
--- a/clementinebank/gateway/_request_log.py
+++ b/clementinebank/gateway/_request_log.py
@@ -18,7 +18,9 @@
 MAX_LINES_PER_SECOND = 100
 MIN_SERVER_ERROR_STATUS = 500
 # Trace events of a request that went as usual.
-USUAL_EVENTS = frozenset(('sent', 'answer', 'relayed', 'gathered'))
+USUAL_EVENTS = frozenset(
+    ('sent', 'answer', 'relayed', 'gathered', 'delegated', 'accepted')
+)
 # Trace events that end a request.
 FINAL_EVENTS = frozenset(('relayed', 'gathered', 'refused', 'abandoned'))
 
@@ -73,8 +75,7 @@
         elapsed_s : float
             Time from its start to its end, in seconds.
         """
-        last_event = trace[-1] if trace else None
-        outcome = last_event.event if last_event else 'failed'
+        outcome = _outcome_of(trace)
         elapsed_ms = elapsed_s * MS_PER_S
         self.metrics.record_ms(names.LATENCY, elapsed_ms, service=route.name)
         self.metrics.add(names.REQUESTS, service=route.name, outcome=outcome)
@@ -83,9 +84,34 @@
                 self.metrics.add(
                     names.QUERY_EVENTS, service=route.name, event=event.event
                 )
+        self._log_if_due(request, route, trace, elapsed_s)
+
+    def record_gathering(
+        self,
+        request: ForwardRequest,
+        route: Route,
+        trace: list[TraceEvent],
+        elapsed_s: float,
+    ) -> None:
+        """Log a gathering for a delegated request, which is counted elsewhere.
+
+        The parameters are those of ``record``.
+        """
+        self._log_if_due(
+            request, route, trace, elapsed_s, message_type='gathering:ended'
+        )
+
+    def _log_if_due(
+        self,
+        request: ForwardRequest,
+        route: Route,
+        trace: list[TraceEvent],
+        elapsed_s: float,
+        message_type: str = 'request:ended',
+    ) -> None:
         is_late = elapsed_s > route.objective_s
         if is_late or _is_unusual(trace) or self._is_sampled():
-            self._log(request, route, trace, elapsed_ms, outcome)
+            self._log(request, route, trace, elapsed_s, message_type)
 
     def _is_sampled(self) -> bool:
         self._ordinary_count += 1
@@ -96,8 +122,8 @@
         request: ForwardRequest,
         route: Route,
         trace: list[TraceEvent],
-        elapsed_ms: float,
-        outcome: str,
+        elapsed_s: float,
+        message_type: str,
     ) -> None:
         deadline_second = int(request.deadline)
         if deadline_second != self._deadline_second:
@@ -108,13 +134,13 @@
             self.suppressed_lines += 1
             return
         log_message(
-            message_type='request:ended',
+            message_type=message_type,
             request_id=request.request_id,
             instance=self.instance_id,
             route=route.name,
             version=self.route_table.version,
-            outcome=outcome,
-            elapsed_ms=round(elapsed_ms, 1),
+            outcome=_outcome_of(trace),
+            elapsed_ms=round(elapsed_s * MS_PER_S, 1),
             objective_ms=round(route.objective_s * MS_PER_S, 1),
             confirmed_s=round(self.entry_log.age_s(now()), 3),
             suppressed_lines=self.suppressed_lines,
@@ -125,6 +151,11 @@
         )
 
 
+def _outcome_of(trace: list[TraceEvent]) -> str:
+    """Return the last event; ``failed`` if a request has none."""
+    return trace[-1].event if trace else 'failed'
+
+
 def _is_unusual(trace: list[TraceEvent]) -> bool:
     """Return whether a request is always logged.
 
--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -15,6 +15,8 @@
 WATCH_RENEWAL_RESERVE_S = 2.0
 # Least time for which a watch waits.
 MIN_WATCH_WAIT_S = 1.0
+# Least share and speed of a processor.
+MIN_PROCESSOR = 0.01
 
 
 @attrs.frozen
@@ -63,6 +65,27 @@
         return max(MIN_WATCH_WAIT_S, wait_s)
 
 
+@attrs.frozen
+class ResourceLimits:
+    """Resources of the machine of an instance.
+
+    Parameters
+    ----------
+    processor_share : float
+        Share of its processor that the instance may use, above 0.
+    processor_speed : float
+        Speed of the processor, as a multiple of a core.
+    """
+
+    processor_share: float
+    processor_speed: float
+
+    @property
+    def cores(self) -> float:
+        """Return the processor of the instance in cores."""
+        return round(self.processor_share * self.processor_speed, 3)
+
+
 @attrs.frozen
 class GatewaySettings:
     """Settings of one gateway instance.
@@ -82,6 +105,8 @@
         Region of each data centre.
     bounds : GatewayBounds
         Limits of the platform.
+    resources : ResourceLimits
+        Resources of the machine.
     seeds : tuple of Address
         Addresses at which a few instances listen for other instances; asked
         for the control state before any relay is registered. This instance
@@ -97,6 +122,7 @@
     control_store: Address
     regions_by_data_centre: dict[str, str]
     bounds: GatewayBounds
+    resources: ResourceLimits
     seeds: tuple[Address, ...] = ()
 
 
@@ -128,6 +154,7 @@
             name: regions.text(name) for name in regions.data
         },
         bounds=_read_bounds(reader.child('bounds')),
+        resources=_read_resources(reader.child('resources')),
         seeds=reader.addresses('seeds'),
     )
     for part in (reader, listen, regions):
@@ -135,6 +162,15 @@
     return settings
 
 
+def _read_resources(reader: FieldReader) -> ResourceLimits:
+    resources = ResourceLimits(
+        reader.number('processor_share', minimum=MIN_PROCESSOR),
+        reader.number('processor_speed', minimum=MIN_PROCESSOR),
+    )
+    reader.report_unknown_fields()
+    return resources
+
+
 def _read_bounds(reader: FieldReader) -> GatewayBounds:
     bounds = GatewayBounds(
         drain_s=reader.number('drain_ms', minimum=1) / MS_PER_S,
--- a/clementinebank/http/__init__.py
+++ b/clementinebank/http/__init__.py
@@ -19,6 +19,7 @@
     ServerConnection,
     ServerState,
 )
+from clementinebank.http._sockets import is_closed_by_peer
 
 __all__ = (
     'Handler',
@@ -31,6 +32,7 @@
     'ServerConnection',
     'ServerState',
     'fetch',
+    'is_closed_by_peer',
     'json_request',
     'json_response',
     'open_socket',
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -95,6 +95,12 @@
     'service',
     'reason',
 )
+GATHERINGS = _register(
+    'clementinebank_gatherings_total',
+    'counter',
+    'Requests of other instances that this one gathered or refused.',
+    'outcome',
+)
 VIOLATIONS = _register(
     'clementinebank_invariant_violations_total',
     'counter',
--- a/clementinebank/relay/__init__.py
+++ b/clementinebank/relay/__init__.py
@@ -5,6 +5,10 @@
 the number of data centres and not with the number of instances.
 """
 
+from clementinebank.relay._aggregators import (
+    FleetMember,
+    choose_aggregators,
+)
 from clementinebank.relay._client import RelayClient
 from clementinebank.relay._directory import (
     KEY_PREFIX,
@@ -37,6 +41,7 @@
     'ControlStore',
     'Entry',
     'EntryLog',
+    'FleetMember',
     'FreshnessBounds',
     'RelayClient',
     'RelayDirectory',
@@ -45,4 +50,5 @@
     'RelayService',
     'RelayedFeed',
     'StoredState',
+    'choose_aggregators',
 )
--- a/clementinebank/relay/_client.py
+++ b/clementinebank/relay/_client.py
@@ -46,12 +46,19 @@
         Entries that this instance knows; their age is sent to the relays.
     create_channel : callable
         Returns a new channel to an address.
+    data_centre : str
+        Data centre of this instance.
+    cores : float
+        Processor of this instance in cores; 0 if it gathers no answers for
+        other instances.
     """
 
     instance_id: str
     address: Address
     log: EntryLog
     create_channel: Callable[[Address], RpcChannel] = RpcChannel
+    data_centre: str = ''
+    cores: float = 0
     calls: int = 0
     _channels: OrderedDict[Address, RpcChannel] = attrs.Factory(OrderedDict)
 
@@ -125,6 +132,8 @@
             wait_s,
             after_key,
             self.log.age_s(now()),
+            self.data_centre,
+            self.cores,
         )
 
     async def _call(
--- a/clementinebank/relay/_codec.py
+++ b/clementinebank/relay/_codec.py
@@ -16,6 +16,7 @@
 
 PROTOCOL_VERSION = 1
 MS_PER_S = 1000
+MILLICORES_PER_CORE = 1000
 # Longest age that is sent, about 24 days, because ages have 32 bits. The
 # infinite age of a state that was never confirmed is sent as this one; both are
 # stale.
@@ -43,6 +44,11 @@
     age_s : float
         Time since the store last confirmed the follower's state, directly or
         through relays, in seconds.
+    data_centre : str
+        Data centre of the follower; empty if it is of an earlier version.
+    cores : float
+        Processor of the follower in cores; 0 if it gathers no answers for
+        other instances.
     """
 
     instance_id: str
@@ -51,6 +57,8 @@
     wait_s: float = 0
     after_key: str = ''
     age_s: float = 0
+    data_centre: str = ''
+    cores: float = 0
 
 
 @attrs.frozen
@@ -92,6 +100,8 @@
         after_key=request.after_key,
         address=str(request.address),
         age_ms=_age_ms(request.age_s),
+        data_centre=request.data_centre,
+        capacity_millicores=round(request.cores * MILLICORES_PER_CORE),
     ).SerializeToString()
 
 
@@ -118,6 +128,8 @@
         raw.wait_ms / MS_PER_S,
         raw.after_key,
         raw.age_ms / MS_PER_S,
+        raw.data_centre,
+        raw.capacity_millicores / MILLICORES_PER_CORE,
     )
 
 
--- a/clementinebank/relay/_directory.py
+++ b/clementinebank/relay/_directory.py
@@ -2,15 +2,16 @@
 
 import json
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 from eliot import log_message
 from result import Err, Ok, Result
 
 from clementinebank.errors import FieldProblem
+from clementinebank.relay._aggregators import FleetMember
 from clementinebank.relay._model import Entry
-from clementinebank.validation import Address, FieldReader
+from clementinebank.validation import Address, FieldReader, parse_address
 
 KEY_PREFIX = 'relays/'
 # The fleet size is the largest sum of the relays' counts in this time. Sums are
@@ -20,6 +21,8 @@
 # Fleet size until a relay has registered with its count; small deployments have
 # 6 to 7 instances.
 INITIAL_FLEET_SIZE = 8
+# Least processor of an aggregator in cores.
+MIN_CORES = 0.001
 
 
 @attrs.frozen
@@ -36,6 +39,8 @@
         Data centre for which it is registered.
     fleet_share : int
         Number of instances that it counts: itself and its followers.
+    aggregators : tuple of FleetMember
+        Instances of the data centre that gather answers for the others.
     revision : int
         Revision of the store at which the registration was written.
     """
@@ -45,6 +50,7 @@
     data_centre: str
     fleet_share: int
     revision: int = 0
+    aggregators: tuple[FleetMember, ...] = ()
 
     @property
     def key(self) -> str:
@@ -59,6 +65,9 @@
             'instance_id': record.instance_id,
             'address': str(record.address),
             'fleet_share': record.fleet_share,
+            'aggregators': {
+                str(each.address): each.cores for each in record.aggregators
+            },
         }
     ).encode()
 
@@ -75,10 +84,21 @@
         entry.key.removeprefix(KEY_PREFIX),
         reader.integer('fleet_share', minimum=1),
         entry.revision,
+        tuple(_read_aggregators(reader.child('aggregators', required=False))),
     )
     return Err(reader.problems) if reader.problems else Ok(record)
 
 
+def _read_aggregators(reader: FieldReader) -> Iterator[FleetMember]:
+    """Yield the aggregators in a mapping of addresses to cores."""
+    for name in reader.data:
+        address = parse_address(name)
+        if address is None:
+            reader.report(str(name), 'must be IP:PORT')
+            continue
+        yield FleetMember(address, reader.number(name, minimum=MIN_CORES))
+
+
 @attrs.define(eq=False)
 class RelayDirectory:
     """Registered relays, and the fleet size that follows from them.
@@ -87,9 +107,15 @@
     ----------
     records_by_data_centre : dict of str to RelayRecord
         Registration of each data centre that has a relay.
+    aggregators_by_data_centre : dict of str to tuple of FleetMember
+        Aggregators that the last registration of each data centre named. They
+        are kept when a registration ends, since they outlive their relay.
     """
 
     records_by_data_centre: dict[str, RelayRecord] = attrs.Factory(dict)
+    aggregators_by_data_centre: dict[str, tuple[FleetMember, ...]] = (
+        attrs.Factory(dict)
+    )
     _recent_sizes: deque[tuple[float, int]] = attrs.Factory(deque)
 
     def load(self, entries: Iterable[Entry], now: float) -> None:
@@ -121,6 +147,7 @@
             return
         record = decoded.ok_value
         self.records_by_data_centre[data_centre] = record
+        self.aggregators_by_data_centre[data_centre] = record.aggregators
         # Adds the initial size before the first sum and drops old sums.
         self.fleet_size(now)
         self._recent_sizes.append((now, self._total_fleet_share()))
@@ -129,6 +156,7 @@
             data_centre=data_centre,
             instance=record.instance_id,
             fleet_share=record.fleet_share,
+            aggregators=[str(each.address) for each in record.aggregators],
             revision=record.revision,
         )
 
--- a/clementinebank/relay/_registration.py
+++ b/clementinebank/relay/_registration.py
@@ -9,6 +9,10 @@
 
 from clementinebank.clock import now
 from clementinebank.errors import Failure
+from clementinebank.relay._aggregators import (
+    FleetMember,
+    choose_aggregators,
+)
 from clementinebank.relay._directory import (
     RelayDirectory,
     RelayRecord,
@@ -20,7 +24,10 @@
     ControlStore,
     Entry,
 )
-from clementinebank.relay._service import RelayService
+from clementinebank.relay._service import (
+    FOLLOWER_TIMEOUT_S,
+    RelayService,
+)
 from clementinebank.validation import Address
 
 # Lifetime of the lease under which a registration is stored. Followers leave a
@@ -71,6 +78,9 @@
         instances name this one.
     rng : random.Random
         Source of the random delay before a registration.
+    cores : float
+        Processor of this instance in cores; 0 if it gathers no answers for
+        other instances.
     """
 
     instance_id: str
@@ -82,6 +92,8 @@
     service: RelayService
     is_seed: bool = False
     rng: random.Random = attrs.Factory(random.Random)
+    cores: float = 0
+    _registered_since: float = float('-inf')
     _lease_id: str | None = None
     _renew_at: float = 0
     _retry_at: float = 0
@@ -171,6 +183,8 @@
         registered = self._registered
         if registered is None:
             return False
+        if self._is_aggregator_write_due(registered):
+            return True
         share = self._fleet_share()
         # The share may double at once: a relay that has just registered gains
         # all its followers within a short time.
@@ -185,16 +199,50 @@
         change = abs(share - registered.fleet_share)
         return change > FLEET_SHARE_TOLERANCE * registered.fleet_share
 
+    def _is_aggregator_write_due(self, registered: RelayRecord) -> bool:
+        """Return whether other aggregators than the registered ones are due.
+
+        The first ones are registered soon, changes less often.
+        """
+        interval_s = (
+            FLEET_SHARE_WRITE_INTERVAL_S
+            if registered.aggregators
+            else DOUBLED_FLEET_SHARE_WRITE_INTERVAL_S
+        )
+        return (
+            now() >= self._written_at + interval_s
+            and self._aggregators() != registered.aggregators
+        )
+
+    def _aggregators(self) -> tuple[FleetMember, ...]:
+        """Return the aggregators of this data centre.
+
+        Those that an earlier relay chose are kept until their instances have
+        had time to follow this relay.
+        """
+        current = self.directory.aggregators_by_data_centre.get(
+            self.data_centre, ()
+        )
+        if current and now() < self._registered_since + FOLLOWER_TIMEOUT_S:
+            return current
+        members = self.service.members_of(self.data_centre)
+        if self.cores:
+            members.append(FleetMember(self.address, self.cores))
+        return choose_aggregators(members, current)
+
     async def _write_record(self) -> None:
         """Write the registration, unless another instance has changed it."""
         if self._lease_id is None and not await self._create_lease():
             return
         registered = self._registered
+        if not self.is_registered:
+            self._registered_since = now()
         record = RelayRecord(
             self.instance_id,
             self.address,
             self.data_centre,
             self._fleet_share(),
+            aggregators=self._aggregators(),
         )
         entry = Entry(
             record.key,
--- a/clementinebank/relay/_service.py
+++ b/clementinebank/relay/_service.py
@@ -3,6 +3,7 @@
 import attrs
 
 from clementinebank.clock import now
+from clementinebank.relay._aggregators import FleetMember
 from clementinebank.relay._codec import (
     WatchReply,
     WatchRequest,
@@ -43,6 +44,8 @@
 
     log: EntryLog
     _asked_at_by_instance: dict[str, float] = attrs.Factory(dict)
+    # Last request of each instance in ``_asked_at_by_instance``.
+    _requests_by_instance: dict[str, WatchRequest] = attrs.Factory(dict)
     # Last confirmations of the followers that are fresher than this instance.
     _confirmed_at_by_fresher: dict[Address, float] = attrs.Factory(dict)
 
@@ -60,6 +63,7 @@
         """
         request = decode_request(payload)
         self._asked_at_by_instance[request.instance_id] = now()
+        self._requests_by_instance[request.instance_id] = request
         self._update_fresher_followers(request)
         return encode_reply(await self._reply(request))
 
@@ -73,8 +77,18 @@
         ]
         for instance_id in inactive:
             self._asked_at_by_instance.pop(instance_id)
+            self._requests_by_instance.pop(instance_id)
         return len(self._asked_at_by_instance)
 
+    def members_of(self, data_centre: str) -> list[FleetMember]:
+        """Return the followers in a data centre that can be aggregators."""
+        self.follower_count()
+        return [
+            FleetMember(request.address, request.cores)
+            for request in self._requests_by_instance.values()
+            if request.data_centre == data_centre and request.cores > 0
+        ]
+
     def fresher_followers(self) -> list[Address]:
         """Return the addresses of fresher followers, freshest first.
 
--- a/clementinebank/relay/tests/simulation.py
+++ b/clementinebank/relay/tests/simulation.py
@@ -223,6 +223,19 @@
     def address(self):
         return Address('127.0.0.1', 1 + self.number)
 
+    @property
+    def cores(self):
+        """Return 2 cores for one instance in twelve, else a half."""
+        return 2 if self.number % 12 < 3 else 0.5
+
+    @property
+    def aggregators(self):
+        """Return the addresses that this instance knows as aggregators."""
+        known = self.directory.aggregators_by_data_centre
+        return {
+            member.address for members in known.values() for member in members
+        }
+
     def _create_parts(self):
         fleet = self.fleet
         rng = random.Random(f'{fleet.seed}-{self.number}')
@@ -240,12 +253,15 @@
             self.service,
             is_seed=self.address in fleet.seeds,
             rng=rng,
+            cores=self.cores,
         )
         self.client = RelayClient(
             f'i-{self.number}',
             self.address,
             self.log,
             lambda address: FakeChannel(fleet, self.number, address),
+            data_centre=data_centre,
+            cores=self.cores,
         )
         self.feed = RelayedFeed(
             self.store,
--- a/clementinebank/relay/tests/test_fleet.py
+++ b/clementinebank/relay/tests/test_fleet.py
@@ -296,3 +296,71 @@
         assert not fleet.numbers_without('op', b'v1')
 
     run_scenario(scenario)
+
+
+def _aggregators(fleet, exempt=()):
+    """Return the aggregators, which all instances must agree on."""
+    known = {
+        frozenset(each.aggregators)
+        for each in fleet.instances
+        if each not in exempt
+    }
+    assert len(known) == 1
+    return {fleet.instances_by_address[address] for address in known.pop()}
+
+
+def test_all_instances_know_the_same_few_aggregators():
+    async def scenario(fleet):
+        aggregators = _aggregators(fleet)
+        # A quarter of the processors, at least three in each data centre.
+        assert len(aggregators) == 9
+        large = {each for each in fleet.instances if each.cores == 2}
+        assert large <= aggregators
+
+    run_scenario(scenario, 36)
+
+
+def test_small_fleet_has_no_aggregators():
+    async def scenario(fleet):
+        assert not _aggregators(fleet)
+
+    run_scenario(scenario, 7)
+
+
+@pytest.mark.parametrize('fault', (kill, cut))
+def test_lost_aggregator_is_replaced(fault):
+    async def scenario(fleet):
+        lost = next(
+            each for each in _aggregators(fleet) if each not in fleet.relays
+        )
+        await fault(lost)
+        # The time after which a relay counts a follower as lost, and that
+        # between two writes of a registration.
+        await curio.sleep(18)
+        aggregators = _aggregators(fleet, [lost])
+        assert lost not in aggregators
+        assert len(aggregators) == 9
+
+    run_scenario(scenario, 36)
+
+
+@pytest.mark.parametrize('fault', FAULTS)
+def test_aggregators_stay_while_relays_fail(fault):
+    """A new relay must not replace aggregators that it doesn't know yet."""
+
+    async def scenario(fleet):
+        before = _aggregators(fleet)
+        broken = list(fleet.relays)
+        for instance in broken:
+            await fault(instance)
+        for _ in range(40):
+            await curio.sleep(0.5)
+            for each in fleet.instances:
+                if each not in broken:
+                    known = {
+                        fleet.instances_by_address[address]
+                        for address in each.aggregators
+                    }
+                    assert before - known <= set(broken)
+
+    run_scenario(scenario, 36)
--- a/clementinebank/rpc/_channel.py
+++ b/clementinebank/rpc/_channel.py
@@ -42,6 +42,10 @@
         channel.
     bytes_sent, bytes_received : int
         Bytes since the last ``pop_byte_counts``.
+    is_sent : bool
+        Whether any byte of the last call may have reached the server.
+    on_accepted : callable or None
+        Called when the headers of the reply to a call have arrived.
     """
 
     address: Address
@@ -50,6 +54,8 @@
     used_at: float = 0
     bytes_sent: int = 0
     bytes_received: int = 0
+    is_sent: bool = False
+    on_accepted: Callable[[], None] | None = None
 
     async def call_before(
         self,
@@ -128,6 +134,9 @@
             connection.bytes_received = 0
 
     async def _exchange(self, path: str, payload: bytes) -> bytes:
+        self.is_sent = False
+        if self.connection is not None and self.connection.is_closed_by_peer:
+            await self.close()
         if self.connection is None:
             sock = await open_socket(self.address.host, self.address.port)
             self.connection = RpcConnection(sock, is_client=True)
@@ -141,6 +150,8 @@
             'te': 'trailers',
         }
         stream_id = self.connection.next_stream_id()
+        self.connection.on_response_headers = self.on_accepted
+        self.is_sent = True
         await self.connection.send(stream_id, headers, payload)
         reply = await self.connection.receive()
         if reply is None or reply.stream_id != stream_id:
--- a/clementinebank/rpc/_connection.py
+++ b/clementinebank/rpc/_connection.py
@@ -2,6 +2,7 @@
 
 import struct
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -11,6 +12,8 @@
 from h2.exceptions import ProtocolError
 from h2.settings import SettingCodes
 
+from clementinebank.http import is_closed_by_peer
+
 READ_SIZE_BYTES = 65_536
 # A whole document has at most 1 MB; the names and digests of its sections are
 # added to that.
@@ -79,12 +82,16 @@
         Whether this side sends the requests.
     bytes_sent, bytes_received : int
         Bytes since an owner has reset the count.
+    on_response_headers : callable or None
+        Called when the headers of a response have arrived, which a server can
+        send before the message.
     """
 
     sock: Any
     is_client: bool
     bytes_sent: int = 0
     bytes_received: int = 0
+    on_response_headers: Callable[[], None] | None = None
     _http: Any = attrs.field(init=False)
     _events: deque[Any] = attrs.Factory(deque)
     _headers: dict[str, str] = attrs.Factory(dict)
@@ -96,6 +103,11 @@
             H2Configuration(client_side=self.is_client, header_encoding='utf-8')
         )
 
+    @property
+    def is_closed_by_peer(self) -> bool:
+        """Return whether the other side closed or reset the connection."""
+        return is_closed_by_peer(self.sock)
+
     async def start(self) -> None:
         """Send the connection preface and enlarge the receive window."""
         window = SettingCodes.INITIAL_WINDOW_SIZE
@@ -108,6 +120,13 @@
         """Return the stream id for a new request."""
         return int(self._http.get_next_available_stream_id())
 
+    async def send_headers(
+        self, stream_id: int, headers: dict[str, str]
+    ) -> None:
+        """Send the headers of a message before the message itself."""
+        self._http.send_headers(stream_id, list(headers.items()))
+        await self.flush()
+
     async def send(
         self,
         stream_id: int,
@@ -122,7 +141,8 @@
         stream_id : int
             Stream of the call.
         headers : dict of str to str
-            HTTP/2 headers, pseudo-headers first.
+            HTTP/2 headers, pseudo-headers first; empty if ``send_headers`` has
+            sent them.
         payload : bytes
             Encoded message without the gRPC prefix.
         trailers : dict of str to str, optional
@@ -133,7 +153,8 @@
         RpcProtocolError
             If the other side breaks the protocol or closes meanwhile.
         """
-        self._http.send_headers(stream_id, list(headers.items()))
+        if headers:
+            self._http.send_headers(stream_id, list(headers.items()))
         await self._send_body(stream_id, add_message_prefix(payload))
         if trailers:
             self._http.send_headers(
@@ -213,7 +234,7 @@
         if isinstance(event, events.DataReceived):
             self._append_data(event)
         elif isinstance(event, _HEADER_EVENTS):
-            self._headers.update(event.headers)
+            self._add_headers(event)
         elif isinstance(event, _END_EVENTS):
             raise RpcProtocolError(
                 'the peer reset the stream or ended the connection'
@@ -222,6 +243,12 @@
             return self._pop_message(event.stream_id)
         return None
 
+    def _add_headers(self, event: Any) -> None:
+        self._headers.update(event.headers)
+        is_response = isinstance(event, events.ResponseReceived)
+        if is_response and self.on_response_headers is not None:
+            self.on_response_headers()
+
     def _append_data(self, event: Any) -> None:
         self._body += event.data
         if len(self._body) > MAX_MESSAGE_BYTES + MESSAGE_PREFIX.size:
--- a/clementinebank/rpc/_server.py
+++ b/clementinebank/rpc/_server.py
@@ -1,7 +1,7 @@
 """Server for the calls of other instances."""
 
 import errno
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from typing import Any
 
 import attrs
@@ -30,6 +30,8 @@
 # instance may hold it while it drains.
 BIND_TIMEOUT_S = 60.0
 BIND_RETRY_S = 0.1
+# Work for a caller that has left must end within half a second.
+DISCONNECT_CHECK_INTERVAL_S = 0.1
 REPLY_HEADERS = {':status': '200', 'content-type': CONTENT_TYPE}
 STATUS_UNIMPLEMENTED = '12'
 
@@ -55,6 +57,10 @@
         Messages to a known method so far.
     refused_connection_count : int
         Connections closed so far because the peer broke the protocol.
+    accepting_paths : collection of str
+        Methods whose reply headers are sent before the handler runs, so that
+        the caller knows that the call has arrived. Their handlers are
+        cancelled when the caller has closed the connection.
     """
 
     host: str
@@ -63,6 +69,8 @@
     call_timeout_s: float = CALL_TIMEOUT_S
     message_count: int = 0
     refused_connection_count: int = 0
+    accepting_paths: Collection[str] = ()
+    _tasks_by_connection: dict[RpcConnection, Any] = attrs.Factory(dict)
 
     async def serve(self) -> None:
         """Accept connections until the task is cancelled.
@@ -84,6 +92,15 @@
                     raise
             await curio.sleep(BIND_RETRY_S)
 
+    async def cancel_disconnected(self) -> None:
+        """Cancel the handlers of closed connections; runs until cancelled."""
+        while True:
+            await curio.sleep(DISCONNECT_CHECK_INTERVAL_S)
+            for connection, task in list(self._tasks_by_connection.items()):
+                if connection.is_closed_by_peer:
+                    self._tasks_by_connection.pop(connection)
+                    await task.cancel(blocking=False)
+
     async def serve_connection(self, sock: Any, peer: Any) -> None:
         """Serve one connection until it ends, then close it.
 
@@ -127,7 +144,28 @@
             )
             return
         self.message_count += 1
-        reply = await handler(strip_message_prefix(message.body))
+        payload = strip_message_prefix(message.body)
+        headers = REPLY_HEADERS
+        if message.headers_by_name[':path'] in self.accepting_paths:
+            # A process that was paused finds calls that their callers have
+            # given up meanwhile.
+            if connection.is_closed_by_peer:
+                return
+            await connection.send_headers(message.stream_id, headers)
+            headers = {}
+            reply = await self._run_cancellable(handler, payload, connection)
+        else:
+            reply = await handler(payload)
         await connection.send(
-            message.stream_id, REPLY_HEADERS, reply, {'grpc-status': '0'}
+            message.stream_id, headers, reply, {'grpc-status': '0'}
         )
+
+    async def _run_cancellable(
+        self, handler: RpcHandler, payload: bytes, connection: RpcConnection
+    ) -> bytes:
+        """Run a handler that ends when its caller closes the connection."""
+        self._tasks_by_connection[connection] = await curio.current_task()
+        try:
+            return await handler(payload)
+        finally:
+            self._tasks_by_connection.pop(connection, None)
--- a/clementinebank/upstream/_pool.py
+++ b/clementinebank/upstream/_pool.py
@@ -107,6 +107,8 @@
         Time limit for opening a connection, in seconds.
     on_connected : callable or None
         Receives the leaf and the duration of each connect in seconds.
+    keeps_connections : bool
+        Whether a connection stays open after its call.
     connection_count : int
         Number of connection tasks.
     is_retired : bool
@@ -118,6 +120,7 @@
     protocol: LeafProtocol = attrs.Factory(SearchLeafProtocol)
     connect_timeout_s: float = float('inf')
     on_connected: Callable[[LeafEndpoint, float], None] | None = None
+    keeps_connections: bool = True
     connection_count: int = 0
     is_retired: bool = False
     _calls: Any = attrs.field(factory=curio.Queue)
@@ -183,6 +186,13 @@
         for _ in range(self.connection_count):
             await self._calls.put(None)
 
+    async def resize(self, max_connections: int) -> None:
+        """Change the number of connections; surplus ones end when free."""
+        surplus = self.connection_count - max_connections
+        self.max_connections = max_connections
+        for _ in range(surplus):
+            await self._calls.put(None)
+
     def invalidate_connections(self) -> None:
         """Use none of the open connections for further calls.
 
@@ -224,7 +234,7 @@
                     connection, generation
                 )
                 await self._run_call(connection, call)
-                if not connection.is_reusable:
+                if not (connection.is_reusable and self.keeps_connections):
                     await connection.close()
                 generation = await self._close_if_outdated(
                     connection, generation
--- a/clementinebank/upstream/_pools.py
+++ b/clementinebank/upstream/_pools.py
@@ -63,6 +63,8 @@
     ) -> None:
         """Retire the pools of removed or changed leafs and create new ones.
 
+        A changed number of connections resizes the pools that stay.
+
         Parameters
         ----------
         leafs_by_id : mapping of str to LeafEndpoint
@@ -71,12 +73,11 @@
             Largest number of connections to each leaf.
         """
         for leaf_id, pool in list(self.pools_by_leaf.items()):
-            if (
-                leafs_by_id.get(leaf_id) != pool.leaf
-                or pool.max_connections != max_connections
-            ):
+            if leafs_by_id.get(leaf_id) != pool.leaf:
                 self.on_removed(leaf_id)
                 await self.pools_by_leaf.pop(leaf_id).retire()
+            elif pool.max_connections != max_connections:
+                await pool.resize(max_connections)
         for leaf_id, leaf in leafs_by_id.items():
             if leaf_id not in self.pools_by_leaf:
                 opened = self.create_pool(leaf, max_connections)
--- a/clementinebank/validation/_reader.py
+++ b/clementinebank/validation/_reader.py
@@ -164,7 +164,7 @@
     def address(self, name: str) -> Address:
         """Read an address written as ``IP:PORT``."""
         found = self.text(name)
-        address = _parse_address(found)
+        address = parse_address(found)
         if address is None and found:
             self._report(name, f'must be IP:PORT, got {found!r}')
         return address or Address('0.0.0.0', 0)  # noqa: S104
@@ -175,7 +175,7 @@
         if found is None:
             return ()
         items = found if isinstance(found, list) else [found]
-        addresses = [_parse_address(item) for item in items]
+        addresses = [parse_address(item) for item in items]
         if not isinstance(found, list) or None in addresses:
             self._report(name, f'must be a list of IP:PORT, got {found!r}')
         return tuple(each for each in addresses if each is not None)
@@ -263,7 +263,7 @@
         self.problems.append(FieldProblem(path or '$', message, line))
 
 
-def _parse_address(text: Any) -> Address | None:
+def parse_address(text: Any) -> Address | None:
     """Return the address in a text ``IP:PORT``, ``None`` if it is invalid."""
     if not isinstance(text, str):
         return None
