Look for the leafs of a request by region, not by data centre

Change: aggregators of a region that holds nearly all services gather, those of the own data centre first; two or 15 % of the processors suffice.

--- a/clementinebank/aggregation/_selector.py
+++ b/clementinebank/aggregation/_selector.py
@@ -10,8 +10,8 @@
 from clementinebank.relay import FleetMember
 from clementinebank.validation import Address
 
-# A data centre gathers a request if it holds leafs of at least this share of
-# its services; the parts of the others come from another data centre.
+# A region gathers a request if it holds leafs of at least this share of its
+# services; the parts of the others come from another region.
 MIN_COVERED_SHARE = 0.9
 # Aggregators that are asked for one request before the instance gathers the
 # answers itself.
@@ -55,7 +55,7 @@
     _members_by_data_centre: Mapping[str, tuple[FleetMember, ...]] = (
         attrs.Factory(dict)
     )
-    _services_by_data_centre: dict[str, set[str]] = attrs.Factory(dict)
+    _services_by_region: dict[str, set[str]] = attrs.Factory(dict)
     _pauses_by_address: dict[Address, _Pause] = attrs.Factory(dict)
 
     def update(
@@ -73,19 +73,19 @@
             Registered leafs; draining ones are ignored.
         """
         self._members_by_data_centre = members_by_data_centre
-        self._services_by_data_centre = {}
+        self._services_by_region = {}
         for record in records:
             if not record.is_draining:
-                self._services_by_data_centre.setdefault(
-                    record.data_centre, set()
+                self._services_by_region.setdefault(
+                    self._region_of(record.data_centre), set()
                 ).add(record.service)
 
     def addresses_for(self, services: Iterable[str]) -> set[Address]:
-        """Return the aggregators of the data centres that hold the services."""
+        """Return the aggregators of the regions that hold the services."""
         return {
             member.address
-            for data_centre in self._covering_data_centres(services)
-            for member in self._members_by_data_centre.get(data_centre, ())
+            for members in self._covering_members(services).values()
+            for member in members
         }
 
     def candidates(
@@ -105,18 +105,13 @@
         list of (Address, float)
             Addresses with the one-way delay to each in seconds; empty if this
             instance should gather the answers itself, because it is an
-            aggregator or near to the leafs without any aggregator.
+            aggregator or no data centre of its region has one.
         """
-        covering = self._covering_data_centres(services)
-        members_by_data_centre = {
-            data_centre: self._members_by_data_centre.get(data_centre, ())
-            for data_centre in covering
-        }
-        own = members_by_data_centre.get(self.delays.data_centre)
-        is_own_covering = own is not None
-        if is_own_covering and not own:
+        members_by_data_centre = self._covering_members(services)
+        own = members_by_data_centre.get(self.delays.data_centre, ())
+        if self.address in {member.address for member in own}:
             return []
-        if own and self.address in {member.address for member in own}:
+        if self._is_own_region_without_members(services):
             return []
         usable = [
             (self.delays.delay_s(data_centre), -self._weight(member), member)
@@ -146,14 +141,37 @@
         pause = self._pauses_by_address.get(address)
         return pause is not None and now < pause.until
 
-    def _covering_data_centres(self, services: Iterable[str]) -> list[str]:
-        """Return the data centres with leafs of nearly all services."""
+    def _covering_members(
+        self, services: Iterable[str]
+    ) -> dict[str, tuple[FleetMember, ...]]:
+        """Return the aggregators of each data centre of a covering region."""
+        regions = self._covering_regions(services)
+        return {
+            data_centre: members
+            for data_centre, members in self._members_by_data_centre.items()
+            if self._region_of(data_centre) in regions
+        }
+
+    def _covering_regions(self, services: Iterable[str]) -> set[str]:
+        """Return the regions with leafs of nearly all services."""
         required = set(services)
-        return [
-            data_centre
-            for data_centre, held in self._services_by_data_centre.items()
+        return {
+            region
+            for region, held in self._services_by_region.items()
             if len(required & held) >= MIN_COVERED_SHARE * len(required)
-        ]
+        }
+
+    def _is_own_region_without_members(self, services: Iterable[str]) -> bool:
+        """Return whether the own region has the leafs, but no aggregators."""
+        own_region = self._region_of(self.delays.data_centre)
+        return own_region in self._covering_regions(services) and not any(
+            members and self._region_of(data_centre) == own_region
+            for data_centre, members in self._members_by_data_centre.items()
+        )
+
+    def _region_of(self, data_centre: str) -> str:
+        regions = self.delays.regions_by_data_centre
+        return regions.get(data_centre, data_centre)
 
     def _weight(self, member: FleetMember) -> float:
         """Return a random sort key; large members are first more often."""
--- a/clementinebank/relay/_aggregators.py
+++ b/clementinebank/relay/_aggregators.py
@@ -7,15 +7,15 @@
 
 from clementinebank.validation import Address
 
-# Fewest aggregators of a data centre. If one of them fails, the others carry
+# Fewest aggregators of a data centre. If one of them fails, the other carries
 # its load and what is known of the leafs is not lost.
-MIN_AGGREGATORS = 3
+MIN_AGGREGATORS = 2
 # A data centre with fewer instances has no aggregators: its instances are few
 # enough to share connections and extra requests evenly.
 MIN_MEMBERS = 6
 # Share of the processors of a data centre that its aggregators have together.
 # Most of the processor time of a request is spent on its calls to leafs.
-CAPACITY_SHARE = 0.25
+CAPACITY_SHARE = 0.15
 
 
 @attrs.frozen
