--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -27,6 +27,7 @@
 )
 from clementinebank.forwarding._shares import FleetShares
 from clementinebank.forwarding._topology import LeafTopology, create_topology
+from clementinebank.http import BufferLimit
 from clementinebank.leafs import LeafDirectory, LeafEndpoint, LeafRecord
 from clementinebank.routes import Route, RouteTable
 from clementinebank.routing import (
@@ -98,6 +99,8 @@
     shares : FleetShares
         Shares of this instance in the connections to a leaf and in the burst
         of extra requests.
+    buffers : BufferLimit
+        Bounds of the response bodies that are being read.
     on_request_end : callable or None
         Called when a request has ended, with the request, its route, its
         trace and its duration in seconds.
@@ -116,6 +119,7 @@
     delays: LinkDelays
     limits: ExtraLoadLimits = ExtraLoadLimits()
     shares: FleetShares = FleetShares(8)
+    buffers: BufferLimit = attrs.Factory(BufferLimit)
     on_request_end: OnRequestEnd | None = None
     on_gathering_end: OnRequestEnd | None = None
     rng: random.Random = attrs.Factory(random.Random)
@@ -338,6 +342,7 @@
             self.codec.protocol,
             CONNECT_TIMEOUT_S,
             self._on_connected,
+            self.buffers,
         )
 
     def _on_connected(self, leaf: LeafEndpoint, elapsed_s: float) -> None:
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -264,6 +264,7 @@
             self.leaf_directory,
             delays,
             ExtraLoadLimits(bounds.retry_ratio, bounds.retry_burst),
+            buffers=settings.resources.buffer_limit,
             on_request_end=request_log.record,
             on_gathering_end=request_log.record_gathering,
         )
--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -6,6 +6,7 @@
 from result import Result
 
 from clementinebank.errors import FieldProblem
+from clementinebank.http import BufferLimit
 from clementinebank.relay import FreshnessBounds
 from clementinebank.validation import Address, FieldReader, load_yaml
 
@@ -17,6 +18,13 @@
 MIN_WATCH_WAIT_S = 1.0
 # Least share and speed of a processor.
 MIN_PROCESSOR = 0.01
+# Least memory of an instance; without any load it takes half of it.
+MIN_MEMORY_MB = 64
+BYTES_PER_MB = 1_000_000
+# Share of the memory for the bodies of responses of leafs that are being read.
+BUFFERED_MEMORY_SHARE = 0.2
+# Bodies of the largest accepted size that fit into the buffers at once.
+MAX_BODIES_IN_BUFFERS = 16
 
 
 @attrs.frozen
@@ -75,10 +83,19 @@
         Share of its processor that the instance may use, above 0.
     processor_speed : float
         Speed of the processor, as a multiple of a core.
+    memory_mb : float
+        Memory at which the process is killed, in megabytes.
     """
 
     processor_share: float
     processor_speed: float
+    memory_mb: float
+
+    @property
+    def buffer_limit(self) -> BufferLimit:
+        """Return the bounds of the response bodies that are being read."""
+        max_bytes = BUFFERED_MEMORY_SHARE * self.memory_mb * BYTES_PER_MB
+        return BufferLimit(max_bytes, int(max_bytes / MAX_BODIES_IN_BUFFERS))
 
     @property
     def cores(self) -> float:
@@ -166,6 +183,7 @@
     resources = ResourceLimits(
         reader.number('processor_share', minimum=MIN_PROCESSOR),
         reader.number('processor_speed', minimum=MIN_PROCESSOR),
+        reader.number('memory_mb', minimum=MIN_MEMORY_MB),
     )
     reader.report_unknown_fields()
     return resources
--- a/clementinebank/gateway/tests/test_settings.py
+++ b/clementinebank/gateway/tests/test_settings.py
@@ -30,6 +30,7 @@
 resources:
   processor_share: 0.537
   processor_speed: 2
+  memory_mb: 300
 bounds:
   drain_ms: 3000
   shutdown_s: 6
@@ -53,6 +54,7 @@
     assert settings.bounds.watch_wait_s == 5
     assert settings.bounds.freshness.max_change_delay_s == 3
     assert settings.resources.cores == 1.074
+    assert settings.resources.buffer_limit.max_bytes == 60_000_000
     assert settings.seeds == (Address('127.0.0.1', 5), Address('127.0.0.1', 6))
     assert settings.regions_by_data_centre == {'dc-1': 'region-1'}
 
@@ -64,6 +66,7 @@
         ('retry_ratio: 0.2', 'retry_ratio: 2', 'bounds.retry_ratio'),
         ('instance_id: g-1', 'instance_id: 7', 'instance_id'),
         ('_speed: 2', '_speed: fast', 'resources.processor_speed'),
+        ('memory_mb: 300', 'memory_mb: 1', 'resources.memory_mb'),
         ('_share: 0.537', '_share: 0', 'resources.processor_share'),
         ('_share: 0.537', '_part: 0.5', 'resources.processor_part'),
         ('"127.0.0.1:4"', '"store:4"', 'control_store'),
--- a/clementinebank/http/__init__.py
+++ b/clementinebank/http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client and server on curio and h11."""
 
+from clementinebank.http._buffers import BufferLimit
 from clementinebank.http._client import (
     HttpConnection,
     HttpProtocolError,
@@ -20,8 +21,11 @@
     ServerState,
 )
 from clementinebank.http._sockets import is_closed_by_peer
+from clementinebank.http._turns import MAX_TURN_S, ReadTurn
 
 __all__ = (
+    'MAX_TURN_S',
+    'BufferLimit',
     'Handler',
     'HttpConnection',
     'HttpLimits',
@@ -29,6 +33,7 @@
     'HttpRequest',
     'HttpResponse',
     'HttpServer',
+    'ReadTurn',
     'ServerConnection',
     'ServerState',
     'fetch',
--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -10,11 +10,15 @@
 import h11
 
 from clementinebank.clock import now
+from clementinebank.http._buffers import MAX_REPLY_BYTES, BufferLimit
 from clementinebank.http._messages import HttpRequest, HttpResponse
 from clementinebank.http._sockets import READ_SIZE_BYTES, has_input
+from clementinebank.http._turns import ReadTurn
 
-MAX_REPLY_BYTES = 8 * 1024 * 1024
 MAX_REPLY_HEADER_BYTES = 64 * 1024
+# Informational (1xx) responses that may precede a response. Without a bound, a
+# server could keep the call waiting by sending them for ever.
+MAX_INFORMATIONAL_RESPONSES = 16
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # Without a body, requests of these methods carry no content-length header:
 # `content-length: 0` would only enlarge each of many small requests.
@@ -58,6 +62,8 @@
     allows_close_delimited : bool
         Whether a response may state no length; its body then ends where the
         server closes the connection.
+    buffers : BufferLimit
+        Bound of this and all other response bodies that are being read.
     bytes_sent : int
         Bytes passed to the socket, over all requests.
     """
@@ -66,6 +72,7 @@
     port: int
     max_body_bytes: int = MAX_REPLY_BYTES
     allows_close_delimited: bool = False
+    buffers: BufferLimit = attrs.Factory(BufferLimit)
     bytes_sent: int = 0
     _sock: Any = None
     _http: Any = None
@@ -180,11 +187,10 @@
         OSError
             If the transport fails.
         """
-        head = await self._next_event()
-        while isinstance(head, h11.InformationalResponse):
-            head = await self._next_event()
+        turn = ReadTurn()
+        head = await self._read_head(turn)
         self._check_length(head)
-        body = await self._read_body()
+        body = await self._read_body(turn)
         self._start_next_cycle()
         headers = {
             name.decode('latin-1'): value.decode('latin-1')
@@ -223,14 +229,33 @@
             if name == b'content-length' and int(length) > self.max_body_bytes:
                 raise HttpProtocolError('the response body is too large')
 
-    async def _read_body(self) -> bytes:
+    async def _read_head(self, turn: ReadTurn) -> Any:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
+            head = await self._next_event(turn)
+            if not isinstance(head, h11.InformationalResponse):
+                return head
+        raise HttpProtocolError(
+            f'more than {MAX_INFORMATIONAL_RESPONSES} informational responses'
+        )
+
+    async def _read_body(self, turn: ReadTurn) -> bytes:
         body = bytearray()
-        event = await self._next_event()
-        while isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > self.max_body_bytes:
-                raise HttpProtocolError('the response body is too large')
-            event = await self._next_event()
+        reserved = 0
+        try:
+            event = await self._next_event(turn)
+            while isinstance(event, h11.Data):
+                size = len(event.data)
+                if not self.buffers.reserve(size):
+                    raise HttpProtocolError(
+                        'the response bodies together are too large'
+                    )
+                reserved += size
+                body += event.data
+                if len(body) > self.max_body_bytes:
+                    raise HttpProtocolError('the response body is too large')
+                event = await self._next_event(turn)
+        finally:
+            self.buffers.release(reserved)
         return bytes(body)
 
     def _start_next_cycle(self) -> None:
@@ -238,8 +263,9 @@
         if states == {h11.DONE}:
             self._http.start_next_cycle()
 
-    async def _next_event(self) -> Any:
+    async def _next_event(self, turn: ReadTurn) -> Any:
         while True:
+            await turn.yield_if_due()
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
--- a/clementinebank/http/_request_reader.py
+++ b/clementinebank/http/_request_reader.py
@@ -10,6 +10,7 @@
 from clementinebank.http._limits import HttpLimits
 from clementinebank.http._messages import HttpRequest
 from clementinebank.http._sockets import READ_SIZE_BYTES
+from clementinebank.http._turns import ReadTurn
 
 BAD_REQUEST_STATUS = 400
 REQUEST_TIMEOUT_STATUS = 408
@@ -38,6 +39,7 @@
     sock: Any
     http: Any
     limits: HttpLimits
+    _turn: ReadTurn = attrs.Factory(ReadTurn)
 
     async def read(self) -> HttpRequest | None:
         """Return the request, or ``None`` if the client closed before it.
@@ -105,9 +107,11 @@
             )
 
     async def _next_event(self) -> Any:
+        await self._turn.yield_if_due()
         event = self.http.next_event()
         while event is h11.NEED_DATA:
             await self._receive_bytes()
+            await self._turn.yield_if_due()
             event = self.http.next_event()
         return event
 
--- a/clementinebank/http/_server_connection.py
+++ b/clementinebank/http/_server_connection.py
@@ -24,6 +24,7 @@
     linger,
     wait_for_input,
 )
+from clementinebank.http._turns import ReadTurn
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 REQUEST_TIMEOUT_STATUS = 408
@@ -135,9 +136,12 @@
     async def run(self) -> None:
         """Serve requests one after the other, then close the connection."""
         next_step = NextStep.REUSE
+        turn = ReadTurn()
         try:
             while next_step is NextStep.REUSE:
                 next_step = await self._serve_next()
+                # A client may send its next request before each response.
+                await turn.yield_if_due()
             if next_step is NextStep.LINGER:
                 await linger(self.sock, self.state.limits.linger_s)
         except OSError:
--- a/clementinebank/rpc/_connection.py
+++ b/clementinebank/rpc/_connection.py
@@ -12,9 +12,12 @@
 from h2.exceptions import ProtocolError
 from h2.settings import SettingCodes
 
-from clementinebank.http import is_closed_by_peer
+from clementinebank.http import ReadTurn, is_closed_by_peer
 
 READ_SIZE_BYTES = 65_536
+# Bytes that are parsed without letting other tasks run. The smallest frames
+# have nine bytes and take about 0.1 ms each.
+PARSED_SIZE_BYTES = 1024
 # A whole document has at most 1 MB; the names and digests of its sections are
 # added to that.
 MAX_MESSAGE_BYTES = 1_500_000
@@ -173,8 +176,10 @@
             If the other side breaks the protocol, closes within a message or
             sends one that is larger than ``MAX_MESSAGE_BYTES``.
         """
+        turn = ReadTurn()
         message = self._next_message()
         while message is None:
+            await turn.yield_if_due()
             # Received data may have queued window updates for the other side.
             await self.flush()
             if not await self._receive_events():
@@ -200,12 +205,18 @@
         if not chunk:
             return False
         self.bytes_received += len(chunk)
+        turn = ReadTurn()
+        for start in range(0, len(chunk), PARSED_SIZE_BYTES):
+            self._parse(chunk[start : start + PARSED_SIZE_BYTES])
+            await turn.yield_if_due()
+        await self.flush()
+        return True
+
+    def _parse(self, received: bytes) -> None:
         try:
-            self._events.extend(self._http.receive_data(chunk))
+            self._events.extend(self._http.receive_data(received))
         except ProtocolError as error:
             raise RpcProtocolError(f'invalid HTTP/2: {error!r}') from error
-        await self.flush()
-        return True
 
     async def _send_body(self, stream_id: int, body: bytes) -> None:
         rest = memoryview(body)
--- a/clementinebank/upstream/_pool.py
+++ b/clementinebank/upstream/_pool.py
@@ -10,6 +10,7 @@
 from clementinebank.clock import now, run_before
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import (
+    BufferLimit,
     HttpConnection,
     HttpProtocolError,
     HttpRequest,
@@ -107,6 +108,8 @@
         Time limit for opening a connection, in seconds.
     on_connected : callable or None
         Receives the leaf and the duration of each connect in seconds.
+    buffers : BufferLimit
+        Bounds of the response bodies that are being read.
     keeps_connections : bool
         Whether a connection stays open after its call.
     connection_count : int
@@ -120,6 +123,7 @@
     protocol: LeafProtocol = attrs.Factory(SearchLeafProtocol)
     connect_timeout_s: float = float('inf')
     on_connected: Callable[[LeafEndpoint, float], None] | None = None
+    buffers: BufferLimit = attrs.Factory(BufferLimit)
     keeps_connections: bool = True
     connection_count: int = 0
     is_retired: bool = False
@@ -374,6 +378,8 @@
         return HttpConnection(
             address.host,
             address.port,
+            max_body_bytes=self.buffers.max_body_bytes,
+            buffers=self.buffers,
             allows_close_delimited=self.protocol.allows_close_delimited,
         )
 
