--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -240,24 +240,25 @@
 
     async def _read_body(self, turn: ReadTurn) -> bytes:
         body = bytearray()
-        reserved = 0
         try:
             event = await self._next_event(turn)
             while isinstance(event, h11.Data):
-                size = len(event.data)
-                if not self.buffers.reserve(size):
-                    raise HttpProtocolError(
-                        'the response bodies together are too large'
-                    )
-                reserved += size
-                body += event.data
-                if len(body) > self.max_body_bytes:
-                    raise HttpProtocolError('the response body is too large')
+                self._append(body, event.data)
                 event = await self._next_event(turn)
         finally:
-            self.buffers.release(reserved)
+            self.buffers.release(len(body))
         return bytes(body)
 
+    def _append(self, body: bytearray, data: bytes) -> None:
+        """Append to a body; raise if it, or all together, get too large."""
+        if len(body) + len(data) > self.max_body_bytes:
+            raise HttpProtocolError('the response body is too large')
+        if not self.buffers.reserve(len(data)):
+            raise HttpProtocolError(
+                'the response bodies together are too large'
+            )
+        body += data
+
     def _start_next_cycle(self) -> None:
         states = {self._http.our_state, self._http.their_state}
         if states == {h11.DONE}:
