Begin a gathering only after its acceptance, and never repeat one

Tokens paid for the repeat, but each aggregator counts max_attempts for itself. Change: the entry instance ends the stream only when the aggregator has accepted it; before that end nothing is begun, also not by a process that wakes from a pause. So a silent or busy aggregator costs time and never a second call. A gathering that breaks after that fails at once with 502; the caller may retry. The marks of repeats, and the state machine of parallel attempts, go. Ruled out: a longer time for the acceptance (rarer, still broken), splitting max_attempts (no hedges left at 2).

--- a/clementinebank/aggregation/__init__.py
+++ b/clementinebank/aggregation/__init__.py
@@ -7,13 +7,6 @@
 """
 
 from clementinebank.aggregation._client import GATHER_PATH, AggregationClient
-from clementinebank.aggregation._delegation import (
-    AskAggregator,
-    Delegation,
-    DropAttempt,
-    GatherLocally,
-    PauseAggregator,
-)
 from clementinebank.aggregation._delegator import Delegator
 from clementinebank.aggregation._messages import (
     GatherOutcome,
@@ -31,14 +24,9 @@
     'AggregationClient',
     'AggregationService',
     'AggregatorSelector',
-    'AskAggregator',
-    'Delegation',
     'Delegator',
-    'DropAttempt',
-    'GatherLocally',
     'GatherOutcome',
     'GatherRequest',
-    'PauseAggregator',
     'decode_outcome',
     'decode_request',
     'encode_outcome',
--- a/clementinebank/aggregation/_client.py
+++ b/clementinebank/aggregation/_client.py
@@ -11,9 +11,13 @@
     decode_outcome,
     encode_request,
 )
-from clementinebank.clock import now
 from clementinebank.errors import Execution, Step
-from clementinebank.rpc import CALL_ERRORS, RpcChannel, failure_from_error
+from clementinebank.rpc import (
+    CALL_ERRORS,
+    CallDeadlines,
+    RpcChannel,
+    failure_from_error,
+)
 from clementinebank.validation import Address
 
 GATHER_PATH = '/clementinebank.Aggregation/Gather'
@@ -36,10 +40,7 @@
     _idle_by_address: dict[Address, list[RpcChannel]] = attrs.Factory(dict)
 
     async def gather(
-        self,
-        address: Address,
-        request: GatherRequest,
-        on_accepted: Callable[[], None],
+        self, address: Address, request: GatherRequest, deadlines: CallDeadlines
     ) -> GatherOutcome:
         """Ask an aggregator and return the answer or why there is none.
 
@@ -52,27 +53,28 @@
             Where the aggregator answers.
         request : GatherRequest
             Request to gather.
-        on_accepted : callable
-            Called when the aggregator has begun.
+        deadlines : CallDeadlines
+            When the aggregator must have accepted and answered.
+
+        Returns
+        -------
+        Result
+            The answer; or a failure, which states that nothing ran if the
+            aggregator refused the request or didn't accept it in time.
         """
         idle = self._idle_by_address.setdefault(address, [])
         channel = idle.pop() if idle else self.create_channel(address)
-        channel.on_accepted = on_accepted
         try:
-            outcome: GatherOutcome = await channel.call_before(
-                now() + request.deadline_s,
-                GATHER_PATH,
-                encode_request(request),
-                decode_outcome,
+            outcome: GatherOutcome = await channel.call_when_accepted(
+                deadlines, GATHER_PATH, encode_request(request), decode_outcome
             )
         except CALL_ERRORS as error:
             failure = failure_from_error(error, Step.DISPATCH, str(address))
-            if channel.is_sent:
+            if channel.is_handled:
                 failure = attrs.evolve(
                     failure, execution=Execution.UNKNOWN, status=BAD_GATEWAY
                 )
             return Err(failure)
-        channel.on_accepted = None
         if len(idle) < MAX_IDLE_CHANNELS:
             idle.append(channel)
         else:
--- a/clementinebank/aggregation/_delegator.py
+++ b/clementinebank/aggregation/_delegator.py
@@ -1,26 +1,16 @@
 """Forwards requests of callers, by aggregators or by this instance."""
 
-from typing import Any
-
 import attrs
 import curio
 from eliot import log_message
-from result import Err, Ok, Result
+from result import Err, Result
 
 from clementinebank.aggregation._client import AggregationClient
-from clementinebank.aggregation._delegation import (
-    AskAggregator,
-    Delegation,
-    DelegationAction,
-    DropAttempt,
-    GatherLocally,
-    PauseAggregator,
-)
 from clementinebank.aggregation._messages import GatherOutcome, GatherRequest
 from clementinebank.aggregation._selector import AggregatorSelector
-from clementinebank.clock import get_before, now
-from clementinebank.dispatch import Finish, Refuse
-from clementinebank.errors import Failure
+from clementinebank.clock import now
+from clementinebank.dispatch import TraceEvent
+from clementinebank.errors import Execution, Failure
 from clementinebank.forwarding import (
     CALLER_RESERVE_S,
     Answer,
@@ -30,14 +20,15 @@
 )
 from clementinebank.relay import RelayDirectory
 from clementinebank.routes import Route
+from clementinebank.rpc import CallDeadlines
 from clementinebank.validation import Address
 
+MS_PER_S = 1000
 # Share of the latency objective within which an aggregator accepts a request.
-# An aggregator that runs accepts after one round trip.
-ACCEPT_SHARE = 0.2
-# Least time for the acceptance beyond the round trip: connecting takes another
-# one, and a process whose processor quota is used up waits for the next tenth
-# of a second.
+# An aggregator that runs accepts after one round trip, a busy one later, so
+# that its requests go elsewhere.
+ACCEPT_SHARE = 0.15
+# Least time for the acceptance beyond the round trip.
 MIN_ACCEPT_S = 0.02
 # Codes of failures of the aggregator itself, not of the leafs that it called.
 PAUSING_CODES = frozenset(
@@ -56,6 +47,12 @@
 class Delegator:
     """Forwarder that hands scatter-gather requests to aggregators.
 
+    The aggregators are asked one after the other. An aggregator that refuses
+    or doesn't accept a request in time never begins it, so that the next one,
+    or at last this instance, gathers the answers without repeating a call. A
+    request whose aggregator fails later may have run; it fails at once, since
+    each leaf of a service may run it only ``max_attempts`` times.
+
     Parameters
     ----------
     engine : ForwardingEngine
@@ -104,147 +101,116 @@
         )
         if not candidates:
             return await self.engine.forward(request, route)
-        started_at = now()
-        delegation = _create_delegation(request, route, candidates)
-        run = _DelegatedRun(self, request, route, delegation, dict(candidates))
+        run = _DelegatedRun(self, request, route)
         try:
-            return await run.run()
-        finally:
-            if self.on_request_end is not None:
-                self.on_request_end(
-                    request, route, delegation.trace, now() - started_at
-                )
-
-
-def _create_delegation(
-    request: ForwardRequest,
-    route: Route,
-    candidates: list[tuple[Address, float]],
-) -> Delegation:
-    started_at = now()
-    farthest_s = max(delay_s for _, delay_s in candidates)
-    return Delegation(
-        [address for address, _ in candidates],
-        2 * farthest_s + max(MIN_ACCEPT_S, ACCEPT_SHARE * route.objective_s),
-        started_at + route.objective_s,
-        min(request.deadline - CALLER_RESERVE_S, started_at + route.timeout_s),
-        started_at,
-    )
+            outcome = await run.ask_all(candidates)
+        except curio.CancelledError:
+            run.trace_event('abandoned')
+            run.report_end()
+            raise
+        if outcome is None:
+            # The engine reports the end of the request itself.
+            return await self.engine.forward(
+                request, run.remaining_route(delay_s=0)
+            )
+        run.report_end()
+        return outcome
 
 
 @attrs.define(eq=False)
 class _DelegatedRun:
-    """Runner of one delegated request, which performs its actions."""
+    """One request that aggregators are asked to gather."""
 
     delegator: Delegator
     request: ForwardRequest
     route: Route
-    delegation: Delegation
-    delays_s_by_address: dict[Address, float]
-    result: Result[Answer, Failure] | None = None
-    # Triples of attempt id, event and outcome.
-    _events: Any = attrs.field(factory=curio.Queue)
-    _tasks_by_attempt: dict[int, Any] = attrs.Factory(dict)
-
-    async def run(self) -> Result[Answer, Failure]:
-        """Run the request; a cancellation ends all its attempts."""
-        delegation = self.delegation
-        try:
-            await self._perform(delegation.start(now()))
-            while self.result is None:
-                outcome = await get_before(delegation.next_wakeup, self._events)
-                if outcome is None:
-                    await self._perform(delegation.on_time(now()))
-                else:
-                    await self._perform(self._on_outcome(*outcome))
-        finally:
-            async with curio.disable_cancellation():
-                for task in self._tasks_by_attempt.values():
-                    await task.cancel(blocking=False)
-        return self.result
-
-    def _on_outcome(
-        self, attempt_id: int, outcome: Result[Any, Failure]
-    ) -> list[DelegationAction]:
-        self._tasks_by_attempt.pop(attempt_id, None)
-        if isinstance(outcome, Err):
-            return self.delegation.on_failure(
-                attempt_id, outcome.err_value, now()
+    _started_at: float = attrs.Factory(now)
+    _trace: list[TraceEvent] = attrs.Factory(list)
+
+    async def ask_all(
+        self, candidates: list[tuple[Address, float]]
+    ) -> GatherOutcome | None:
+        """Ask one aggregator after the other.
+
+        Returns
+        -------
+        Result or None
+            The answer, or the failure of a gathering that may have called
+            leafs; ``None`` if no aggregator has begun the request.
+        """
+        for address, delay_s in candidates:
+            outcome = await self._ask(address, delay_s)
+            if not isinstance(outcome, Err):
+                self.trace_event('gathered', missing=outcome.ok_value.missing)
+                return outcome
+            failure = outcome.err_value
+            if failure.execution is not Execution.NOT_RUN:
+                self.trace_event(
+                    'refused', reason=failure.message, status=failure.status
+                )
+                return outcome
+            self.trace_event(
+                'passed_over', aggregator=str(address), reason=failure.code
             )
-        return self.delegation.on_answer(attempt_id, outcome.ok_value, now())
-
-    async def _perform(self, actions: list[DelegationAction]) -> None:
-        for action in actions:
-            match action:
-                case AskAggregator():
-                    await self._start(action.attempt_id, self._ask, action)
-                case GatherLocally():
-                    await self._start(action.attempt_id, self._gather, action)
-                case DropAttempt():
-                    await self._drop(action.attempt_id)
-                case PauseAggregator():
-                    self._pause(action.address, action.reason)
-                case Finish():
-                    self.result = Ok(action.answer)
-                case Refuse():
-                    self.result = Err(action.failure)
-
-    async def _start(self, attempt_id: int, corofunc: Any, action: Any) -> None:
-        self._tasks_by_attempt[attempt_id] = await curio.spawn(
-            corofunc, action, daemon=True
-        )
+        return None
 
-    async def _drop(self, attempt_id: int) -> None:
-        task = self._tasks_by_attempt.pop(attempt_id, None)
-        if task is not None:
-            await task.cancel(blocking=False)
+    def remaining_route(self, delay_s: float) -> Route:
+        """Return the route with the rest of its times as objective and timeout.
 
-    async def _ask(self, action: AskAggregator) -> None:
-        """Ask an aggregator and pass its outcome to the request."""
-        outcome = await self.delegator.client.gather(
-            action.address,
-            self._create_message(action),
-            lambda: self.delegation.on_accepted(action.attempt_id, now()),
-        )
-        if isinstance(outcome, Ok):
-            self.delegator.selector.on_success(action.address)
-        elif outcome.err_value.code in PAUSING_CODES:
-            self._pause(action.address, str(outcome.err_value))
-        await self._events.put((action.attempt_id, outcome))
-
-    async def _gather(self, action: GatherLocally) -> None:
-        outcome: GatherOutcome = await self.delegator.engine.gather(
-            self.request, self.route, action.is_repeat
-        )
-        await self._events.put((action.attempt_id, outcome))
-
-    def _create_message(self, action: AskAggregator) -> GatherRequest:
-        """Return the message to an aggregator, with the time that is left.
-
-        The deadline leaves time for the reply to come back, the objective for
-        both ways.
+        Parameters
+        ----------
+        delay_s : float
+            One-way delay to the instance that gathers the answers, in
+            seconds. The objective leaves time for both ways.
         """
-        delay_s = self.delays_s_by_address[action.address]
-        elapsed_s = now() - self.delegation.started_at
-        route = attrs.evolve(
+        elapsed_s = now() - self._started_at
+        return attrs.evolve(
             self.route,
             objective_s=self.route.objective_s - elapsed_s - 2 * delay_s,
+            timeout_s=self.route.timeout_s - elapsed_s - delay_s,
         )
-        deadline_s = self.delegation.finish_at - now() - delay_s
-        return GatherRequest(
+
+    def trace_event(self, event: str, **facts: object) -> None:
+        """Add an event to the trace of the request."""
+        offset_ms = (now() - self._started_at) * MS_PER_S
+        self._trace.append(TraceEvent(offset_ms, event, facts))
+
+    def report_end(self) -> None:
+        """Report the end of the request with its trace."""
+        on_end = self.delegator.on_request_end
+        if on_end is not None:
+            on_end(
+                self.request, self.route, self._trace, now() - self._started_at
+            )
+
+    async def _ask(self, address: Address, delay_s: float) -> GatherOutcome:
+        """Ask one aggregator; pause it if it has failed itself."""
+        self.trace_event('delegated', aggregator=str(address))
+        accept_s = max(MIN_ACCEPT_S, ACCEPT_SHARE * self.route.objective_s)
+        finish_at = min(
+            self.request.deadline - CALLER_RESERVE_S,
+            self._started_at + self.route.timeout_s,
+        )
+        message = GatherRequest(
             self.request.request_id,
-            deadline_s,
+            finish_at - now() - delay_s,
             self.request.http_request,
-            route,
-            action.is_repeat,
+            self.remaining_route(delay_s),
         )
-
-    def _pause(self, address: Address, reason: str) -> None:
-        pause_s = self.delegator.selector.on_failure(address, now())
-        log_message(
-            message_type='aggregation:paused',
-            request_id=self.request.request_id,
-            aggregator=str(address),
-            reason=reason,
-            seconds=pause_s,
+        outcome = await self.delegator.client.gather(
+            address,
+            message,
+            CallDeadlines(now() + 2 * delay_s + accept_s, finish_at),
         )
+        selector = self.delegator.selector
+        if not isinstance(outcome, Err):
+            selector.on_success(address)
+        elif outcome.err_value.code in PAUSING_CODES:
+            log_message(
+                message_type='aggregation:paused',
+                request_id=self.request.request_id,
+                aggregator=str(address),
+                reason=str(outcome.err_value),
+                seconds=selector.on_failure(address, now()),
+            )
+        return outcome
--- a/clementinebank/aggregation/_messages.py
+++ b/clementinebank/aggregation/_messages.py
@@ -39,15 +39,12 @@
     route : Route
         Scatter-gather route of the request; its objective is the time that is
         left of it, in seconds.
-    is_repeat : bool
-        Whether another instance may have sent the request to leafs before.
     """
 
     request_id: str
     deadline_s: float
     http_request: HttpRequest
     route: Route
-    is_repeat: bool = False
 
 
 GatherOutcome = Result[MergedAnswer, Failure]
@@ -82,7 +79,6 @@
         min_share=route.scatter_gather.min_share,
         objective_ms=_to_ms(route.objective_s),
         max_attempts=route.max_attempts,
-        is_repeat=request.is_repeat,
     ).SerializeToString()
 
 
@@ -117,7 +113,6 @@
             scatter_gather=scatter_gather,
             max_attempts=raw.max_attempts,
         ),
-        raw.is_repeat,
     )
 
 
--- a/clementinebank/aggregation/_service.py
+++ b/clementinebank/aggregation/_service.py
@@ -25,7 +25,7 @@
 MAX_DEADLINE_S = 9.0
 DRAIN_CHECK_INTERVAL_S = 0.02
 
-Gather = Callable[[ForwardRequest, Route, bool], Awaitable[GatherOutcome]]
+Gather = Callable[[ForwardRequest, Route], Awaitable[GatherOutcome]]
 HasService = Callable[[str], bool]
 
 
@@ -40,8 +40,7 @@
     Parameters
     ----------
     gather : callable
-        Coroutine function that gathers a request on a route; the flag tells
-        whether its calls repeat those of another instance.
+        Coroutine function that gathers a request on a route.
     has_service : callable
         Returns whether leafs of a service are known.
     metrics : Metrics
@@ -108,7 +107,7 @@
         forwarded = ForwardRequest(
             request.request_id, deadline, request.http_request
         )
-        return await self.gather(forwarded, request.route, request.is_repeat)
+        return await self.gather(forwarded, request.route)
 
     def _refusal_of(self, request: GatherRequest) -> Failure | None:
         """Return why a request isn't gathered, ``None`` if it is."""
--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -126,7 +126,7 @@
         list of SendCall or CancelCall
             Empty if the shard waits for a free leaf or is given up.
         """
-        if not shard.is_resent and not shard.is_repeat:
+        if not shard.is_resent:
             self.router.budget_of(shard.group_id).on_request()
         shard.local_wait_until = now + self.policy.max_local_wait_s
         actions = self._send_or_wait(shard, now)
@@ -262,7 +262,8 @@
         is_retry = shard.sent_count > 0
         may_send = not is_retry or self._has_attempt_left(shard)
         if leaf_id is not None and may_send:
-            if not shard.is_next_call_extra or self._spend_token(shard):
+            is_extra = shard.sent_count > shard.unsent_count
+            if not is_extra or self._spend_token(shard):
                 if is_retry:
                     self.trace(now, 'retry', leaf=leaf_id)
                 return [self._send(shard, leaf_id, now)]
--- a/clementinebank/dispatch/_shards.py
+++ b/clementinebank/dispatch/_shards.py
@@ -31,9 +31,6 @@
     is_resent : bool
         Whether the query has moved to another snapshot and starts again. It
         then paid for this shard and adds no tokens to the budget.
-    is_repeat : bool
-        Whether another instance may have called a leaf of the group for this
-        request. The first call of this one then costs a token too.
     attempts_by_id : dict of str to Attempt
         Attempts that have not ended.
     failed_leafs : set of str
@@ -68,7 +65,6 @@
     group_id: str
     unsuitable_leafs: set[str] = attrs.Factory(set)
     is_resent: bool = False
-    is_repeat: bool = False
     attempts_by_id: dict[str, Attempt] = attrs.Factory(dict)
     failed_leafs: set[str] = attrs.Factory(set)
     sent_count: int = 0
@@ -89,11 +85,6 @@
         """Return whether the shard answered."""
         return self.answered_by is not None
 
-    @property
-    def is_next_call_extra(self) -> bool:
-        """Return whether the next call repeats one that a leaf may have got."""
-        return self.is_repeat or self.sent_count > self.unsent_count
-
     @property
     def excluded_leafs(self) -> set[str]:
         """Return the leafs that must not get the next attempt."""
--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -216,7 +216,7 @@
         return await self._run(forward, self.on_request_end)
 
     async def gather(
-        self, request: ForwardRequest, route: Route, is_repeat: bool
+        self, request: ForwardRequest, route: Route
     ) -> Result[MergedAnswer, Failure]:
         """Gather the answers to one scatter-gather request.
 
@@ -226,9 +226,6 @@
             Request of a caller of another instance.
         route : Route
             Scatter-gather route, as the other instance knows it.
-        is_repeat : bool
-            Whether another instance may have sent the request to leafs before.
-            Each call then costs a token of the budget.
 
         Returns
         -------
@@ -236,7 +233,7 @@
             The merged answer, or the failure if too few leafs answered.
         """
         forward = ForwardStateMachine(
-            request, route, route.services, self.router, is_repeat=is_repeat
+            request, route, route.services, self.router
         )
         outcome = await self._run(forward, self.on_gathering_end)
         return cast(Result[MergedAnswer, Failure], outcome)
--- a/clementinebank/forwarding/_forward.py
+++ b/clementinebank/forwarding/_forward.py
@@ -73,8 +73,6 @@
         Services that get the request, all of the same configuration version.
     router : Router
         Chooses the leafs.
-    is_repeat : bool
-        Whether another instance may have sent the request to leafs before.
     is_finished : bool
         Whether the request has been answered, refused or abandoned.
     dispatcher : Dispatcher
@@ -85,7 +83,6 @@
     route: Route
     services: tuple[str, ...]
     router: Router
-    is_repeat: bool = False
     is_finished: bool = False
     dispatcher: Dispatcher = attrs.field(init=False)
     # Runtime time from which a scatter-gather request may get a partial answer;
@@ -156,7 +153,7 @@
             self._partial_answer_at = now + objective_s - reserve_s
         actions: list[Action] = []
         for service in self.services:
-            shard = ServiceShard(service, is_repeat=self.is_repeat)
+            shard = ServiceShard(service)
             self._shards_by_service[service] = shard
             actions.extend(dispatcher.start_shard(shard, now))
         return actions + self._finish_if_done(now)
--- a/clementinebank/rpc/__init__.py
+++ b/clementinebank/rpc/__init__.py
@@ -2,6 +2,8 @@
 
 from clementinebank.rpc._channel import (
     CALL_ERRORS,
+    CallDeadlines,
+    CallNotAcceptedError,
     RpcChannel,
     failure_from_error,
 )
@@ -16,6 +18,8 @@
 
 __all__ = (
     'CALL_ERRORS',
+    'CallDeadlines',
+    'CallNotAcceptedError',
     'MAX_MESSAGE_BYTES',
     'RpcChannel',
     'RpcConnection',
--- a/clementinebank/rpc/_channel.py
+++ b/clementinebank/rpc/_channel.py
@@ -18,13 +18,32 @@
 )
 from clementinebank.validation import Address
 
+
+class CallNotAcceptedError(Exception):
+    """The server didn't accept a call in time, and will not handle it."""
+
+
 # Exceptions with which a call can end, for ``except`` clauses.
-CALL_ERRORS = (OSError, RpcProtocolError, ProtocolError, curio.TaskTimeout)
+CALL_ERRORS = (
+    OSError,
+    RpcProtocolError,
+    ProtocolError,
+    CallNotAcceptedError,
+    curio.TaskTimeout,
+)
 
 
 Reply = TypeVar('Reply')
 
 
+@attrs.frozen
+class CallDeadlines:
+    """Runtime times in seconds until which a call must have got so far."""
+
+    acceptance: float
+    answer: float
+
+
 @attrs.define(eq=False)
 class RpcChannel:
     """Client side of the calls to one address, one call at a time.
@@ -42,10 +61,8 @@
         channel.
     bytes_sent, bytes_received : int
         Bytes since the last ``pop_byte_counts``.
-    is_sent : bool
-        Whether any byte of the last call may have reached the server.
-    on_accepted : callable or None
-        Called when the headers of the reply to a call have arrived.
+    is_handled : bool
+        Whether the server may have begun to handle the last call.
     """
 
     address: Address
@@ -54,8 +71,7 @@
     used_at: float = 0
     bytes_sent: int = 0
     bytes_received: int = 0
-    is_sent: bool = False
-    on_accepted: Callable[[], None] | None = None
+    is_handled: bool = False
 
     async def call_before(
         self,
@@ -95,6 +111,47 @@
         )
         return reply
 
+    async def call_when_accepted(
+        self,
+        deadlines: CallDeadlines,
+        path: str,
+        payload: bytes,
+        decode: Callable[[bytes], Reply],
+    ) -> Reply:
+        """Make a call that the server accepts before it begins.
+
+        The server handles the message only when the end of the stream arrives,
+        which is sent after the acceptance. A call that wasn't accepted in time
+        is therefore never handled, also by a process that was paused.
+
+        Parameters
+        ----------
+        deadlines : CallDeadlines
+            Runtime times until which the call must be accepted and answered.
+        path, payload, decode
+            As for ``call_before``.
+
+        Raises
+        ------
+        CallNotAcceptedError
+            If the server didn't accept the call in time.
+        curio.TaskTimeout
+            If it accepted the call, but didn't answer in time.
+        OSError
+            If the transport fails.
+        RpcProtocolError, h2.exceptions.ProtocolError
+            If the other side breaks the protocol or reports an error.
+        """
+        reply: Reply = await run_before(
+            deadlines.answer,
+            self._call,
+            path,
+            payload,
+            decode,
+            deadlines.acceptance,
+        )
+        return reply
+
     def pop_byte_counts(self) -> tuple[int, int]:
         """Return the bytes sent and received since the last call of this."""
         counts = (self.bytes_sent, self.bytes_received)
@@ -110,14 +167,20 @@
             await connection.close()
 
     async def _call(
-        self, path: str, payload: bytes, decode: Callable[[bytes], Reply]
+        self,
+        path: str,
+        payload: bytes,
+        decode: Callable[[bytes], Reply],
+        accept_before: float | None = None,
     ) -> Reply:
         # The reply is decoded under the lock: a malformed one closes the
         # connection, on which no other call may be waiting by then.
         async with self.lock:
             is_done = False
             try:
-                reply = decode(await self._exchange(path, payload))
+                reply = decode(
+                    await self._exchange(path, payload, accept_before)
+                )
                 is_done = True
             finally:
                 self._add_byte_counts()
@@ -133,8 +196,54 @@
             connection.bytes_sent = 0
             connection.bytes_received = 0
 
-    async def _exchange(self, path: str, payload: bytes) -> bytes:
-        self.is_sent = False
+    async def _exchange(
+        self, path: str, payload: bytes, accept_before: float | None
+    ) -> bytes:
+        self.is_handled = False
+        if accept_before is None:
+            stream_id = await self._send(path, payload, ends_stream=True)
+        else:
+            stream_id = await self._send_and_wait(path, payload, accept_before)
+        connection = self.connection
+        if connection is None:
+            raise RpcProtocolError('the connection was closed')
+        self.is_handled = True
+        if accept_before is not None:
+            await connection.end(stream_id)
+        reply = await connection.receive()
+        if reply is None or reply.stream_id != stream_id:
+            raise RpcProtocolError(
+                'the peer closed the connection or replied on another stream'
+            )
+        status = reply.headers_by_name.get('grpc-status')
+        if status != '0':
+            raise RpcProtocolError(
+                f'the peer replied with grpc-status {status}'
+            )
+        return strip_message_prefix(reply.body)
+
+    async def _send_and_wait(
+        self, path: str, payload: bytes, accept_before: float
+    ) -> int:
+        """Send a message without its end and wait for the acceptance."""
+        try:
+            return int(
+                await run_before(accept_before, self._send_open, path, payload)
+            )
+        except curio.TaskTimeout:
+            # An outer time limit must not see the exception of this one.
+            raise CallNotAcceptedError('the call was not accepted') from None
+
+    async def _send_open(self, path: str, payload: bytes) -> int:
+        stream_id = await self._send(path, payload, ends_stream=False)
+        if self.connection is not None:
+            await self.connection.wait_for_headers()
+        return stream_id
+
+    async def _send(
+        self, path: str, payload: bytes, *, ends_stream: bool
+    ) -> int:
+        """Send a message over an open connection; return its stream id."""
         if self.connection is not None and self.connection.is_closed_by_peer:
             await self.close()
         if self.connection is None:
@@ -150,20 +259,11 @@
             'te': 'trailers',
         }
         stream_id = self.connection.next_stream_id()
-        self.connection.on_response_headers = self.on_accepted
-        self.is_sent = True
-        await self.connection.send(stream_id, headers, payload)
-        reply = await self.connection.receive()
-        if reply is None or reply.stream_id != stream_id:
-            raise RpcProtocolError(
-                'the peer closed the connection or replied on another stream'
-            )
-        status = reply.headers_by_name.get('grpc-status')
-        if status != '0':
-            raise RpcProtocolError(
-                f'the peer replied with grpc-status {status}'
-            )
-        return strip_message_prefix(reply.body)
+        if ends_stream:
+            await self.connection.send(stream_id, headers, payload)
+        else:
+            await self.connection.send_open(stream_id, headers, payload)
+        return stream_id
 
 
 def failure_from_error(error: BaseException, step: Step, peer: str) -> Failure:
@@ -178,7 +278,7 @@
     peer : str
         Address or name of the other side.
     """
-    if isinstance(error, curio.TaskTimeout):
+    if isinstance(error, curio.TaskTimeout | CallNotAcceptedError):
         return Failure('peer_timeout', 'no reply in time', step, peer=peer)
     if isinstance(error, OSError):
         return Failure('peer_unreachable', str(error), step, peer=peer)
--- a/clementinebank/rpc/_connection.py
+++ b/clementinebank/rpc/_connection.py
@@ -2,7 +2,7 @@
 
 import struct
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Collection
 from typing import Any
 
 import attrs
@@ -25,6 +25,7 @@
 # waits for window updates of the receiver within a message.
 WINDOW_BYTES = 2_000_000
 CONTENT_TYPE = 'application/grpc+proto'
+REPLY_HEADERS = ((':status', '200'), ('content-type', CONTENT_TYPE))
 # Flag of compression and length of the payload, before each gRPC message.
 MESSAGE_PREFIX = struct.Struct('>BI')
 _HEADER_EVENTS: Any = (
@@ -85,16 +86,16 @@
         Whether this side sends the requests.
     bytes_sent, bytes_received : int
         Bytes since an owner has reset the count.
-    on_response_headers : callable or None
-        Called when the headers of a response have arrived, which a server can
-        send before the message.
+    accepting_paths : collection of str
+        Methods whose reply headers a server sends as soon as the headers of a
+        call have arrived, so that the caller knows that the call is accepted.
     """
 
     sock: Any
     is_client: bool
     bytes_sent: int = 0
     bytes_received: int = 0
-    on_response_headers: Callable[[], None] | None = None
+    accepting_paths: Collection[str] = ()
     _http: Any = attrs.field(init=False)
     _events: deque[Any] = attrs.Factory(deque)
     _headers: dict[str, str] = attrs.Factory(dict)
@@ -123,11 +124,34 @@
         """Return the stream id for a new request."""
         return int(self._http.get_next_available_stream_id())
 
-    async def send_headers(
-        self, stream_id: int, headers: dict[str, str]
+    async def send_open(
+        self, stream_id: int, headers: dict[str, str], payload: bytes
     ) -> None:
-        """Send the headers of a message before the message itself."""
+        """Send a message without ending the stream; ``end`` does so.
+
+        The other side doesn't handle the message before the end.
+        """
         self._http.send_headers(stream_id, list(headers.items()))
+        await self._send_body(stream_id, add_message_prefix(payload))
+        await self.flush()
+
+    async def wait_for_headers(self) -> None:
+        """Wait for the headers of the reply.
+
+        Raises
+        ------
+        RpcProtocolError
+            If the other side breaks the protocol or closes before.
+        """
+        while not self._headers:
+            if not self._events and not await self._receive_events():
+                raise RpcProtocolError('the peer closed before its reply')
+            while self._events and not self._headers:
+                self._handle_event(self._events.popleft())
+
+    async def end(self, stream_id: int) -> None:
+        """End a stream whose message ``send_open`` has sent."""
+        self._http.end_stream(stream_id)
         await self.flush()
 
     async def send(
@@ -144,8 +168,8 @@
         stream_id : int
             Stream of the call.
         headers : dict of str to str
-            HTTP/2 headers, pseudo-headers first; empty if ``send_headers`` has
-            sent them.
+            HTTP/2 headers, pseudo-headers first; empty if they were sent as
+            the acceptance of the call.
         payload : bytes
             Encoded message without the gRPC prefix.
         trailers : dict of str to str, optional
@@ -256,9 +280,9 @@
 
     def _add_headers(self, event: Any) -> None:
         self._headers.update(event.headers)
-        is_response = isinstance(event, events.ResponseReceived)
-        if is_response and self.on_response_headers is not None:
-            self.on_response_headers()
+        is_request = isinstance(event, events.RequestReceived)
+        if is_request and self._headers.get(':path') in self.accepting_paths:
+            self._http.send_headers(event.stream_id, REPLY_HEADERS)
 
     def _append_data(self, event: Any) -> None:
         self._body += event.data
--- a/clementinebank/rpc/_server.py
+++ b/clementinebank/rpc/_server.py
@@ -13,7 +13,7 @@
 from clementinebank.errors import Step
 from clementinebank.rpc._channel import failure_from_error
 from clementinebank.rpc._connection import (
-    CONTENT_TYPE,
+    REPLY_HEADERS,
     ReceivedMessage,
     RpcConnection,
     RpcProtocolError,
@@ -32,7 +32,6 @@
 BIND_RETRY_S = 0.1
 # Work for a caller that has left must end within half a second.
 DISCONNECT_CHECK_INTERVAL_S = 0.1
-REPLY_HEADERS = {':status': '200', 'content-type': CONTENT_TYPE}
 STATUS_UNIMPLEMENTED = '12'
 
 RpcHandler = Callable[[bytes], Awaitable[bytes]]
@@ -58,9 +57,9 @@
     refused_connection_count : int
         Connections closed so far because the peer broke the protocol.
     accepting_paths : collection of str
-        Methods whose reply headers are sent before the handler runs, so that
-        the caller knows that the call has arrived. Their handlers are
-        cancelled when the caller has closed the connection.
+        Methods whose calls are accepted before their callers end them; only
+        then the handler runs. It is cancelled when the caller has closed the
+        connection.
     """
 
     host: str
@@ -106,7 +105,9 @@
 
         An error of the peer or the transport closes only this connection.
         """
-        connection = RpcConnection(sock, is_client=False)
+        connection = RpcConnection(
+            sock, is_client=False, accepting_paths=self.accepting_paths
+        )
         try:
             await self._serve_messages(connection)
         except (RpcProtocolError, ProtocolError) as error:
@@ -140,18 +141,17 @@
         if handler is None:
             trailers = {'grpc-status': STATUS_UNIMPLEMENTED}
             await connection.send(
-                message.stream_id, REPLY_HEADERS, b'', trailers
+                message.stream_id, dict(REPLY_HEADERS), b'', trailers
             )
             return
         self.message_count += 1
         payload = strip_message_prefix(message.body)
-        headers = REPLY_HEADERS
+        headers = dict(REPLY_HEADERS)
         if message.headers_by_name[':path'] in self.accepting_paths:
             # A process that was paused finds calls that their callers have
             # given up meanwhile.
             if connection.is_closed_by_peer:
                 return
-            await connection.send_headers(message.stream_id, headers)
             headers = {}
             reply = await self._run_cancellable(handler, payload, connection)
         else:
