Keep the aggregators of a region that loses some of its leafs

Regions then held less than 0.9 of the shards, their aggregators lost their shares and closed all connections, and the entry instances asked other regions, whose acceptance came later than the time for it, which left out the connect (113 pauses in 2.5 s, all of far aggregators). Change: half of the services suffice; the time for the acceptance covers the connect; the first pause of an aggregator lasts 0.25 s. A test of endless HTTP/2 frames failed once in the whole suite (0.128 s of 0.1): traced to a full garbage collection of the suite's own heap (0.117 s with 1.5 M foreign objects, 0.001 s with them frozen), which the test now leaves out.

--- a/clementinebank/aggregation/_delegator.py
+++ b/clementinebank/aggregation/_delegator.py
@@ -25,11 +25,12 @@
 
 MS_PER_S = 1000
 # Share of the latency objective within which an aggregator accepts a request.
-# An aggregator that runs accepts after one round trip, a busy one later, so
-# that its requests go elsewhere.
+# A busy aggregator accepts late, so that its requests go elsewhere.
 ACCEPT_SHARE = 0.15
-# Least time for the acceptance beyond the round trip.
+# Least time for the acceptance beyond the round trips.
 MIN_ACCEPT_S = 0.02
+# Round trips until the acceptance: connect and call.
+ROUND_TRIPS = 2
 # Codes of failures of the aggregator itself, not of the leafs that it called.
 PAUSING_CODES = frozenset(
     (
@@ -109,6 +110,11 @@
             run.report_end()
             raise
         if outcome is None:
+            log_message(
+                message_type='aggregation:gathers_locally',
+                request_id=request.request_id,
+                passed_over=run.passed_over(),
+            )
             # The engine reports the end of the request itself.
             return await self.engine.forward(
                 request, run.remaining_route(delay_s=0)
@@ -175,6 +181,12 @@
         offset_ms = (now() - self._started_at) * MS_PER_S
         self._trace.append(TraceEvent(offset_ms, event, facts))
 
+    def passed_over(self) -> list[dict[str, object]]:
+        """Return the aggregators that didn't begin the request, and why."""
+        return [
+            event.facts for event in self._trace if event.event == 'passed_over'
+        ]
+
     def report_end(self) -> None:
         """Report the end of the request with its trace."""
         on_end = self.delegator.on_request_end
@@ -200,7 +212,9 @@
         outcome = await self.delegator.client.gather(
             address,
             message,
-            CallDeadlines(now() + 2 * delay_s + accept_s, finish_at),
+            CallDeadlines(
+                now() + ROUND_TRIPS * 2 * delay_s + accept_s, finish_at
+            ),
         )
         selector = self.delegator.selector
         if not isinstance(outcome, Err):
--- a/clementinebank/aggregation/_selector.py
+++ b/clementinebank/aggregation/_selector.py
@@ -11,14 +11,15 @@
 from clementinebank.validation import Address
 
 # A region gathers a request if it holds leafs of at least this share of its
-# services; the parts of the others come from another region.
-MIN_COVERED_SHARE = 0.9
+# services; the parts of the others come from another region. A region that
+# loses some of its leafs keeps its aggregators, which hold connections.
+MIN_COVERED_SHARE = 0.5
 # Aggregators that are asked for one request before the instance gathers the
 # answers itself.
 MAX_CANDIDATES = 2
 # An aggregator that failed or stayed silent isn't asked for this time, twice as
 # long after each further failure.
-PAUSE_S = 1.0
+PAUSE_S = 0.25
 MAX_PAUSE_S = 8.0
 
 
@@ -153,7 +154,7 @@
         }
 
     def _covering_regions(self, services: Iterable[str]) -> set[str]:
-        """Return the regions with leafs of nearly all services."""
+        """Return the regions with leafs of most of the services."""
         required = set(services)
         return {
             region
--- a/clementinebank/aggregation/tests/test_selector.py
+++ b/clementinebank/aggregation/tests/test_selector.py
@@ -73,6 +73,21 @@
     }
 
 
+def test_region_that_loses_some_leafs_keeps_its_aggregators():
+    """Otherwise its aggregators close their connections to all leafs."""
+    selector = make_selector('dc-0')
+    kept = SERVICES[: len(SERVICES) // 2]
+    selector.update(
+        MEMBERS,
+        [
+            *(make_leaf_record(service, 0) for service in kept),
+            *(make_leaf_record(service, 1) for service in SERVICES),
+        ],
+    )
+    assert set(ports(selector)) == {1, 2}
+    assert MEMBERS['dc-0'][0].address in selector.addresses_for(SERVICES)
+
+
 def test_aggregator_beside_the_leafs_gathers_itself():
     assert not ports(make_selector('dc-0', number=1))
 
--- a/clementinebank/http/tests/test_input_without_end.py
+++ b/clementinebank/http/tests/test_input_without_end.py
@@ -6,6 +6,7 @@
 measures how long it waits for its turn.
 """
 
+import gc
 import itertools
 import socket
 import threading
@@ -65,6 +66,19 @@
 }
 
 
+@pytest.fixture(autouse=True)
+def _without_the_heap_of_other_tests():
+    """Keep the objects of other tests out of garbage collections.
+
+    A full collection of the heap of the whole suite alone takes longer than
+    the bound.
+    """
+    gc.collect()
+    gc.freeze()
+    yield
+    gc.unfreeze()
+
+
 class _Flood(threading.Thread):
     """Thread that sends bytes without end over a socket until it is closed."""
 
