Grant the initial extra requests for the share of a new aggregator

Cause: a bucket exists before the fleet is counted. Change: while a bucket has had no request, its initial tokens follow its capacity, as at any start of a process.

--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -308,22 +308,23 @@
     def _update_budgets(self) -> None:
         """Apply the limits and the shares of this instance to every budget."""
         for service, budget in self.router.budgets_by_group.items():
+            capacity = self._burst_share(service)
             budget.set_limits(
-                BUDGET_SAFETY_FACTOR * self.limits.ratio,
-                self._burst_share(service),
+                BUDGET_SAFETY_FACTOR * self.limits.ratio, capacity
             )
+            # The share is known only after the first relays have registered,
+            # when the bucket exists already.
+            budget.set_initial_tokens(INITIAL_BURST_SHARE * capacity)
 
     def _ensure_budget(self, service: str) -> None:
         """Create the budget of extra requests of a service if it has none."""
         if service not in self.router.budgets_by_group:
             capacity = self._burst_share(service)
-            initial_tokens = INITIAL_BURST_SHARE * capacity
-            self.router.budgets_by_group[service] = ExtraLoadBudget(
-                BUDGET_SAFETY_FACTOR * self.limits.ratio,
-                capacity,
-                tokens=initial_tokens,
-                earned=initial_tokens,
+            budget = ExtraLoadBudget(
+                BUDGET_SAFETY_FACTOR * self.limits.ratio, capacity
             )
+            budget.set_initial_tokens(INITIAL_BURST_SHARE * capacity)
+            self.router.budgets_by_group[service] = budget
 
     def _create_pools(self) -> LeafPools:
         return LeafPools(
--- a/clementinebank/forwarding/tests/test_fleet_limits.py
+++ b/clementinebank/forwarding/tests/test_fleet_limits.py
@@ -17,9 +17,12 @@
     ForwardingEngine,
     LinkDelays,
 )
-from clementinebank.forwarding.tests.simulation import make_leaf_record
+from clementinebank.forwarding.tests.simulation import (
+    make_leaf_record,
+    make_route,
+)
 from clementinebank.leafs import LeafDirectory
-from clementinebank.routes import RouteTable
+from clementinebank.routes import RouteTable, RoutingConfiguration
 
 BURST = 194
 SERVICE = 's0'
@@ -53,6 +56,65 @@
     assert budget.tokens <= budget.capacity
 
 
+AGGREGATORS = 12
+
+
+def make_aggregated_engine():
+    """Return an engine whose only service is one of a scatter-gather route."""
+    engine = make_engine(fleet_size=8)
+    route = make_route(services=(SERVICE, 's1'))
+    engine.table.activate(RoutingConfiguration(1, (route,), {SERVICE: 70}))
+    return engine
+
+
+@pytest.mark.parametrize('has_had_requests', [False, True])
+def test_new_aggregator_starts_with_tokens_only_before_its_first_request(
+    has_had_requests,
+):
+    """The fleet is counted, and aggregators are chosen, after the start."""
+
+    async def run():
+        engine = make_aggregated_engine()
+        await engine.update()
+        engine.set_fleet(77, AGGREGATORS, is_aggregator=False)
+        await engine.update()
+        budget = engine.router.budgets_by_group[SERVICE]
+        if has_had_requests:
+            budget.on_request()
+        before = budget.tokens
+        engine.set_fleet(77, AGGREGATORS, is_aggregator=True)
+        await engine.update()
+        return budget, before
+
+    with FakeClockKernel() as kernel:
+        budget, before = kernel.run(run)
+    is_granted = budget.tokens > before
+    assert is_granted != has_had_requests
+    assert budget.tokens <= budget.capacity / 2 or has_had_requests
+
+
+@pytest.mark.parametrize(
+    ('size', 'aggregators', 'limit'), [(77, 12, 194), (195, 18, 430)]
+)
+def test_shares_of_a_fleet_with_aggregators_stay_within_the_limit(
+    size, aggregators, limit
+):
+    def share(is_aggregator):
+        return FleetShares(size, aggregators, is_aggregator).share_of(
+            limit, is_aggregated=True
+        )
+
+    others = size - aggregators
+    total = aggregators * share(True) + others * share(False)
+    assert total == pytest.approx(limit)
+    assert share(True) > 5 * share(False)
+    # Calls to other services are made by every instance alike.
+    equal = FleetShares(size, aggregators, True).share_of(
+        limit, is_aggregated=False
+    )
+    assert equal == pytest.approx(limit / size)
+
+
 def test_changed_limit_takes_saved_tokens_back():
     async def run():
         engine = make_engine(fleet_size=2)
--- a/clementinebank/routing/_budget.py
+++ b/clementinebank/routing/_budget.py
@@ -53,6 +53,12 @@
         self.capacity = capacity
         self.tokens = min(self.tokens, capacity)
 
+    def set_initial_tokens(self, tokens: float) -> None:
+        """Set the tokens of a bucket that has had no request yet."""
+        if not self.requests:
+            self.tokens = tokens
+            self.earned = tokens
+
     def on_request(self) -> None:
         """Add the tokens for one shard request."""
         self.requests += 1
