Avoid a leaf as soon as a call to it has outlasted its hedge delay

Cause: a leaf that hangs was avoided only once another leaf had answered its shard. If the hedge hung too, that was at the deadline of the request, and all requests until then met the same leafs again. Change: a call that outlasts its hedge delay keeps further requests from its leaf until it ends, also when its shard has no answer yet.

--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -152,6 +152,7 @@
         if shard.is_ended or now < shard.due_at:
             return []
         if shard.attempts_by_id:
+            self._record_overdue(shard, now)
             return self._hedge(shard, now)
         return self._send_or_wait(shard, now)
 
@@ -326,6 +327,16 @@
         """Return whether the request may be sent while another may run it."""
         return self.policy.is_repeatable and self._has_attempt_left(shard)
 
+    def _record_overdue(self, shard: Shard, now: float) -> None:
+        """Report the calls of a shard that have outlasted their hedge delay.
+
+        Other requests must not wait for the same leafs meanwhile: a leaf that
+        hangs shows only at the deadline of its call.
+        """
+        for attempt in shard.attempts_by_id.values():
+            if now >= attempt.overdue_at:
+                self.router.on_overdue(attempt.leaf_id, now, attempt.attempt_id)
+
     def _hedge(self, shard: Shard, now: float) -> list[CallAction]:
         """Send a hedge for a shard that has an outstanding attempt.
 
@@ -390,7 +401,9 @@
             shard.give_up_at = now + self.max_hedge_delays * delay_s
             self.timers.add(shard.give_up_at, shard)
         shard.sent_count += 1
-        shard.attempts_by_id[attempt_id] = Attempt(attempt_id, leaf_id, now)
+        shard.attempts_by_id[attempt_id] = Attempt(
+            attempt_id, leaf_id, now, now + delay_s
+        )
         self.shards_by_attempt[attempt_id] = shard
         self._schedule(shard, now + delay_s)
         return shard.create_send(attempt_id, leaf_id)
--- a/clementinebank/dispatch/_shards.py
+++ b/clementinebank/dispatch/_shards.py
@@ -10,11 +10,21 @@
 
 @attrs.frozen
 class Attempt:
-    """Call to a leaf that has not ended."""
+    """Call to a leaf that has not ended.
+
+    Parameters
+    ----------
+    attempt_id, leaf_id : str
+        Id of the call and the leaf that is called.
+    sent_at, overdue_at : float
+        Runtime times in seconds at which the call was sent and at which it has
+        outlasted its hedge delay.
+    """
 
     attempt_id: str
     leaf_id: str
     sent_at: float
+    overdue_at: float
 
 
 @attrs.define(eq=False)
--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -388,11 +388,11 @@
         Returns
         -------
         bool
-            Whether the attempt was recorded; false if the leaf already has an
-            overtaken call.
+            Whether this attempt is the overtaken call of the leaf; false if
+            the leaf already has another one.
         """
         if self.has_overtaken_call:
-            return False
+            return self._overtaken_attempt_id == attempt_id
         self.overtaken_since = now
         self._overtaken_attempt_id = attempt_id
         return True
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -414,6 +414,16 @@
         leaf.on_cancel(now, elapsed_s, was_overtaken=was_overtaken)
         return False
 
+    def on_overdue(self, leaf_id: str, now: float, attempt_id: str) -> None:
+        """Record that a call has outlasted its hedge delay.
+
+        If the policy avoids overtaken leafs, the leaf gets no further requests
+        until this call ends, as if another leaf had answered first.
+        """
+        leaf = self.leafs_by_id.get(leaf_id)
+        if leaf is not None and self.policy.avoids_overtaken_leafs:
+            leaf.start_overtaken_call(now, attempt_id)
+
     def end_overtaken_call(self, leaf_id: str, attempt_id: str) -> bool:
         """Allow new requests to the leaf if this attempt was overtaken.
 
