--- a/benchmarks/tests/test_load_patterns.py
+++ b/benchmarks/tests/test_load_patterns.py
@@ -1,9 +1,9 @@
 """Replays load patterns on the decisions of forwarding.
 
 Each pattern of ``bench_overload`` must give at least nine tenths of what the
-leafs could have given, and three quarters in its worst two seconds, in which the
-trouble begins and nothing is known of it yet. Extra calls must stay within the
-ratio of the deployments, a fifth of the calls.
+leafs could have given, and three quarters in its worst two seconds, in which
+the trouble begins and nothing is known of it yet. Extra calls must stay within
+the ratio of the deployments, a fifth of the calls.
 """
 
 import pytest
