Pass on only the newest value of each key between instances

Ruled out: a cut (none at that time), a silent relay (the time-outs of the followers lie 40 ms apart, in the order in which they were served). Change: changes since a revision hold the last one of each key.

--- a/clementinebank/relay/_log.py
+++ b/clementinebank/relay/_log.py
@@ -85,13 +85,19 @@
         await self._record_confirmation(batch.age_s)
 
     def changes_since(self, revision: int) -> tuple[Entry, ...] | None:
-        """Return the changes after a revision in their order.
+        """Return the last change of each key after a revision, in their order.
 
-        ``None`` if some of them are not kept any more.
+        Earlier changes of a key are left out, so that a series of changes to a
+        large value doesn't pile up for followers that read slowly.
+
+        ``None`` if some of the changes are not kept any more.
         """
         if revision < self._kept_after_revision:
             return None
-        return tuple(each for each in self._changes if each.revision > revision)
+        last_by_key = {
+            each.key: each for each in self._changes if each.revision > revision
+        }
+        return tuple(sorted(last_by_key.values(), key=_revision_of))
 
     def page_after(self, key: str) -> EntryPage:
         """Return the entries with greater keys, as many as fit a message.
@@ -133,3 +139,7 @@
         previous = self._update_event
         self._update_event = curio.Event()
         await previous.set()
+
+
+def _revision_of(entry: Entry) -> int:
+    return entry.revision
--- a/clementinebank/relay/tests/test_log.py
+++ b/clementinebank/relay/tests/test_log.py
@@ -160,3 +160,24 @@
 
         kernel.run(scenario)
     assert not caplog.records
+
+
+def test_changes_hold_only_the_newest_value_of_each_key():
+    """A series of large values must not pile up on the links of a relay.
+
+    With every value, a relay whose followers were slow to read had more to
+    send with each further change, and fell behind by seconds.
+    """
+
+    async def run():
+        log = EntryLog()
+        await log.load(StoredState((), 10))
+        changes = [
+            Entry('op', b'%d' % number, number) for number in range(11, 35)
+        ]
+        changes.insert(3, Entry('leaf', b'x', 13))
+        changes.append(Entry('leaf', None, 35))
+        await log.append(ChangeBatch(tuple(changes), 35))
+        return log.changes_since(10)
+
+    assert curio.run(run) == (Entry('op', b'34', 34), Entry('leaf', None, 35))
