--- a/clementinebank/aggregation/__init__.py
+++ b/clementinebank/aggregation/__init__.py
@@ -1,7 +1,7 @@
 """Gathering of scatter-gather requests by a few instances for all others.
 
-An entry instance hands such a request, whole, to an aggregator in a data
-centre that holds leafs of its services. The few aggregators share the
+An entry instance hands such a request, whole, to an aggregator in a region
+that holds leafs of its services. The few aggregators share the
 connections to leafs, the budget of extra requests and the knowledge of which
 leafs are slow, and one merged answer travels back instead of all parts.
 """
--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -106,7 +106,7 @@
         trace and its duration in seconds.
     on_gathering_end : callable or None
         Called in the same way when a request has ended that was gathered for
-        another instance, or that another instance failed to gather.
+        another instance.
     rng : random.Random
         Source of randomness for the choice of leafs.
     router : Router
