Log the rate limits that leafs name and the requests sent to them

Until now no log line or metric told whether an instance had heard a limit, what it sent to such a leaf afterwards, and how much of that was hedges and retries, so the three hypotheses looked alike.

The header is decoded in the platform folder; the router's table of limits only records. Responses that aren't intact, misdirected ones and values that are no decimal number state nothing. Requests are sent as before.

--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -393,7 +393,12 @@
         reasons = self.router.choice_trace_fields(leaf_id)
         self.trace(now, 'sent', leaf=leaf_id, **reasons)
         self._set_waiting(shard, is_waiting=False)
-        self.router.on_sent(leaf_id, now, self.request.request_id)
+        self.router.on_sent(
+            leaf_id,
+            now,
+            self.request.request_id,
+            is_extra=shard.sent_count > 0,
+        )
         delay_s = self.router.hedge_delay_s(
             leaf_id, self.policy.profile, self.policy.expected_s
         )
--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -426,7 +426,7 @@
         )
         is_counted = is_current or ended_overtaken_call
         outcome = reply.outcome.map(self.engine.codec.decode)
-        self._record_load(reply.leaf_id, outcome)
+        self._record_statements(reply, outcome)
         router.on_end(
             reply.leaf_id,
             now(),
@@ -437,16 +437,20 @@
         if is_current and self.result is None:
             await self.replies.put((reply.call_id, outcome))
 
-    def _record_load(
-        self, leaf_id: str, outcome: Result[LeafResponse, Failure]
+    def _record_statements(
+        self, reply: LeafReply, outcome: Result[LeafResponse, Failure]
     ) -> None:
-        """Update the routing state with the load that a response reports."""
-        leaf = self.engine.router.leafs_by_id.get(leaf_id)
+        """Update the routing state with the load and limit in a response."""
+        router = self.engine.router
+        leaf = router.leafs_by_id.get(reply.leaf_id)
         if leaf is None or isinstance(outcome, Err):
             return
         load = outcome.ok_value.load
         if load is not None:
             leaf.on_load(load.running, load.waiting)
+        router.on_named_limit(
+            reply.leaf_id, outcome.ok_value.named_limit, now(), reply.elapsed_s
+        )
 
     def on_outcome(
         self, call_id: str, outcome: Result[LeafResponse, Failure]
--- a/clementinebank/forwarding/_messages.py
+++ b/clementinebank/forwarding/_messages.py
@@ -6,6 +6,7 @@
 
 from clementinebank.errors import Execution, Failure
 from clementinebank.http import HttpRequest, HttpResponse
+from clementinebank.ratelimit import NamedLimit
 from clementinebank.upstream import LeafProtocol
 
 
@@ -58,6 +59,8 @@
         Whether it is a complete, signed response with a success status.
     load : LeafLoad or None
         Load that the leaf reported, ``None`` if it reported none.
+    named_limit : NamedLimit or None
+        What it states about the rate limit of the leaf, ``None`` if nothing.
     """
 
     response: HttpResponse
@@ -65,6 +68,7 @@
     signature: str = ''
     is_success: bool = False
     load: LeafLoad | None = None
+    named_limit: NamedLimit | None = None
 
 
 @attrs.frozen
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -383,6 +383,9 @@
     def _metric_samples(self) -> list[Any]:
         return [
             create_sample(names.KEY_VALUE_CALLS, self.store.calls),
+            create_sample(
+                names.LIMITED_LEAFS, self.engine.router.limits.limited_count
+            ),
             create_sample(
                 names.CONNECTIONS,
                 self.server.open_connections,
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -101,6 +101,11 @@
     'Requests of other instances that this one gathered or refused.',
     'outcome',
 )
+LIMITED_LEAFS = _register(
+    'clementinebank_rate_limited_leafs',
+    'gauge',
+    'Leafs that name a rate limit now.',
+)
 VIOLATIONS = _register(
     'clementinebank_invariant_violations_total',
     'counter',
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -7,6 +7,7 @@
 import attrs
 
 from clementinebank.invariants import check, invariant
+from clementinebank.ratelimit import LimitTable, NamedLimit
 from clementinebank.routing._budget import (
     DEFAULT_BUCKET_CAPACITY,
     ExtraLoadBudget,
@@ -71,6 +72,8 @@
         Number of requests of this instance that wait for a free leaf.
     latencies : Latencies
         Recent service times of the leafs.
+    limits : LimitTable
+        Rate limits that leafs have named.
     """
 
     service: Topology
@@ -83,6 +86,7 @@
     budgets_by_group: dict[str, ExtraLoadBudget] = attrs.Factory(dict)
     waiting_by_group: dict[str, int] = attrs.Factory(dict)
     latencies: Latencies = attrs.Factory(Latencies)
+    limits: LimitTable = attrs.Factory(LimitTable)
     _group_id_by_leaf: dict[str, str] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
@@ -335,13 +339,44 @@
             'in_flight': leaf.in_flight,
         }
 
-    def on_sent(self, leaf_id: str, now: float, request_id: str = '') -> None:
+    def on_sent(
+        self,
+        leaf_id: str,
+        now: float,
+        request_id: str = '',
+        *,
+        is_extra: bool = False,
+    ) -> None:
         """Count a request that is sent to the leaf as in flight."""
         leaf = self.leafs_by_id.get(leaf_id)
         if leaf is None:
             return
         check('no-new-work-for-draining-leaf', request_id, leaf=leaf)
         leaf.on_sent(now)
+        self.limits.on_sent(leaf_id, now, is_extra=is_extra)
+
+    def on_named_limit(
+        self,
+        leaf_id: str,
+        named: NamedLimit | None,
+        now: float,
+        elapsed_s: float,
+    ) -> None:
+        """Record what a response states about the rate limit of its leaf.
+
+        Parameters
+        ----------
+        leaf_id : str
+            Leaf that responded; an unknown one is ignored.
+        named : NamedLimit or None
+            The statement, ``None`` if the response makes none.
+        now : float
+            Runtime time in seconds.
+        elapsed_s : float
+            Time since the request was sent, in seconds.
+        """
+        if named is not None and leaf_id in self.leafs_by_id:
+            self.limits.on_named(leaf_id, named, now - elapsed_s, now)
 
     def on_end(
         self,
@@ -601,6 +636,7 @@
                     leaf_id
                 ) or self._create_leaf(leaf_id, now)
                 self._configure_leaf(self.leafs_by_id[leaf_id])
+        self.limits.retain(set(self.leafs_by_id))
 
     def _create_leaf(self, leaf_id: str, now: float | None) -> LeafState:
         if self.policy.avoids_overtaken_leafs:
