Keep the rate limit that a leaf names, by tokens of one coordinator

What callers and leafs saw: a leaf in need named 14.6 requests a second and got 121 in 4 s, 93 were allowed. It got them from the first second on.

Cause: no instance read the limit. Class: a bound that belongs to the whole fleet, or to a leaf, and that each process would keep for itself.

Change: one instance coordinates each limited leaf, the relay of the leaf's data centre, which all instances know from the control entries. Instances ask it for tokens by their demand of the last second; each request to a limited leaf spends one. Nothing is stored, and no message is sent while no leaf is limited. New limits spread through the relays in under a second; the age decides between statements. A limit ends with a whole response without one to a request that was sent after the last limit; the leaf then starts slowly, so that no wave follows. Hedges and probes go to other leafs. A request whose leafs are all limited is refused at once if its token would come too late, with the time at which one is expected as Retry-After.

--- a/clementinebank/dispatch/__init__.py
+++ b/clementinebank/dispatch/__init__.py
@@ -8,13 +8,18 @@
     SendCall,
     TraceEvent,
 )
-from clementinebank.dispatch._dispatcher import Dispatcher, EndedAttempt
+from clementinebank.dispatch._dispatcher import (
+    RATE_LIMITED_REASON,
+    Dispatcher,
+    EndedAttempt,
+)
 from clementinebank.dispatch._policy import DispatchPolicy
 from clementinebank.dispatch._run import RequestRun, RequestStateMachine
 from clementinebank.dispatch._shards import Attempt, Shard, Timers
 
 __all__ = (
     'Action',
+    'RATE_LIMITED_REASON',
     'Attempt',
     'CancelCall',
     'DispatchPolicy',
--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -22,6 +22,8 @@
 SHED_CODE = 'shed'
 # Missing reason of a shard whose request no leaf accepted in time.
 OVERLOADED_REASON = 'overloaded'
+# Missing reason of a shard whose leafs all name a rate limit that is used up.
+RATE_LIMITED_REASON = 'rate_limited'
 MAX_TRACE_EVENTS = 1000
 MS_PER_S = 1000
 
@@ -91,6 +93,9 @@
         Calls sent so far.
     not_run_count : int
         Calls of which is known that no leaf ran them.
+    token_wait_s : float
+        Time in seconds that the last shard which began to wait was expected to
+        wait for leafs that name a rate limit.
     """
 
     request: DispatchedRequest
@@ -104,6 +109,7 @@
     shards_by_attempt: dict[str, Shard] = attrs.Factory(dict)
     sent_count: int = 0
     not_run_count: int = 0
+    token_wait_s: float = 0
 
     @property
     def execution(self) -> Execution:
@@ -259,6 +265,7 @@
             shard.excluded_leafs,
             remaining_s,
             may_wait=now < shard.local_wait_until,
+            is_repeated=shard.is_waiting,
         )
         is_retry = shard.sent_count > 0
         may_send = not is_retry or self._has_attempt_left(shard)
@@ -297,12 +304,16 @@
         if not self._has_attempt_left(shard):
             return True
         was_never_run = shard.sent_count == shard.not_run_count
-        if (
-            was_never_run
-            and now >= self.started_at + self.policy.max_unaccepted_s
-        ):
+        accept_before = self.started_at + self.policy.max_unaccepted_s
+        if was_never_run and now >= accept_before:
             shard.missing_reason = OVERLOADED_REASON
             return True
+        if not shard.is_waiting:
+            accept_before = min(accept_before, self.finish_at)
+            self.token_wait_s = self.router.token_wait_s(shard.group_id, now)
+            if was_never_run and now + self.token_wait_s > accept_before:
+                shard.missing_reason = RATE_LIMITED_REASON
+                return True
         if self.router.has_leaf_in_time(
             shard.group_id, remaining_s, shard.unsuitable_leafs
         ):
@@ -348,7 +359,11 @@
         if not self._may_repeat(shard):
             return []
         leaf_id = self.router.choose(
-            shard.group_id, now, shard.excluded_leafs, self.finish_at - now
+            shard.group_id,
+            now,
+            shard.excluded_leafs,
+            self.finish_at - now,
+            is_extra=True,
         )
         if leaf_id is None or not self._spend_token(shard, HEDGE_RESERVE):
             self._trace_hedge_denial(shard, leaf_id, now)
--- a/clementinebank/errors/_failures.py
+++ b/clementinebank/errors/_failures.py
@@ -89,6 +89,9 @@
         Whether an upstream has run the request of the caller.
     status : int
         HTTP status of the response to the caller.
+    retry_after_s : float or None
+        Seconds after which the caller may try again, ``None`` if the state of
+        the upstreams doesn't tell.
     """
 
     code: str
@@ -98,6 +101,7 @@
     field: str | None = None
     execution: Execution = Execution.NOT_RUN
     status: int = 503
+    retry_after_s: float | None = None
 
     def __str__(self) -> str:
         """Return the failure as one line of text."""
--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -29,6 +29,7 @@
 from clementinebank.forwarding._topology import LeafTopology, create_topology
 from clementinebank.http import BufferLimit
 from clementinebank.leafs import LeafDirectory, LeafEndpoint, LeafRecord
+from clementinebank.ratelimit import LimitTable
 from clementinebank.routes import Route, RouteTable
 from clementinebank.routing import (
     FORWARDING_ROUTING_POLICY,
@@ -133,6 +134,7 @@
             LeafTopology({}, MAX_SLOTS, self.limits.ratio),
             self.rng,
             policy=FORWARDING_ROUTING_POLICY,
+            limits=LimitTable(self._limit_share, self.rng),
         )
 
     def set_fleet(
@@ -297,6 +299,13 @@
             is_aggregated=service in self._aggregated_services,
         )
 
+    def _limit_share(self, leaf_id: str) -> float:
+        """Return the share of this instance in the rate limit of a leaf."""
+        service = self.router.group_of(leaf_id)
+        return self.shares.share_of(
+            1, is_aggregated=service in self._aggregated_services
+        )
+
     def _burst_share(self, service: str) -> float:
         """Return the burst of extra requests that this instance may send."""
         burst_share = self.shares.share_of(
--- a/clementinebank/forwarding/_forward.py
+++ b/clementinebank/forwarding/_forward.py
@@ -1,10 +1,12 @@
 """State machine of one forwarded request, without I/O."""
 
+from collections.abc import Collection
 from math import inf
 
 import attrs
 
 from clementinebank.dispatch import (
+    RATE_LIMITED_REASON,
     Action,
     Dispatcher,
     DispatchPolicy,
@@ -49,6 +51,8 @@
 # no latencies of the route are known; the rest is for links, queues and one
 # hedge.
 EXPECTED_LATENCY_SHARE = 0.1
+# Longest time after which a caller is asked to try again.
+MAX_RETRY_AFTER_S = 2.0
 # Hedges of one shard.
 MAX_HEDGES = 1
 # HTTP statuses.
@@ -347,6 +351,7 @@
             Step.DISPATCH,
             execution=execution,
             status=status,
+            retry_after_s=self._retry_after_s(reasons),
         )
         check(
             'forward-not-run-is-true',
@@ -358,6 +363,12 @@
         self._record_end(now, 'refused', reason=failure.message, status=status)
         return [Refuse(failure)]
 
+    def _retry_after_s(self, reasons: Collection[str]) -> float | None:
+        """Return when a leaf that names a rate limit may take a request."""
+        if RATE_LIMITED_REASON not in reasons:
+            return None
+        return min(MAX_RETRY_AFTER_S, self.dispatcher.token_wait_s)
+
     def _record_end(self, now: float, event: str, **facts: object) -> None:
         """Check the invariants, mark the request as finished and trace it."""
         check(
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -35,6 +35,7 @@
 from clementinebank.leafs import LeafDirectory
 from clementinebank.metrics import Metrics, create_sample, format_metrics, names
 from clementinebank.process import SignalWaiter
+from clementinebank.ratelimit import ACQUIRE_PATH, LimitClient, LimitService
 from clementinebank.relay import (
     WATCH_PATH,
     ControlStore,
@@ -46,7 +47,9 @@
     RelayService,
 )
 from clementinebank.routes import CallerLimits, RouteTable
+from clementinebank.routing import rendezvous_subset
 from clementinebank.rpc import RpcServer
+from clementinebank.validation import Address
 
 NOT_FOUND = 404
 UNAVAILABLE = 503
@@ -109,6 +112,8 @@
     feed: RelayedFeed = attrs.field(init=False)
     delegator: Delegator = attrs.field(init=False)
     aggregation: AggregationService = attrs.field(init=False)
+    limit_service: LimitService = attrs.field(init=False)
+    limit_client: LimitClient = attrs.field(init=False)
     updater: ControlStateUpdater = attrs.field(init=False)
     peer_server: RpcServer = attrs.field(init=False)
     server: HttpServer = attrs.field(init=False)
@@ -169,6 +174,7 @@
             self.peer_server.serve,
             self.peer_server.cancel_disconnected,
             self.registration.run,
+            self.limit_client.run,
             self.server.serve,
             self.server.cancel_disconnected,
             *self.background,
@@ -204,7 +210,9 @@
         outcome = await self.delegator.forward(request, route)
         if isinstance(outcome, Err):
             return self.caller_codec.encode_failure(
-                request.request_id, outcome.err_value, RETRY_AFTER_S
+                request.request_id,
+                outcome.err_value,
+                outcome.err_value.retry_after_s or RETRY_AFTER_S,
             )
         return self.caller_codec.encode(request.request_id, outcome.ok_value)
 
@@ -278,13 +286,48 @@
             self.engine.gather, self._has_leafs, self.metrics
         )
 
+        router = self.engine.router
+        self.limit_service = LimitService(router.limits, router.merge_limits)
+        self.limit_client = LimitClient(
+            settings.peers,
+            self.limit_service,
+            self._find_coordinator,
+            self._limit_listeners,
+            self.entry_log.wake_waiting,
+        )
+
+    def _find_coordinator(self, leaf_id: str) -> Address | None:
+        """Return the relay that grants the requests to a limited leaf.
+
+        It is the relay of the leaf's data centre, or another one if there is
+        none; ``None`` while no relay is known.
+        """
+        relays = self.relays.records_by_data_centre
+        data_centre = self.leaf_directory.data_centre_of(leaf_id)
+        if data_centre not in relays:
+            for chosen in rendezvous_subset(leaf_id, relays, 1):
+                data_centre = chosen
+        record = relays.get(data_centre)
+        return record.address if record else None
+
+    def _limit_listeners(self) -> set[Address]:
+        """Return the relays that this instance tells of new limits.
+
+        An instance tells its relay, and that one all other relays.
+        """
+        relays = self.relays.records_by_data_centre
+        own_relay = relays.get(self.settings.data_centre)
+        if own_relay is None or own_relay.address == self.settings.peers:
+            return {record.address for record in relays.values()}
+        return {own_relay.address}
+
     def _has_leafs(self, service: str) -> bool:
         return service in self.engine.router.service.groups_by_id
 
     def _create_feed(self) -> None:
         """Create the feed of control entries and the relay of this instance."""
         settings = self.settings
-        service = RelayService(self.entry_log)
+        service = RelayService(self.entry_log, self.limit_service.encode_notice)
         cores = settings.resources.cores
         self.peer_server = RpcServer(
             settings.peers.host,
@@ -292,6 +335,7 @@
             {
                 WATCH_PATH: service.handle_watch,
                 GATHER_PATH: self.aggregation.handle_gather,
+                ACQUIRE_PATH: self.limit_service.handle_acquire,
             },
             accepting_paths=(GATHER_PATH,),
         )
@@ -314,6 +358,7 @@
                 self.entry_log,
                 data_centre=settings.data_centre,
                 cores=cores,
+                on_notice=self.limit_service.apply_notice,
             ),
             self.relays,
             self.registration,
--- a/clementinebank/leafs/_directory.py
+++ b/clementinebank/leafs/_directory.py
@@ -46,6 +46,12 @@
             MAX_REMOVAL_GRACE_S, MAX_REMOVAL_GRACE_SHARE * self.drain_limit_s
         )
 
+    def data_centre_of(self, incarnation_id: str) -> str:
+        """Return the data centre of a leaf, empty if it isn't known."""
+        leaf_id = incarnation_id.rpartition('@')[0]
+        record = self.records_by_id.get(leaf_id)
+        return record.data_centre if record else ''
+
     def register(self, record: LeafRecord) -> bool:
         """Store the record of a leaf unless a newer one is known.
 
--- a/clementinebank/ratelimit/__init__.py
+++ b/clementinebank/ratelimit/__init__.py
@@ -1,7 +1,25 @@
 """Rate limits that leafs name for all instances together."""
 
-from clementinebank.ratelimit._leaf_limit import LeafLimit
+from clementinebank.ratelimit._client import LimitClient
+from clementinebank.ratelimit._coordinator import LimitCoordinator, TokenBucket
+from clementinebank.ratelimit._leaf_limit import (
+    TOKEN_LIFETIME_S,
+    LeafLimit,
+)
 from clementinebank.ratelimit._named import NamedLimit, read_named_limit
-from clementinebank.ratelimit._table import LimitTable
+from clementinebank.ratelimit._service import ACQUIRE_PATH, LimitService
+from clementinebank.ratelimit._table import LimitStatement, LimitTable
 
-__all__ = ('LeafLimit', 'LimitTable', 'NamedLimit', 'read_named_limit')
+__all__ = (
+    'ACQUIRE_PATH',
+    'LeafLimit',
+    'LimitClient',
+    'LimitCoordinator',
+    'LimitService',
+    'LimitStatement',
+    'LimitTable',
+    'NamedLimit',
+    'TOKEN_LIFETIME_S',
+    'TokenBucket',
+    'read_named_limit',
+)
--- /dev/null
+++ b/clementinebank/ratelimit/_client.py
@@ -0,0 +1,192 @@
+"""Client that acquires tokens of limited leafs from their coordinators."""
+
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Collection, Mapping
+
+import attrs
+import curio
+from eliot import log_message, write_traceback
+
+from clementinebank.clock import now
+from clementinebank.errors import Step
+from clementinebank.ratelimit._messages import (
+    Acquisition,
+    decode_reply,
+    encode_request,
+)
+from clementinebank.ratelimit._service import ACQUIRE_PATH, LimitService
+from clementinebank.rpc import CALL_ERRORS, RpcChannel, failure_from_error
+from clementinebank.validation import Address
+
+# Interval in which demand is checked, without and with a limited leaf.
+IDLE_INTERVAL_S = 0.1
+BUSY_INTERVAL_S = 0.02
+# Least time between two requests to the same coordinator.
+MIN_ASK_INTERVAL_S = 0.1
+# Time limit of a request; a round trip between the farthest data centres takes
+# about 50 ms.
+CALL_TIMEOUT_S = 0.3
+# Time for which a coordinator that failed is not asked again.
+PAUSE_S = 1.0
+# Least time between two calls of `on_new_limits`.
+MIN_NOTICE_INTERVAL_S = 0.5
+
+FindCoordinator = Callable[[str], Address | None]
+FindListeners = Callable[[], Collection[Address]]
+
+
+@attrs.define(eq=False)
+class LimitClient:
+    """Client that keeps the tokens of this instance at its demand.
+
+    Load pattern that it answers: few instances make most requests to a limited
+    leaf, so that equal shares would leave most of its limit unused, while the
+    sum over all instances must not exceed it.
+
+    Parameters
+    ----------
+    address : Address
+        Where this instance answers other instances.
+    service : LimitService
+        Limits of this instance, and the coordinator that it is itself.
+    find_coordinator : callable
+        Returns the address of the coordinator of a leaf, ``None`` if none is
+        known. The instance then earns its share of the limit.
+    find_listeners : callable
+        Returns the addresses that are told of limits that begin.
+    on_new_limits : callable
+        Coroutine function that is called after limits have begun.
+    create_channel : callable
+        Returns a new channel to an address.
+    """
+
+    address: Address
+    service: LimitService
+    find_coordinator: FindCoordinator
+    find_listeners: FindListeners
+    on_new_limits: Callable[[], Awaitable[None]]
+    create_channel: Callable[[Address], RpcChannel] = RpcChannel
+    _channels: dict[Address, RpcChannel] = attrs.Factory(dict)
+    _next_ask_at: dict[Address, float] = attrs.Factory(dict)
+    _paused_until: dict[Address, float] = attrs.Factory(dict)
+    _unannounced: set[str] = attrs.Factory(set)
+    _next_notice_at: float = 0
+
+    async def run(self) -> None:
+        """Acquire tokens and pass on limits until cancelled."""
+        while True:
+            is_busy = self.service.table.limited_count
+            await curio.sleep(BUSY_INTERVAL_S if is_busy else IDLE_INTERVAL_S)
+            if not is_busy:
+                await self._close_channels()
+                continue
+            try:
+                await self.update()
+            except Exception:
+                # Without this task the limits of all leafs would be kept by
+                # shares only, until the process ends.
+                write_traceback()
+
+    async def update(self) -> None:
+        """Ask the coordinators for the tokens that are lacking."""
+        table = self.service.table
+        wanted_by_coordinator: dict[Address, dict[str, int]] = defaultdict(dict)
+        for leaf_id, wanted in table.wanted_by_leaf(now()).items():
+            address = self.find_coordinator(leaf_id)
+            if address is None or self._is_paused(address):
+                table.use_share(leaf_id, now())
+            else:
+                table.use_coordinator(leaf_id)
+                wanted_by_coordinator[address][leaf_id] = wanted
+        own_wanted = wanted_by_coordinator.pop(self.address, {})
+        self._add_tokens(self.service.acquire(own_wanted, now()), now())
+        for address, wanted_by_leaf in wanted_by_coordinator.items():
+            await self._ask_if_due(address, wanted_by_leaf)
+        await self._announce()
+
+    async def _announce(self) -> None:
+        """Tell the listeners of the limits that have begun."""
+        self._unannounced |= self.service.table.pop_new_leafs()
+        if not self._unannounced or now() < self._next_notice_at:
+            return
+        self._next_notice_at = now() + MIN_NOTICE_INTERVAL_S
+        leaf_ids = frozenset(self._unannounced)
+        self._unannounced.clear()
+        for address in self.find_listeners():
+            if address != self.address and not self._is_paused(address):
+                await curio.spawn(self._ask, address, {}, leaf_ids, daemon=True)
+        await self.on_new_limits()
+
+    async def _ask_if_due(
+        self, address: Address, wanted_by_leaf: dict[str, int]
+    ) -> None:
+        if now() < self._next_ask_at.get(address, 0):
+            return
+        self._next_ask_at[address] = now() + MIN_ASK_INTERVAL_S
+        await curio.spawn(
+            self._ask, address, wanted_by_leaf, wanted_by_leaf, daemon=True
+        )
+
+    async def _ask(
+        self,
+        address: Address,
+        wanted_by_leaf: dict[str, int],
+        leaf_ids: Collection[str],
+    ) -> None:
+        """Send statements and the wanted tokens; apply the reply."""
+        service = self.service
+        asked_at = now()
+        request = Acquisition(
+            tuple(service.table.statements(leaf_ids)), wanted_by_leaf
+        )
+        channel = self._channels.setdefault(
+            address, self.create_channel(address)
+        )
+        try:
+            reply: Acquisition = await channel.call_before(
+                asked_at + CALL_TIMEOUT_S,
+                ACQUIRE_PATH,
+                encode_request(request, asked_at),
+                lambda payload: decode_reply(payload, now()),
+            )
+        except CALL_ERRORS as error:
+            self._pause(address, error, wanted_by_leaf)
+            return
+        service.on_statements(reply.known, now())
+        self._add_tokens(reply.tokens_by_leaf, asked_at)
+
+    def _add_tokens(self, tokens_by_leaf: Mapping[str, int], at: float) -> None:
+        """Add granted tokens that were asked for at a runtime time."""
+        for leaf_id, count in tokens_by_leaf.items():
+            limit = self.service.table.limit_of(leaf_id)
+            if limit is not None:
+                limit.is_coordinated = True
+                limit.add_tokens(count, at, now())
+
+    def _is_paused(self, address: Address) -> bool:
+        return now() < self._paused_until.get(address, 0)
+
+    def _pause(
+        self,
+        address: Address,
+        error: BaseException,
+        leaf_ids: Collection[str],
+    ) -> None:
+        """Earn shares of the leafs while their coordinator isn't asked."""
+        failure = failure_from_error(error, Step.DISPATCH, str(address))
+        log_message(
+            message_type='limit:coordinator_failed',
+            coordinator=str(address),
+            reason=str(failure),
+            leafs=sorted(leaf_ids),
+            seconds=PAUSE_S,
+        )
+        self._paused_until[address] = now() + PAUSE_S
+        for leaf_id in leaf_ids:
+            self.service.table.use_share(leaf_id, now())
+
+    async def _close_channels(self) -> None:
+        """Close the connections, which are used only during a limit."""
+        while self._channels:
+            _, channel = self._channels.popitem()
+            await channel.close()
--- a/clementinebank/ratelimit/_table.py
+++ b/clementinebank/ratelimit/_table.py
@@ -1,29 +1,80 @@
 """Rate limits of the leafs that one instance knows."""
 
+import random
+from collections.abc import Callable, Collection, Iterable
+
 import attrs
 from eliot import log_message
 
 from clementinebank.ratelimit._leaf_limit import COUNTED_TIME_S, LeafLimit
 from clementinebank.ratelimit._named import NamedLimit
 
+# Bound of the leafs whose limits are kept.
+MAX_LEAFS = 4096
+
+ShareOf = Callable[[str], float]
+
+
+@attrs.frozen
+class LimitStatement:
+    """Statement of a leaf that instances pass on to each other.
+
+    Parameters
+    ----------
+    leaf_id : str
+        The leaf.
+    per_s : float or None
+        Requests a second that it takes from all instances together, ``None``
+        if it names no limit any more.
+    stated_at : float
+        Runtime time in seconds of the statement.
+    """
+
+    leaf_id: str
+    per_s: float | None
+    stated_at: float
+
+
+def _no_share(leaf_id: str) -> float:
+    """Return 0, the share until the owner of the table sets another one."""
+    return 0
+
 
 @attrs.define(eq=False)
 class LimitTable:
-    """Newest rate limit of each leaf that has named one.
+    """Newest rate limit of each leaf that has named one, and its tokens.
 
     Parameters
     ----------
+    share_of : callable
+        Returns the share of this instance in the limit of a leaf, 0 to 1,
+        which it uses without a coordinator.
+    rng : random.Random
+        Spreads the first tokens of many instances over time.
     limits_by_leaf : dict of str to LeafLimit
         Limits that are in force or have ended, by leaf id.
     """
 
+    share_of: ShareOf = _no_share
+    rng: random.Random = attrs.Factory(random.Random)
     limits_by_leaf: dict[str, LeafLimit] = attrs.Factory(dict)
+    _new_leafs: set[str] = attrs.Factory(set)
 
     @property
     def limited_count(self) -> int:
         """Return the number of leafs that name a limit now."""
         return sum(each.is_limited for each in self.limits_by_leaf.values())
 
+    def limit_of(self, leaf_id: str) -> LeafLimit | None:
+        """Return the limit in force of a leaf, ``None`` if it has none."""
+        limit = self.limits_by_leaf.get(leaf_id)
+        return limit if limit is not None and limit.is_limited else None
+
+    def may_send(self, leaf_id: str, now: float) -> bool:
+        """Return whether a request may be sent to a leaf now."""
+        limit = self.limit_of(leaf_id)
+        return limit is None or limit.has_token(now)
+
     def on_named(
         self, leaf_id: str, named: NamedLimit, requested_at: float, now: float
     ) -> bool:
@@ -48,23 +99,98 @@
             Whether a limit has ended.
         """
         known = self.limits_by_leaf.get(leaf_id)
-        if named.per_s is None:
-            if known is None or not known.is_limited:
-                return False
-            if requested_at < known.stated_at:
-                return False
-        if known is None:
-            known = LeafLimit(None, now, reported_at=now)
-            self.limits_by_leaf[leaf_id] = known
-        self._log_change(leaf_id, known, named.per_s, now)
-        known.per_s = named.per_s
-        known.stated_at = now
-        return named.per_s is None
+        if named.per_s is None and (
+            known is None or requested_at < known.stated_at
+        ):
+            return False
+        was_limited = known is not None and known.is_limited
+        self._set(LimitStatement(leaf_id, named.per_s, now), now)
+        return was_limited and named.per_s is None
+
+    def merge(
+        self, statements: Iterable[LimitStatement], now: float
+    ) -> list[str]:
+        """Apply statements that other instances have heard, where newer.
+
+        Returns
+        -------
+        list of str
+            Leafs whose limit has ended.
+        """
+        ended: list[str] = []
+        for statement in statements:
+            known = self.limits_by_leaf.get(statement.leaf_id)
+            is_news = known is not None or statement.per_s is not None
+            if known is not None and statement.stated_at <= known.stated_at:
+                continue
+            if (
+                known is not None
+                and known.is_limited
+                and (statement.per_s is None)
+            ):
+                ended.append(statement.leaf_id)
+            if is_news:
+                self._set(statement, now)
+        return ended
+
+    def statements(
+        self, leaf_ids: Collection[str] | None = None
+    ) -> list[LimitStatement]:
+        """Return the newest statements of some leafs.
+
+        Parameters
+        ----------
+        leaf_ids : collection of str or None
+            Leafs, by default all that name a limit now.
+        """
+        if leaf_ids is None:
+            leaf_ids = [
+                leaf_id
+                for leaf_id, limit in self.limits_by_leaf.items()
+                if limit.is_limited
+            ]
+        return [
+            LimitStatement(leaf_id, limit.per_s, limit.stated_at)
+            for leaf_id in leaf_ids
+            if (limit := self.limits_by_leaf.get(leaf_id)) is not None
+        ]
+
+    def wanted_by_leaf(self, now: float) -> dict[str, int]:
+        """Return the tokens that this instance lacks, by leaf id."""
+        return {
+            leaf_id: wanted
+            for leaf_id, limit in self.limits_by_leaf.items()
+            if limit.is_limited and (wanted := limit.wanted(now))
+        }
+
+    def pop_new_leafs(self) -> set[str]:
+        """Return the leafs whose limit began since the last call of this."""
+        new_leafs = self._new_leafs
+        self._new_leafs = set()
+        return new_leafs
+
+    def use_coordinator(self, leaf_id: str) -> None:
+        """Spend only granted tokens for a leaf from now on."""
+        limit = self.limit_of(leaf_id)
+        if limit is not None:
+            limit.is_coordinated = True
+
+    def use_share(self, leaf_id: str, now: float) -> None:
+        """Earn the share of this instance for a leaf from now on."""
+        limit = self.limit_of(leaf_id)
+        if limit is not None and limit.is_coordinated:
+            limit.use_share(self.share_of(leaf_id), self.rng.random(), now)
+
+    def on_missed(self, leaf_id: str, now: float) -> None:
+        """Record a request that a leaf would have got with a token."""
+        limit = self.limit_of(leaf_id)
+        if limit is not None:
+            limit.on_missed(now)
 
     def on_sent(self, leaf_id: str, now: float, *, is_extra: bool) -> None:
-        """Count a request to a leaf, and log the counts regularly."""
-        limit = self.limits_by_leaf.get(leaf_id)
-        if limit is None or not limit.is_limited:
+        """Spend a token for a request to a leaf, and log the use regularly."""
+        limit = self.limit_of(leaf_id)
+        if limit is None:
             return
         limit.on_sent(now, is_extra=is_extra)
         if now >= limit.reported_at + COUNTED_TIME_S:
@@ -73,6 +199,7 @@
                 leaf=leaf_id,
                 per_s=limit.per_s,
                 stated_s=round(now - limit.stated_at, 3),
+                is_coordinated=limit.is_coordinated,
                 sent=limit.sent_count(now),
                 extra=limit.extra_sent,
                 seconds=COUNTED_TIME_S,
@@ -80,21 +207,32 @@
             limit.extra_sent = 0
             limit.reported_at = now
 
-    def retain(self, leaf_ids: set[str]) -> None:
+    def retain(self, leaf_ids: Collection[str]) -> None:
         """Forget the limits of all other leafs."""
-        for leaf_id in self.limits_by_leaf.keys() - leaf_ids:
+        for leaf_id in self.limits_by_leaf.keys() - set(leaf_ids):
             self.limits_by_leaf.pop(leaf_id)
 
-    def _log_change(
-        self, leaf_id: str, known: LeafLimit, per_s: float | None, now: float
-    ) -> None:
-        """Log a limit that begins, ends or changes."""
-        if known.per_s == per_s:
-            return
-        log_message(
-            message_type='leaf:limit_named',
-            leaf=leaf_id,
-            per_s=per_s,
-            previous_per_s=known.per_s,
-            previous_s=round(now - known.stated_at, 3),
-        )
+    def _set(self, statement: LimitStatement, now: float) -> None:
+        """Record a statement and log a limit that begins, ends or changes."""
+        leaf_id, per_s = statement.leaf_id, statement.per_s
+        limit = self.limits_by_leaf.get(leaf_id)
+        if limit is None:
+            if len(self.limits_by_leaf) >= MAX_LEAFS:
+                return
+            limit = LeafLimit(None, statement.stated_at)
+            self.limits_by_leaf[leaf_id] = limit
+        previous_per_s = limit.per_s
+        if previous_per_s != per_s:
+            log_message(
+                message_type='leaf:limit_named',
+                leaf=leaf_id,
+                per_s=per_s,
+                previous_per_s=previous_per_s,
+                age_s=round(now - statement.stated_at, 3),
+            )
+        limit.per_s = per_s
+        limit.stated_at = statement.stated_at
+        if previous_per_s is None and per_s is not None:
+            limit.begin(now)
+            limit.use_share(self.share_of(leaf_id), self.rng.random(), now)
+            self._new_leafs.add(leaf_id)
--- a/clementinebank/relay/_client.py
+++ b/clementinebank/relay/_client.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import attrs
+from eliot import log_message
 from result import Err, Ok, Result
 
 from clementinebank.clock import now
@@ -22,7 +23,12 @@
     StoredState,
 )
 from clementinebank.relay._service import WATCH_PATH
-from clementinebank.rpc import CALL_ERRORS, RpcChannel, failure_from_error
+from clementinebank.rpc import (
+    CALL_ERRORS,
+    RpcChannel,
+    RpcProtocolError,
+    failure_from_error,
+)
 from clementinebank.validation import Address
 
 # Time for a reply beyond the wait that the request asks for. A round trip
@@ -51,6 +57,8 @@
     cores : float
         Processor of this instance in cores; 0 if it gathers no answers for
         other instances.
+    on_notice : callable or None
+        Receives what another service of the relay has added to a reply.
     """
 
     instance_id: str
@@ -59,6 +67,7 @@
     create_channel: Callable[[Address], RpcChannel] = RpcChannel
     data_centre: str = ''
     cores: float = 0
+    on_notice: Callable[[bytes], None] | None = None
     calls: int = 0
     _channels: OrderedDict[Address, RpcChannel] = attrs.Factory(OrderedDict)
 
@@ -149,6 +158,16 @@
             )
         except CALL_ERRORS as error:
             return Err(failure_from_error(error, Step.DISTRIBUTE, str(address)))
+        if self.on_notice is not None:
+            try:
+                self.on_notice(reply.notice)
+            except RpcProtocolError as error:
+                # The entries of the reply are valid all the same.
+                log_message(
+                    message_type='relay:invalid_notice',
+                    relay=str(address),
+                    reason=str(error),
+                )
         if not reply.is_loaded:
             message = 'the relay has not loaded the entries yet'
             return Err(_failure('not_loaded', message, address))
--- a/clementinebank/relay/_codec.py
+++ b/clementinebank/relay/_codec.py
@@ -80,6 +80,8 @@
         Whether the relay lacks changes since the revision of the request.
     has_more : bool
         Whether another page follows.
+    notice : bytes
+        Addition of another service; empty if there is none.
     """
 
     entries: tuple[Entry, ...] = ()
@@ -88,6 +90,7 @@
     is_loaded: bool = True
     is_history_lost: bool = False
     has_more: bool = False
+    notice: bytes = b''
 
 
 def encode_request(request: WatchRequest) -> bytes:
@@ -148,6 +151,7 @@
         is_loaded=reply.is_loaded,
         is_history_lost=reply.is_history_lost,
         has_more=reply.has_more,
+        notice=reply.notice,
     ).SerializeToString()
 
 
@@ -175,6 +179,7 @@
         raw.is_loaded,
         raw.is_history_lost,
         raw.has_more,
+        raw.notice,
     )
 
 
--- a/clementinebank/relay/_log.py
+++ b/clementinebank/relay/_log.py
@@ -121,6 +121,12 @@
         with contextlib.suppress(curio.TaskTimeout):
             await run_before(now() + limit_s, self._update_event.wait)
 
+    async def wake_waiting(self) -> None:
+        """End every ``wait_for_update``, though no entry has changed."""
+        previous = self._update_event
+        self._update_event = curio.Event()
+        await previous.set()
+
     def _apply(self, change: Entry) -> None:
         known = self.entries_by_key.get(change.key)
         if known is not None and known.revision > change.revision:
@@ -136,9 +142,7 @@
     async def _record_confirmation(self, age_s: float) -> None:
         """Record a confirmation of this age and wake waiting tasks."""
         self.confirmed_at = max(self.confirmed_at, now() - age_s)
-        previous = self._update_event
-        self._update_event = curio.Event()
-        await previous.set()
+        await self.wake_waiting()
 
 
 def _revision_of(entry: Entry) -> int:
--- a/clementinebank/relay/_service.py
+++ b/clementinebank/relay/_service.py
@@ -1,5 +1,7 @@
 """Server that sends the entries of an instance to other instances."""
 
+from collections.abc import Callable
+
 import attrs
 
 from clementinebank.clock import now
@@ -29,6 +31,11 @@
 CONFIRMATION_TOLERANCE_S = 0.1
 
 
+def _no_notice() -> bytes:
+    """Return the notice of an instance that sends none."""
+    return b''
+
+
 @attrs.define(eq=False)
 class RelayService:
     """Server of the ``Watch`` method, which sends entries to followers.
@@ -40,9 +47,12 @@
     ----------
     log : EntryLog
         Entries that this instance knows, and their age.
+    create_notice : callable
+        Returns what another service adds to each reply, empty if nothing.
     """
 
     log: EntryLog
+    create_notice: Callable[[], bytes] = _no_notice
     _asked_at_by_instance: dict[str, float] = attrs.Factory(dict)
     # Last request of each instance in ``_asked_at_by_instance``.
     _requests_by_instance: dict[str, WatchRequest] = attrs.Factory(dict)
@@ -65,7 +75,8 @@
         self._asked_at_by_instance[request.instance_id] = now()
         self._requests_by_instance[request.instance_id] = request
         self._update_fresher_followers(request)
-        return encode_reply(await self._reply(request))
+        reply = await self._reply(request)
+        return encode_reply(attrs.evolve(reply, notice=self.create_notice()))
 
     def follower_count(self) -> int:
         """Return the number of instances that read from this one now."""
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -1,13 +1,13 @@
 """Choice of the replica that gets a shard request."""
 
 import random
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from math import inf
 
 import attrs
 
 from clementinebank.invariants import check, invariant
-from clementinebank.ratelimit import LimitTable, NamedLimit
+from clementinebank.ratelimit import LimitStatement, LimitTable, NamedLimit
 from clementinebank.routing._budget import (
     DEFAULT_BUCKET_CAPACITY,
     ExtraLoadBudget,
@@ -32,6 +32,10 @@
 SLOW_REPLY_MARGIN_S = 0.005
 
 
+# Least rate that is assumed for the tokens of an instance which got none in the
+# measured time.
+MIN_INCOME_PER_S = 0.2
+
 # Slots of each leaf that a request which can wait leaves to other instances.
 # Waiting in this instance costs nothing, whereas a request that a full leaf
 # refuses is retried, which costs a token of the extra-load budget.
@@ -128,6 +132,10 @@
         self.budget.ratio = service.extra_load
         self._rebuild_leafs(now)
 
+    def group_of(self, leaf_id: str) -> str:
+        """Return the group of a leaf, empty if the leaf isn't known."""
+        return self._group_id_by_leaf.get(leaf_id, '')
+
     def budget_of(self, group_id: str) -> ExtraLoadBudget:
         """Return the budget from which extra requests of a group are paid."""
         return self.budgets_by_group.get(group_id, self.budget)
@@ -140,6 +148,8 @@
         remaining_s: float = inf,
         *,
         may_wait: bool = False,
+        is_extra: bool = False,
+        is_repeated: bool = False,
     ) -> str | None:
         """Return the id of the replica that should get the next request.
 
@@ -161,6 +171,12 @@
             Whether the request can wait. It then leaves a slot of each leaf
             to other instances, and gets ``None`` if a busy leaf is expected
             to answer before those that have room.
+        is_extra : bool
+            Whether another leaf has the request already. It is then not sent
+            to a leaf that names a rate limit.
+        is_repeated : bool
+            Whether the choice was made before for the same request and found
+            no leaf. It then adds no demand to a leaf that names a rate limit.
 
         Returns
         -------
@@ -171,6 +187,7 @@
             leaf
             for leaf in self._usable_leafs(group_id, remaining_s)
             if leaf.leaf_id not in excluded
+            and not (is_extra and self.limits.limit_of(leaf.leaf_id))
         ]
         eligible = [leaf for leaf in usable if self._may_get_request(leaf, now)]
         max_own_slots = max(1, self.service.slots - SLOTS_FOR_OTHER_INSTANCES)
@@ -184,6 +201,17 @@
         if not with_room:
             return None
         chosen = self._cheapest_of_sample(with_room, now)
+        if not self.limits.may_send(chosen.leaf_id, now):
+            if not is_repeated:
+                self.limits.on_missed(chosen.leaf_id, now)
+            with_room = [
+                leaf
+                for leaf in with_room
+                if self.limits.may_send(leaf.leaf_id, now)
+            ]
+            if not with_room:
+                return None
+            chosen = self._cheapest_of_sample(with_room, now)
         if may_wait and self._is_wait_shorter(chosen, candidates, now):
             return None
         return chosen.leaf_id
@@ -233,7 +261,8 @@
             # `_may_get_request`; it is hedged if the leaf is slow.
             return None
         for leaf in self._usable_leafs(group_id, inf):
-            if leaf.is_probe_due(now) and leaf.in_flight == 0:
+            is_free = leaf.in_flight == 0 and leaf.is_probe_due(now)
+            if is_free and not self.limits.limit_of(leaf.leaf_id):
                 return leaf.leaf_id
         return None
 
@@ -273,6 +302,29 @@
         )
         return waiting / calls_per_s
 
+    def token_wait_s(self, group_id: str, now: float) -> float:
+        """Return how long a new request waits for a rate-limited leaf.
+
+        Returns
+        -------
+        float
+            Seconds until all requests of this instance that wait for the group
+            and one more can have got a token; 0 if a leaf names no limit or
+            the rate of the tokens isn't known yet.
+        """
+        income_per_s: float = 0
+        leafs = self._usable_leafs(group_id, inf)
+        for leaf in leafs:
+            limit = self.limits.limit_of(leaf.leaf_id)
+            leaf_income_per_s = limit.income_per_s(now) if limit else None
+            if leaf_income_per_s is None:
+                return 0
+            income_per_s += leaf_income_per_s
+        if not leafs:
+            return 0
+        waiting = self.waiting_by_group.get(group_id, 0)
+        return (waiting + 1) / max(income_per_s, MIN_INCOME_PER_S)
+
     def add_waiting(self, group_id: str, change: int) -> None:
         """Add `change` to the number of requests that wait for the group."""
         waiting = self.waiting_by_group.get(group_id, 0)
@@ -375,8 +427,26 @@
         elapsed_s : float
             Time since the request was sent, in seconds.
         """
-        if named is not None and leaf_id in self.leafs_by_id:
-            self.limits.on_named(leaf_id, named, now - elapsed_s, now)
+        if named is None or leaf_id not in self.leafs_by_id:
+            return
+        if self.limits.on_named(leaf_id, named, now - elapsed_s, now):
+            self._start_slowly(leaf_id, now)
+
+    def merge_limits(
+        self, statements: Iterable[LimitStatement], now: float
+    ) -> None:
+        """Apply rate limits that other instances have heard, where newer."""
+        for leaf_id in self.limits.merge(statements, now):
+            self._start_slowly(leaf_id, now)
+
+    def _start_slowly(self, leaf_id: str, now: float) -> None:
+        """Raise the requests to a leaf whose limit has ended over some time.
+
+        All instances learn of the end at about the same time.
+        """
+        leaf = self.leafs_by_id.get(leaf_id)
+        if leaf is not None:
+            leaf.cold_since = now
 
     def on_end(
         self,
