Keep the rate limits of leafs for searches and bookings too

What callers and leafs saw: nothing yet, the product's own interface had no such statement; its searches and bookings use the same router.

Change: leafs name the limit in the header Rate-Limit of their replies (protocols.md). Instances earn equal shares of it, by the number of instances that the document lets share a leaf. A booking waits for a token for at most half of its time, and is refused as not run at once if the token would come later. The stand-in leaf names a limit and keeps the times of its work.

Test: two instances, 25 searches and bookings a second for 6 s; the leafs get at most 8 and 4 a second + 5 in each 4 s, every search is complete, bookings ran or were not run, and all go on after the limit.

--- a/clementinebank/booking/_engine.py
+++ b/clementinebank/booking/_engine.py
@@ -18,6 +18,7 @@
 from clementinebank.clock import now, run_before, wall_time
 from clementinebank.coordination import KeyValueService
 from clementinebank.document import Document, ServiceSettings
+from clementinebank.ratelimit import equal_share
 from clementinebank.routing import Router
 from clementinebank.upstream import LeafPool, LeafPools, LeafStatus
 
@@ -79,6 +80,7 @@
                 self.service
             ),
         )
+        self._set_limit_share()
 
     async def update(
         self, service: ServiceSettings, document: Document
@@ -89,6 +91,7 @@
         """
         self.service = service
         self.document = document
+        self._set_limit_share()
         connections_per_instance = document.connections_per_instance(service)
         self.router.update_service(
             service, now(), self._delays_s_by_leaf(), connections_per_instance
@@ -143,6 +146,12 @@
         """Return the answer to a request that the shared budget refuses."""
         return _answers.over_budget_answer(self.budget.bookings_per_second)
 
+    def _set_limit_share(self) -> None:
+        """Divide the rate limits of leafs by the number of instances."""
+        self.router.limits.share_of = equal_share(
+            self.document.fleet.instances_sharing_leaf
+        )
+
     def _delays_s_by_leaf(self) -> dict[str, float]:
         return self.document.delays_s_by_leaf(self.service, self.data_centre)
 
--- a/clementinebank/booking/_run.py
+++ b/clementinebank/booking/_run.py
@@ -20,6 +20,7 @@
 from clementinebank.coordination import MAX_VALUE_BYTES, Entry
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpRequest
+from clementinebank.ratelimit import named_limit_of
 from clementinebank.routing import OUTCOMES_BY_CODE, CallOutcome
 from clementinebank.upstream import LeafCall, LeafReply
 
@@ -34,6 +35,10 @@
 # waiting for its reply. It is longer than the one second for which the pool
 # itself waits for a late reply.
 CALL_GRACE_S = 2.0
+# Share of the time left in which a booking waits for a leaf that names a rate
+# limit. The rest is for the call.
+TOKEN_WAIT_SHARE = 0.5
+TOKEN_CHECK_INTERVAL_S = 0.02
 
 Observer = Callable[['BookingRun', Step], Awaitable[None]]
 
@@ -185,14 +190,18 @@
     """Submit the request to one leaf, or release the claim."""
     booking = run.booking
     engine = run.engine
+    # A booking service has exactly one group.
+    group_id = next(iter(engine.service.groups_by_id))
+    is_limited = not await _wait_for_token(run, group_id)
     if not booking.may_dispatch(now(), wall_time()):
         message = 'the deadline passed before the request was sent'
         return booking.on_no_dispatch('deadline_passed', message)
-    # A booking service has exactly one group.
-    group_id = next(iter(engine.service.groups_by_id))
     leaf_id = engine.router.choose(group_id, now(), booking.leafs_tried)
     pool = engine.pools_by_leaf.get(leaf_id or '')
     if leaf_id is None or pool is None:
+        if is_limited:
+            message = 'every leaf names a rate limit that is used up'
+            return booking.on_no_dispatch('rate_limited', message)
         return booking.on_no_dispatch('no_leaf', 'no leaf is available')
     claim = booking.claim
     if not engine.dispatch_monitor.check_dispatch(claim.key, claim.attempt_id):
@@ -205,6 +214,29 @@
     return next_step
 
 
+async def _wait_for_token(run: BookingRun, group_id: str) -> bool:
+    """Wait until a request may be sent to a leaf that names a rate limit.
+
+    Returns
+    -------
+    bool
+        False if no leaf may get the request before its deadline is near; this
+        is returned at once if it is known before.
+    """
+    router = run.engine.router
+    wait_s = TOKEN_WAIT_SHARE * (run.booking.request.deadline - now())
+    end = now() + wait_s
+    if router.token_wait_s(group_id, now()) > wait_s:
+        return router.has_token(group_id, now())
+    router.add_waiting(group_id, 1)
+    try:
+        while not router.has_token(group_id, now()) and now() < end:
+            await curio.sleep(TOKEN_CHECK_INTERVAL_S)
+    finally:
+        router.add_waiting(group_id, -1)
+    return router.has_token(group_id, now())
+
+
 @booking_step(Step.FIRST_BYTE)
 async def first_byte(run: BookingRun) -> Step:
     """Wait for the reply of the leaf or the failure of the call."""
@@ -223,6 +255,7 @@
         lambda response: decode_leaf_reply(response, leaf_id)
     )
     run.call = None
+    _record_limit(run, run.reply, decoded)
     run.engine.router.on_end(
         leaf_id, now(), run.reply.elapsed_s, _call_outcome(decoded)
     )
@@ -237,6 +270,23 @@
     return run.booking.on_reply(decoded)
 
 
+def _record_limit(
+    run: BookingRun, reply: LeafReply, decoded: Result[Outcome, Failure]
+) -> None:
+    """Tell the router what a reply states about the rate limit of its leaf."""
+    if isinstance(reply.outcome, Err):
+        return
+    execution = Execution.RAN
+    if isinstance(decoded, Err):
+        execution = decoded.err_value.execution
+    run.engine.router.on_named_limit(
+        reply.leaf_id,
+        named_limit_of(reply.outcome.ok_value, execution),
+        now(),
+        reply.elapsed_s,
+    )
+
+
 @booking_step(Step.RECORD)
 async def record(run: BookingRun) -> Step | None:
     """Write the record that holds the outcome or releases the claim.
--- a/clementinebank/search/_engine.py
+++ b/clementinebank/search/_engine.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 import attrs
-from result import Err, Result
+from result import Err, Ok, Result
 
 from clementinebank.clock import now
 from clementinebank.dispatch import (
@@ -17,6 +17,7 @@
 from clementinebank.document import Document, LeafEndpoint, ServiceSettings
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http import HttpResponse, json_request
+from clementinebank.ratelimit import equal_share, named_limit_of
 from clementinebank.routing import OUTCOMES_BY_CODE, CallOutcome, Router
 from clementinebank.search._actions import SearchAnswer, SendShardRequest
 from clementinebank.search._messages import (
@@ -82,6 +83,9 @@
                 self.service
             ),
         )
+        self.router.limits.share_of = equal_share(
+            self.document.fleet.instances_sharing_leaf
+        )
 
     async def start(self) -> None:
         """Create a pool and start a status probe for every leaf."""
@@ -97,6 +101,9 @@
         self.service = service
         self.document = document
         share = document.connections_per_instance(service)
+        self.router.limits.share_of = equal_share(
+            document.fleet.instances_sharing_leaf
+        )
         self.router.update_service(
             service, now(), self._delays_s_by_leaf(), share
         )
@@ -223,6 +230,13 @@
         outcome = reply.outcome.and_then(
             lambda response: _decode_response(response, reply.call_id)
         )
+        if isinstance(reply.outcome, Ok):
+            self.engine.router.on_named_limit(
+                reply.leaf_id,
+                named_limit_of(reply.outcome.ok_value, _execution_of(outcome)),
+                now(),
+                reply.elapsed_s,
+            )
         self.engine.router.on_end(
             reply.leaf_id,
             now(),
@@ -257,6 +271,13 @@
     return CallOutcome.GOOD
 
 
+def _execution_of(outcome: Result[ShardReply, Failure]) -> Execution:
+    """Return whether a response says that the leaf ran the request."""
+    if isinstance(outcome, Err):
+        return outcome.err_value.execution
+    return Execution.RAN
+
+
 def _decode_response(
     response: HttpResponse, call_id: str
 ) -> Result[ShardReply, Failure]:
--- a/standins/leaf.py
+++ b/standins/leaf.py
@@ -2,7 +2,7 @@
 
 import argparse
 import json
-from collections import Counter
+from collections import Counter, deque
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +25,8 @@
 # In the query "wool#request-7", the part before it selects the records and
 # the part after it only identifies the request.
 QUERY_SEPARATOR = '#'
+# Arrival times that are kept.
+MAX_WORK_ARRIVALS = 2000
 GOODS = ('silk', 'wool', 'cotton', 'cedar', 'teak')
 
 
@@ -63,6 +65,8 @@
         Number of partitions of each group by the sequence number of the
         snapshot, where it differs from ``PARTITIONS_PER_GROUP``. The sequence
         numbers are strings, as all names of a JSON object.
+    rate_limit : str
+        Rate limit that every reply names; none if it is empty.
     """
 
     delay_ms: float = 1
@@ -76,6 +80,7 @@
     refuse_executions: bool = False
     dead: bool = False
     partitions_per_group: dict[str, int] = attrs.Factory(dict)
+    rate_limit: str = ''
 
 
 @attrs.define(eq=False)
@@ -109,6 +114,8 @@
     drain_arrivals : list of dict
         Searches and executions that arrived during a drain: ``at`` (Unix
         time) and ``since_s`` (seconds since the drain was signalled).
+    work_arrivals : deque of float
+        Unix times of the latest searches and executions.
     """
 
     service: ServiceSettings
@@ -122,6 +129,9 @@
     identified_queries: set[str] = attrs.Factory(set)
     drain_signalled_at: float | None = None
     drain_arrivals: list[dict[str, Any]] = attrs.Factory(list)
+    work_arrivals: deque[float] = attrs.Factory(
+        lambda: deque(maxlen=MAX_WORK_ARRIVALS)
+    )
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to one request, with the id of the request.
@@ -133,9 +143,10 @@
         request_id = request.headers.get('request-id', '')
         if self.faults.reply == 'crossed' and request.method == 'POST':
             request_id = 'another-request'
-        response = attrs.evolve(
-            response, headers={**response.headers, 'request-id': request_id}
-        )
+        headers = {**response.headers, 'request-id': request_id}
+        if self.faults.rate_limit:
+            headers['rate-limit'] = self.faults.rate_limit
+        response = attrs.evolve(response, headers=headers)
         if request.path != '/v1/search':
             return response
         previous_response = self.previous_search_response
@@ -163,6 +174,7 @@
         return await self._handle_work(request)
 
     async def _handle_work(self, request: HttpRequest) -> HttpResponse:
+        self.work_arrivals.append(wall_time())
         self._record_drain(request.path)
         refusal = self._refuse()
         if refusal:
@@ -202,6 +214,7 @@
             'executions': dict(self.executions_by_key),
             'searched': sorted(self.identified_queries),
             'drain_arrivals': self.drain_arrivals,
+            'work_arrivals': list(self.work_arrivals),
         }
 
     def _status(self) -> dict[str, Any]:
