Tell the other instances that the limit of a leaf has ended

What callers saw: instances that make no calls to a leaf kept its limit after it had ended, and refused or moved the first requests of later callers.

Cause: relays passed on the limits in force only, so the end of a limit was told by its absence, which followers can't tell from a relay that never knew of it. Only instances with calls of their own heard of the end.

Change: the end of a limit is a statement with an age like any other. It is announced at once and passed on for 20 s.

--- a/clementinebank/ratelimit/_client.py
+++ b/clementinebank/ratelimit/_client.py
@@ -28,7 +28,7 @@
 CALL_TIMEOUT_S = 0.3
 # Time for which a coordinator that failed is not asked again.
 PAUSE_S = 1.0
-# Least time between two calls of `on_new_limits`.
+# Least time between two calls of `on_changed_limits`.
 MIN_NOTICE_INTERVAL_S = 0.5
 
 FindCoordinator = Callable[[str], Address | None]
@@ -53,9 +53,9 @@
         Returns the address of the coordinator of a leaf, ``None`` if none is
         known. The instance then earns its share of the limit.
     find_listeners : callable
-        Returns the addresses that are told of limits that begin.
-    on_new_limits : callable
-        Coroutine function that is called after limits have begun.
+        Returns the addresses that are told of limits that begin or end.
+    on_changed_limits : callable
+        Coroutine function that is called after limits have begun or ended.
     create_channel : callable
         Returns a new channel to an address.
     """
@@ -64,7 +64,7 @@
     service: LimitService
     find_coordinator: FindCoordinator
     find_listeners: FindListeners
-    on_new_limits: Callable[[], Awaitable[None]]
+    on_changed_limits: Callable[[], Awaitable[None]]
     create_channel: Callable[[Address], RpcChannel] = RpcChannel
     _channels: dict[Address, RpcChannel] = attrs.Factory(dict)
     _next_ask_at: dict[Address, float] = attrs.Factory(dict)
@@ -75,7 +75,7 @@
     async def run(self) -> None:
         """Acquire tokens and pass on limits until cancelled."""
         while True:
-            is_busy = self.service.table.limited_count
+            is_busy = self.service.table.limited_count or self._has_news
             await curio.sleep(BUSY_INTERVAL_S if is_busy else IDLE_INTERVAL_S)
             if not is_busy:
                 await self._close_channels()
@@ -107,9 +107,13 @@
             await self._ask_if_due(address, wanted_by_leaf)
         await self._announce()
 
+    @property
+    def _has_news(self) -> bool:
+        return self.service.table.has_changes or bool(self._unannounced)
+
     async def _announce(self) -> None:
-        """Tell the listeners of the limits that have begun."""
-        self._unannounced |= self.service.table.pop_new_leafs()
+        """Tell the listeners of the limits that have begun or ended."""
+        self._unannounced |= self.service.table.pop_changed_leafs()
         if not self._unannounced or now() < self._next_notice_at:
             return
         self._next_notice_at = now() + MIN_NOTICE_INTERVAL_S
@@ -118,7 +122,7 @@
         for address in self.find_listeners():
             if address != self.address and not self._is_paused(address):
                 await curio.spawn(self._ask, address, {}, leaf_ids, daemon=True)
-        await self.on_new_limits()
+        await self.on_changed_limits()
 
     async def _ask_if_due(
         self, address: Address, wanted_by_leaf: dict[str, int]
@@ -140,7 +144,7 @@
         service = self.service
         asked_at = now()
         request = Acquisition(
-            tuple(service.table.statements(leaf_ids)), wanted_by_leaf
+            tuple(service.table.statements_of(leaf_ids)), wanted_by_leaf
         )
         channel = self._channels.setdefault(
             address, self.create_channel(address)
--- a/clementinebank/ratelimit/_leaf_limit.py
+++ b/clementinebank/ratelimit/_leaf_limit.py
@@ -36,8 +36,8 @@
         ``None`` if its limit has ended.
     stated_at : float
         Runtime time in seconds of the newest statement.
-    limited_since : float
-        Runtime time in seconds at which the limit began.
+    limited_since, ended_at : float
+        Runtime times in seconds at which the limit began and ended.
     share : float
         Share of the limit that this instance uses without a coordinator.
     is_coordinated : bool
@@ -51,6 +51,7 @@
     per_s: float | None
     stated_at: float
     limited_since: float = 0
+    ended_at: float = float('-inf')
     share: float = 0
     is_coordinated: bool = False
     extra_sent: int = 0
--- a/clementinebank/ratelimit/_service.py
+++ b/clementinebank/ratelimit/_service.py
@@ -53,7 +53,7 @@
         request = decode_request(payload, at)
         self.on_statements(request.known, at)
         reply = Acquisition(
-            tuple(self.table.statements(request.tokens_by_leaf)),
+            tuple(self.table.statements_of(request.tokens_by_leaf)),
             self.acquire(request.tokens_by_leaf, at),
         )
         return encode_reply(reply, at)
@@ -71,11 +71,11 @@
         }
 
     def encode_notice(self) -> bytes:
-        """Return the limits in force, for messages of other services.
+        """Return the recent statements, for messages of other services.
 
-        Empty if no leaf names a limit.
+        Empty if there are none.
         """
-        statements = self.table.statements()
+        statements = self.table.recent_statements(now())
         return encode_statements(statements, now()) if statements else b''
 
     def apply_notice(self, notice: bytes) -> None:
--- a/clementinebank/ratelimit/_table.py
+++ b/clementinebank/ratelimit/_table.py
@@ -9,6 +9,9 @@
 from clementinebank.ratelimit._leaf_limit import COUNTED_TIME_S, LeafLimit
 from clementinebank.ratelimit._named import NamedLimit
 
+# Time for which other instances are told of the end of a limit, in seconds.
+# Those that follow a lost relay hear of it from the next one.
+END_NOTICE_TIME_S = 20.0
 # Bound of the leafs whose limits are kept.
 MAX_LEAFS = 4096
 
@@ -71,7 +74,7 @@
     waiting_for: Callable[[str], int] = _none_waiting
     rng: random.Random = attrs.Factory(random.Random)
     limits_by_leaf: dict[str, LeafLimit] = attrs.Factory(dict)
-    _new_leafs: set[str] = attrs.Factory(set)
+    _changed_leafs: set[str] = attrs.Factory(set)
 
     @property
     def limited_count(self) -> int:
@@ -146,28 +149,22 @@
                 self._set(statement, now)
         return ended
 
-    def statements(
-        self, leaf_ids: Collection[str] | None = None
-    ) -> list[LimitStatement]:
-        """Return the newest statements of some leafs.
-
-        Parameters
-        ----------
-        leaf_ids : collection of str or None
-            Leafs, by default all that name a limit now.
-        """
-        if leaf_ids is None:
-            leaf_ids = [
-                leaf_id
-                for leaf_id, limit in self.limits_by_leaf.items()
-                if limit.is_limited
-            ]
+    def statements_of(self, leaf_ids: Iterable[str]) -> list[LimitStatement]:
+        """Return the newest statements of some leafs, where there are any."""
         return [
             LimitStatement(leaf_id, limit.per_s, limit.stated_at)
             for leaf_id in leaf_ids
             if (limit := self.limits_by_leaf.get(leaf_id)) is not None
         ]
 
+    def recent_statements(self, now: float) -> list[LimitStatement]:
+        """Return the limits in force and those that ended a short time ago."""
+        return self.statements_of(
+            leaf_id
+            for leaf_id, limit in self.limits_by_leaf.items()
+            if limit.is_limited or now < limit.ended_at + END_NOTICE_TIME_S
+        )
+
     def wanted_by_leaf(self, now: float) -> dict[str, int]:
         """Return the tokens that this instance lacks for each limited leaf."""
         return {
@@ -176,11 +173,19 @@
             if limit.is_limited
         }
 
-    def pop_new_leafs(self) -> set[str]:
-        """Return the leafs whose limit began since the last call of this."""
-        new_leafs = self._new_leafs
-        self._new_leafs = set()
-        return new_leafs
+    @property
+    def has_changes(self) -> bool:
+        """Return whether a limit has begun or ended.
+
+        It is false again after ``pop_changed_leafs``.
+        """
+        return bool(self._changed_leafs)
+
+    def pop_changed_leafs(self) -> set[str]:
+        """Return the leafs whose limit began or ended since the last call."""
+        changed_leafs = self._changed_leafs
+        self._changed_leafs = set()
+        return changed_leafs
 
     def use_coordinator(self, leaf_id: str) -> None:
         """Spend only granted tokens for a leaf from now on."""
@@ -245,7 +250,11 @@
             )
         limit.per_s = per_s
         limit.stated_at = statement.stated_at
-        if previous_per_s is None and per_s is not None:
+        if (previous_per_s is None) == (per_s is None):
+            return
+        self._changed_leafs.add(leaf_id)
+        if per_s is None:
+            limit.ended_at = now
+        else:
             limit.begin(now)
             limit.use_share(self.share_of(leaf_id), self.rng.random(), now)
-            self._new_leafs.add(leaf_id)
--- a/clementinebank/ratelimit/tests/test_statements.py
+++ b/clementinebank/ratelimit/tests/test_statements.py
@@ -112,7 +112,7 @@
     table = make_table(5.0)
     for hop in range(1, 5):
         sent_at = NOW + hop
-        payload = encode_statements(table.statements(), sent_at)
+        payload = encode_statements(table.recent_statements(NOW), sent_at)
         received = decode_statements(payload, sent_at + 0.03)
         table.merge(received, sent_at + 0.03)
     assert table.limit_of('a').stated_at == NOW
