--- a/clementinebank/forwarding/tests/test_forward.py
+++ b/clementinebank/forwarding/tests/test_forward.py
@@ -28,6 +28,7 @@
 from clementinebank.forwarding.tests.simulation import (
     OBJECTIVE_S,
     SERVICES,
+    START_S,
     TIMEOUT_S,
     make_leaf_response,
     make_refusal,
@@ -35,6 +36,7 @@
     make_simulation,
 )
 from clementinebank.invariants import VIOLATIONS_BY_NAME
+from clementinebank.ratelimit import NamedLimit, equal_share
 from clementinebank.routes import RouteKind
 from clementinebank.routing import CallOutcome, LeafState
 
@@ -460,3 +462,38 @@
     simulation = make_simulation(route).start()
     simulation.advance(0.13 / 2)
     assert len(simulation.sent) == 2
+
+
+def _limit_all_leafs(simulation, per_s):
+    """Let every leaf of the first service name a rate limit."""
+    router = simulation.router
+    router.limits.share_of = equal_share(1)
+    for leaf_id in router.service.groups_by_id['s0'].leafs_by_id:
+        router.on_named_limit(leaf_id, NamedLimit(per_s), START_S - 2, 0.01)
+
+
+def test_request_beyond_every_rate_limit_is_refused_at_once():
+    simulation = make_simulation()
+    _limit_all_leafs(simulation, 0.5)
+    while simulation.router.has_token('s0', START_S):
+        leaf_id = simulation.router.choose('s0', START_S)
+        simulation.router.on_sent(leaf_id, START_S)
+    (refusal,) = simulation.start().endings
+    assert simulation.now == START_S
+    assert refusal.failure.status == 503
+    assert refusal.failure.execution is Execution.NOT_RUN
+    assert refusal.failure.message == 'rate_limited'
+    assert 0.5 < refusal.failure.retry_after_s <= 2
+
+
+def test_request_waits_for_a_token_that_comes_in_time():
+    simulation = make_simulation()
+    _limit_all_leafs(simulation, 20.0)
+    while simulation.router.has_token('s0', START_S):
+        leaf_id = simulation.router.choose('s0', START_S)
+        simulation.router.on_sent(leaf_id, START_S)
+        simulation.router.on_end(leaf_id, START_S, 0.01, CallOutcome.GOOD)
+    simulation.start()
+    assert not simulation.sent
+    simulation.advance(0.039)
+    assert len(simulation.sent) == 1
