Tell callers that gave up waiting for a token when to come back

A request that waited for a leaf with a rate limit until it was given up was refused with the constant Retry-After of 0.05 s, and returned at once. It gets the expected wait for a token now, as those do that are refused at once.

--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -306,7 +306,10 @@
         was_never_run = shard.sent_count == shard.not_run_count
         accept_before = self.started_at + self.policy.max_unaccepted_s
         if was_never_run and now >= accept_before:
-            shard.missing_reason = OVERLOADED_REASON
+            self.token_wait_s = self.router.token_wait_s(shard.group_id, now)
+            shard.missing_reason = (
+                RATE_LIMITED_REASON if self.token_wait_s else OVERLOADED_REASON
+            )
             return True
         if not shard.is_waiting:
             accept_before = min(accept_before, self.finish_at)
