Let leafs name rate limits in the soak, and check what they get

The soak had no leaf that names a limit. The new fault lets some leafs name 0.5, 2 or 8 requests a second for up to 16 s; the check counts their work in each 4 s from 5 s after the first reply with the limit, and excuses windows beside faults of instances. A control falsifies the observations.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -16,6 +16,11 @@
 DRAIN_LIMIT_S = 3.0
 # Time within which an accepted change is in force on every instance.
 IN_FORCE_LIMIT_S = 12.0
+# Time from the first reply with a rate limit until the limit must be kept, and
+# the windows in which half as much again and a few requests are tolerated.
+LIMIT_SETTLING_S = 5.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_TOLERANCE = 5
 # Faults during which an instance may cut a request or leave it unanswered.
 CUTTING_FAULTS = frozenset(('kill', 'stop'))
 
@@ -50,6 +55,9 @@
         Queries that any leaf ran.
     drain_arrivals : list of dict
         Searches and executions that reached a draining leaf.
+    limits : list of dict
+        Rate limits that leafs named: a fault with ``per_s``, the limit, and
+        ``arrivals``, the Unix times of work at the leaf.
     groups_by_service : dict
         Yards of the groups of each search service, in order of group id.
     per_group : dict
@@ -71,6 +79,7 @@
     executions: Counter = attrs.Factory(Counter)
     searched: set = attrs.Factory(set)
     drain_arrivals: list = attrs.Factory(list)
+    limits: list = attrs.Factory(list)
     groups_by_service: dict = attrs.Factory(dict)
     per_group: dict = attrs.Factory(dict)
     initial_id: str = 'initial'
@@ -301,6 +310,44 @@
     return [fault for fault in observed.faults if fault.get('ready') is False]
 
 
+def _exceeds_limit(observed, limit, begin):
+    """Return whether too much work reached a limited leaf in a window.
+
+    An instance that was killed, stopped or started again shortly before or in
+    the window need not know the limit.
+    """
+    end = begin + LIMIT_WINDOW_S
+    is_excused = any(
+        each['target'].startswith('entry')
+        and each['begin'] <= end
+        and each['end'] + LIMIT_SETTLING_S >= begin
+        for each in observed.faults
+    )
+    count = sum(begin <= each < end for each in limit['arrivals'])
+    allowed = 1.5 * limit['per_s'] * LIMIT_WINDOW_S + LIMIT_TOLERANCE
+    return count > allowed and not is_excused
+
+
+@check('leaf-limit-is-kept')
+def leaf_limit_is_kept(observed):
+    """Find windows in which a leaf got more than the limit that it named."""
+    problems = []
+    for limit in observed.limits:
+        named = [each for each in limit['arrivals'] if each >= limit['begin']]
+        begins = [
+            each
+            for each in named
+            if each >= named[0] + LIMIT_SETTLING_S
+            and each + LIMIT_WINDOW_S <= limit['end']
+        ]
+        problems += [
+            {'leaf': limit['target'], 'per_s': limit['per_s'], 'begin': begin}
+            for begin in begins
+            if _exceeds_limit(observed, limit, begin)
+        ]
+    return problems
+
+
 @check('R8-revision-never-falls')
 def revision_never_falls(observed):
     """Find revisions lower than an earlier one of the same process."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -327,6 +327,25 @@
     )
 
 
+@fault
+def leaf_limit(injector, rng):
+    """Let some leafs name a rate limit, and observe what they get.
+
+    A limit takes longer than other faults, so that there are windows in which
+    it must be kept.
+    """
+    per_s = rng.choice((0.5, 2, 8))
+    entries = _run_leaf_fault(
+        injector, rng, {'rate_limit': str(per_s)}, {'rate_limit': ''}, 16
+    )
+    for entry in entries:
+        port = injector.fleet.leaf_ports[entry['target']]
+        reply = send_request(port, 'GET', '/observed')
+        arrivals = reply.decoded_body['work_arrivals']
+        limit = {**entry, 'per_s': per_s, 'arrivals': arrivals}
+        injector.observed.limits.append(limit)
+
+
 def _run_leaf_fault(injector, rng, faulty_fields, normal_fields, max_s):
     count = rng.randint(1, 4)
     chosen = rng.sample(sorted(injector.fleet.leaf_ports), count)
@@ -342,6 +361,7 @@
             injector.fleet.leaf_ports[leaf_id], **normal_fields
         )
         entry['end'] = time.time()
+    return entries
 
 
 @fault
--- a/tests/soak/tests/test_checks.py
+++ b/tests/soak/tests/test_checks.py
@@ -102,6 +102,13 @@
     return {'target': target, 'kind': kind, 'begin': begin, 'end': end}
 
 
+def _limit(count):
+    """Return a limit of 1 a second, of which 11 in 4 s are tolerated."""
+    arrivals = [T0, *(T0 + 6 + number / 10 for number in range(count))]
+    fault = _fault('desk-0', 'limit', T0, T0 + 20)
+    return {**fault, 'per_s': 1, 'arrivals': arrivals}
+
+
 def _valid_observations():
     observed = Observations(
         searches=[_search()],
@@ -115,6 +122,7 @@
         },
         exits=[{'instance': 'entry-1', 'status': 0}],
         drain_arrivals=[{'leaf': 'desk-0', 'at': T0, 'since_s': 2.9}],
+        limits=[_limit(count=11)],
         groups_by_service={'desk': YARDS},
         per_group={('desk', 's-1'): 2, ('desk', 's-2'): 3},
     )
@@ -151,6 +159,11 @@
     records[1]['fields']['snapshot'] = 's-2'
 
 
+@register_falsification('leaf-limit-is-kept')
+def too_much_work_at_a_limited_leaf(observed):
+    observed.limits = [_limit(count=12)]
+
+
 @register_falsification('R1-no-record-twice')
 def repeated_record(observed):
     records = observed.searches[0]['data']['records']
