Send a request to an avoided leaf if the rate limits permit no other

What callers saw: 503 overloaded although a leaf had room.

Cause: a leaf whose call is overdue gets no further requests while others may get them. A limited leaf without a token counted as one of those others, so the request waited for it until it was given up, though before there were limits it would have gone to the leaf that is avoided.

Change: if the rate limits permit none of the leafs that the choice prefers, the avoided ones with room are considered, as if the preferred were ejected. Without limits nothing changes.

Test: an ejected leaf beside two limited ones without tokens got no request before and gets it now.

--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -203,11 +203,7 @@
             return None
         chosen = self._cheapest_of_sample(with_room, now)
         if not self.limits.may_send(chosen.leaf_id, now):
-            with_room = [
-                leaf
-                for leaf in with_room
-                if self.limits.may_send(leaf.leaf_id, now)
-            ]
+            with_room = self._with_token(with_room, usable, now)
             if not is_repeated:
                 self.limits.on_missed(
                     chosen.leaf_id, now, is_waiting=not with_room
@@ -599,6 +595,25 @@
             if not leaf.is_draining and leaf.round_trip_s < remaining_s
         ]
 
+    def _with_token(
+        self, with_room: list[LeafState], usable: list[LeafState], now: float
+    ) -> list[LeafState]:
+        """Return the leafs to which their rate limits permit a request.
+
+        If they permit none of the leafs with room, the request goes to one that
+        is usually avoided, as it does if the others are ejected.
+        """
+        avoided = [leaf for leaf in usable if leaf.has_room(now)]
+        for leafs in (with_room, avoided):
+            permitted = [
+                leaf
+                for leaf in leafs
+                if self.limits.may_send(leaf.leaf_id, now)
+            ]
+            if permitted:
+                return permitted
+        return []
+
     def _cheapest_of_sample(
         self, with_room: list[LeafState], now: float
     ) -> LeafState:
--- a/clementinebank/routing/tests/test_rate_limits.py
+++ b/clementinebank/routing/tests/test_rate_limits.py
@@ -50,6 +50,18 @@
         assert counts[leaf_id] <= 5 * 10 + 5
 
 
+def test_request_goes_to_an_ejected_leaf_if_the_others_are_limited():
+    router = make_router(('g0-a', 'g0-b'), per_s=0.5)
+    for leaf_id in ('g0-a', 'g0-b'):
+        while router.limits.may_send(leaf_id, NOW):
+            router.limits.on_sent(leaf_id, NOW, is_extra=False)
+    for _ in range(3):
+        router.on_sent('g0-c', NOW)
+        router.on_end('g0-c', NOW, 0.001, CallOutcome.FAILED)
+    assert router.leafs_by_id['g0-c'].is_ejected
+    assert router.choose('g0', NOW) == 'g0-c'
+
+
 def test_hedge_avoids_a_limited_leaf():
     router = make_router(('g0-a', 'g0-b'))
     later = NOW + 0.9
