Keep the changes of limits in the table until they are announced

The client held a second set of changes beside that of the table. The router lists the avoided leafs only if the others have no token. Two tests shared the lines that use up the tokens of all leafs; the first now also ends its calls, so that only the limit can refuse the request.

--- a/clementinebank/forwarding/tests/test_forward.py
+++ b/clementinebank/forwarding/tests/test_forward.py
@@ -465,19 +465,20 @@
 
 
 def _limit_all_leafs(simulation, per_s):
-    """Let every leaf of the first service name a rate limit."""
+    """Let every leaf of the first service name a rate limit and use it up."""
     router = simulation.router
     router.limits.share_of = equal_share(1)
     for leaf_id in router.service.groups_by_id['s0'].leafs_by_id:
         router.on_named_limit(leaf_id, NamedLimit(per_s), START_S - 2, 0.01)
+    while router.has_token('s0', START_S):
+        leaf_id = router.choose('s0', START_S)
+        router.on_sent(leaf_id, START_S)
+        router.on_end(leaf_id, START_S, 0.01, CallOutcome.GOOD)
 
 
 def test_request_beyond_every_rate_limit_is_refused_at_once():
     simulation = make_simulation()
     _limit_all_leafs(simulation, 0.5)
-    while simulation.router.has_token('s0', START_S):
-        leaf_id = simulation.router.choose('s0', START_S)
-        simulation.router.on_sent(leaf_id, START_S)
     (refusal,) = simulation.start().endings
     assert simulation.now == START_S
     assert refusal.failure.status == 503
@@ -489,10 +490,6 @@
 def test_request_waits_for_a_token_that_comes_in_time():
     simulation = make_simulation()
     _limit_all_leafs(simulation, 20.0)
-    while simulation.router.has_token('s0', START_S):
-        leaf_id = simulation.router.choose('s0', START_S)
-        simulation.router.on_sent(leaf_id, START_S)
-        simulation.router.on_end(leaf_id, START_S, 0.01, CallOutcome.GOOD)
     simulation.start()
     assert not simulation.sent
     simulation.advance(0.039)
--- a/clementinebank/ratelimit/_client.py
+++ b/clementinebank/ratelimit/_client.py
@@ -69,13 +69,13 @@
     _channels: dict[Address, RpcChannel] = attrs.Factory(dict)
     _next_ask_at: dict[Address, float] = attrs.Factory(dict)
     _paused_until: dict[Address, float] = attrs.Factory(dict)
-    _unannounced: set[str] = attrs.Factory(set)
     _next_notice_at: float = 0
 
     async def run(self) -> None:
         """Acquire tokens and pass on limits until cancelled."""
         while True:
-            is_busy = self.service.table.limited_count or self._has_news
+            table = self.service.table
+            is_busy = table.limited_count or table.has_changes
             await curio.sleep(BUSY_INTERVAL_S if is_busy else IDLE_INTERVAL_S)
             if not is_busy:
                 await self._close_channels()
@@ -108,18 +108,13 @@
             await self._ask_if_due(address, wanted_by_leaf)
         await self._announce()
 
-    @property
-    def _has_news(self) -> bool:
-        return self.service.table.has_changes or bool(self._unannounced)
-
     async def _announce(self) -> None:
         """Tell the listeners of the limits that have begun or ended."""
-        self._unannounced |= self.service.table.pop_changed_leafs()
-        if not self._unannounced or now() < self._next_notice_at:
+        table = self.service.table
+        if not table.has_changes or now() < self._next_notice_at:
             return
         self._next_notice_at = now() + MIN_NOTICE_INTERVAL_S
-        leaf_ids = frozenset(self._unannounced)
-        self._unannounced.clear()
+        leaf_ids = table.pop_changed_leafs()
         for address in self.find_listeners():
             if address != self.address and not self._is_paused(address):
                 await curio.spawn(self._ask, address, {}, leaf_ids, daemon=True)
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -603,16 +603,12 @@
         If they permit none of the leafs with room, the request goes to one that
         is usually avoided, as it does if the others are ejected.
         """
-        avoided = [leaf for leaf in usable if leaf.has_room(now)]
-        for leafs in (with_room, avoided):
-            permitted = [
-                leaf
-                for leaf in leafs
-                if self.limits.may_send(leaf.leaf_id, now)
-            ]
-            if permitted:
-                return permitted
-        return []
+        may_send = self.limits.may_send
+        return [leaf for leaf in with_room if may_send(leaf.leaf_id, now)] or [
+            leaf
+            for leaf in usable
+            if leaf.has_room(now) and may_send(leaf.leaf_id, now)
+        ]
 
     def _cheapest_of_sample(
         self, with_room: list[LeafState], now: float
