Seed the phase of the first tokens that a router gives

Cause: a limited leaf gives its first token after a random part of the interval between two tokens, and the table of limits of a router had a source of random numbers of its own, without a seed. At 20 a second the interval is 50 ms, the request may wait 40 ms for one of three leafs: (11/50)^3, one run in 94, has no token in that time. The program was right to refuse the request.

Change: a router shares its source of random numbers with its table, so that a seeded router repeats. The test runs on 30 seeds at 30 a second, where each leaf gives a token within 33 ms, with the same bound of 39 ms. The case that failed is a test of its own: at 20 a second the request is sent or refused as not run within its time, on 30 seeds.

--- a/clementinebank/forwarding/tests/test_forward.py
+++ b/clementinebank/forwarding/tests/test_forward.py
@@ -487,10 +487,28 @@
     assert 0.5 < refusal.failure.retry_after_s <= 2
 
 
-def test_request_waits_for_a_token_that_comes_in_time():
-    simulation = make_simulation()
-    _limit_all_leafs(simulation, 20.0)
+@pytest.mark.parametrize('seed', range(30))
+def test_request_waits_for_a_token_that_comes_in_time(seed):
+    simulation = make_simulation(seed=seed)
+    _limit_all_leafs(simulation, 30.0)
     simulation.start()
     assert not simulation.sent
+    # Each leaf gives a token every 33 ms; the seed sets when the first comes.
     simulation.advance(0.039)
     assert len(simulation.sent) == 1
+
+
+@pytest.mark.parametrize('seed', range(30))
+def test_request_that_waits_for_a_token_is_sent_or_refused_in_time(seed):
+    """A random phase of the tokens must not leave it without a fate."""
+    simulation = make_simulation(seed=seed)
+    _limit_all_leafs(simulation, 20.0)
+    simulation.start()
+    simulation.advance(
+        forward_module.MAX_UNACCEPTED_SHARE * OBJECTIVE_S
+        + forward_module.RESEND_INTERVAL_S
+    )
+    assert len(simulation.sent) + len(simulation.endings) == 1
+    for refusal in simulation.endings:
+        assert refusal.failure.execution is Execution.NOT_RUN
+        assert refusal.failure.message == 'rate_limited'
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -77,7 +77,8 @@
     latencies : Latencies
         Recent service times of the leafs.
     limits : LimitTable
-        Rate limits that leafs have named.
+        Rate limits that leafs have named; by default a table that shares the
+        source of random choices.
     """
 
     service: Topology
@@ -90,9 +91,13 @@
     budgets_by_group: dict[str, ExtraLoadBudget] = attrs.Factory(dict)
     waiting_by_group: dict[str, int] = attrs.Factory(dict)
     latencies: Latencies = attrs.Factory(Latencies)
-    limits: LimitTable = attrs.Factory(LimitTable)
+    limits: LimitTable = attrs.field()
     _group_id_by_leaf: dict[str, str] = attrs.Factory(dict)
 
+    @limits.default
+    def _create_limits(self) -> LimitTable:
+        return LimitTable(rng=self.rng)
+
     def __attrs_post_init__(self) -> None:
         """Create the budget and the state of every leaf."""
         # A query that moves to another snapshot is sent to every group again
