Look only at the limited leafs that this instance calls

Seen: with limits of 250 leafs in force, an instance that calls none of them spent 3.1 % of a core on looking at them (1,000 leafs: 12 %), and 5.5 % after 4,000 limits had ended and one more began.

Cause: each 20 ms the client computed the demand for every leaf that had ever named a limit, and counted those that name one now.

Change: the table keeps the leafs that are active: those that requests need, and those of which it earns a share, until a coordinator is found. The others cost nothing until a request needs a token.

--- a/clementinebank/ratelimit/_leaf_limit.py
+++ b/clementinebank/ratelimit/_leaf_limit.py
@@ -171,7 +171,8 @@
         lacking : int
             Requests that wait for a token of this leaf and have none.
         """
-        _drop_until(self._requested_at, now - MEASURED_TIME_S)
+        if not (lacking or self.has_demand(now)):
+            return 0
         demand_per_s = len(self._requested_at) / MEASURED_TIME_S
         expected = int(demand_per_s * DEMAND_HORIZON_S)
         if self._missed_at > now - DEMAND_HORIZON_S:
@@ -179,6 +180,11 @@
         missing = max(lacking, expected - self.token_count(now))
         return min(MAX_TOKENS, max(0, missing))
 
+    def has_demand(self, now: float) -> bool:
+        """Return whether a request needed a token in the measured time."""
+        _drop_until(self._requested_at, now - MEASURED_TIME_S)
+        return bool(self._requested_at)
+
     def income_per_s(self, now: float) -> float | None:
         """Return the tokens that this instance gets a second.
 
--- a/clementinebank/ratelimit/_table.py
+++ b/clementinebank/ratelimit/_table.py
@@ -17,7 +17,7 @@
 # Least rate that is assumed for the tokens of an instance which got none in the
 # measured time.
 MIN_INCOME_PER_S = 0.2
-# Bound of the leafs whose limits are kept.
+# Bound of the leafs whose limits are kept, in force or ended.
 MAX_LEAFS = 4096
 
 ShareOf = Callable[[str], float]
@@ -96,11 +96,15 @@
     rng: random.Random = attrs.Factory(random.Random)
     limits_by_leaf: dict[str, LeafLimit] = attrs.Factory(dict)
     _changed_leafs: set[str] = attrs.Factory(set)
+    _limited_leafs: set[str] = attrs.Factory(set)
+    # Limited leafs that this instance calls or whose share it earns. Only they
+    # are looked at regularly.
+    _active_leafs: set[str] = attrs.Factory(set)
 
     @property
     def limited_count(self) -> int:
         """Return the number of leafs that name a limit now."""
-        return sum(each.is_limited for each in self.limits_by_leaf.values())
+        return len(self._limited_leafs)
 
     def limit_of(self, leaf_id: str) -> LeafLimit | None:
         """Return the limit in force of a leaf, ``None`` if it has none."""
@@ -219,15 +223,24 @@
         )
 
     def wanted_by_leaf(self, now: float) -> dict[str, int]:
-        """Return the tokens that this instance lacks for each limited leaf."""
+        """Return the tokens that this instance lacks for each active leaf.
+
+        A limited leaf is active while requests need its tokens, or while the
+        instance earns its share of the limit.
+        """
         lacking_by_leaf: Counter[str] = Counter()
         for waiting in self.waiting():
             lacking_by_leaf.update(self._divide(waiting, now))
-        return {
-            leaf_id: limit.wanted(now, lacking_by_leaf[leaf_id])
-            for leaf_id, limit in self.limits_by_leaf.items()
-            if limit.is_limited
-        }
+        self._active_leafs.update(lacking_by_leaf)
+        wanted_by_leaf: dict[str, int] = {}
+        for leaf_id in list(self._active_leafs):
+            limit = self.limits_by_leaf[leaf_id]
+            wanted_by_leaf[leaf_id] = limit.wanted(
+                now, lacking_by_leaf[leaf_id]
+            )
+            if limit.is_coordinated and not limit.has_demand(now):
+                self._active_leafs.discard(leaf_id)
+        return wanted_by_leaf
 
     @property
     def has_changes(self) -> bool:
@@ -254,12 +267,14 @@
         limit = self.limit_of(leaf_id)
         if limit is not None and limit.is_coordinated:
             limit.use_share(self.share_of(leaf_id), self.rng.random(), now)
+            self._active_leafs.add(leaf_id)
 
     def on_missed(self, leaf_id: str, now: float, *, is_waiting: bool) -> None:
         """Record a request that a leaf would have got with a token."""
         limit = self.limit_of(leaf_id)
         if limit is not None:
             limit.on_missed(now, is_waiting=is_waiting)
+            self._active_leafs.add(leaf_id)
 
     def on_sent(self, leaf_id: str, now: float, *, is_extra: bool) -> None:
         """Spend a token for a request to a leaf, and log the use regularly."""
@@ -267,6 +282,7 @@
         if limit is None:
             return
         limit.on_sent(now, is_extra=is_extra)
+        self._active_leafs.add(leaf_id)
         if now >= limit.reported_at + COUNTED_TIME_S:
             log_message(
                 message_type='leaf:limit_use',
@@ -285,6 +301,8 @@
         """Forget the limits of all other leafs."""
         for leaf_id in self.limits_by_leaf.keys() - set(leaf_ids):
             self.limits_by_leaf.pop(leaf_id)
+        for known_leafs in (self._limited_leafs, self._active_leafs):
+            known_leafs.intersection_update(leaf_ids)
 
     def _divide(self, waiting: WaitingRequests, now: float) -> Iterable[str]:
         """Return a leaf for each waiting request that has no token yet.
@@ -328,7 +346,11 @@
             return
         self._changed_leafs.add(leaf_id)
         if per_s is None:
+            self._limited_leafs.discard(leaf_id)
+            self._active_leafs.discard(leaf_id)
             limit.ended_at = now
         else:
+            self._limited_leafs.add(leaf_id)
+            self._active_leafs.add(leaf_id)
             limit.begin(now)
             limit.use_share(self.share_of(leaf_id), self.rng.random(), now)
