Forget limits that have ended when the table of limits is full

Seen: after 4,096 leafs had named a limit at some time, the limit of the next leaf was ignored without a word, and the leaf was called as before.

Cause: a limit that has ended keeps its place in the table, so that an older statement of another instance doesn't begin it anew, and the bound of the table counted it.

Change: the limit that ended first makes room for a new one. If all are in force, the statement is ignored, and the first time is logged (leaf:limit_ignored).

--- a/clementinebank/ratelimit/_table.py
+++ b/clementinebank/ratelimit/_table.py
@@ -100,6 +100,7 @@
     # Limited leafs that this instance calls or whose share it earns. Only they
     # are looked at regularly.
     _active_leafs: set[str] = attrs.Factory(set)
+    _is_full: bool = False
 
     @property
     def limited_count(self) -> int:
@@ -322,12 +323,34 @@
         )
         return islice(cycle(order), max(0, waiting.count - held))
 
+    def _make_room(self, leaf_id: str) -> bool:
+        """Forget a limit that has ended if there is no room for a new one.
+
+        Returns
+        -------
+        bool
+            Whether there is room; otherwise all limits are in force.
+        """
+        if len(self.limits_by_leaf) < MAX_LEAFS:
+            return True
+        ended = self.limits_by_leaf.keys() - self._limited_leafs
+        if not ended:
+            if not self._is_full:
+                log_message(message_type='leaf:limit_ignored', leaf=leaf_id)
+            self._is_full = True
+            return False
+        self._is_full = False
+        self.limits_by_leaf.pop(
+            min(ended, key=lambda each: self.limits_by_leaf[each].ended_at)
+        )
+        return True
+
     def _set(self, statement: LimitStatement, now: float) -> None:
         """Record a statement and log a limit that begins, ends or changes."""
         leaf_id, per_s = statement.leaf_id, statement.per_s
         limit = self.limits_by_leaf.get(leaf_id)
         if limit is None:
-            if len(self.limits_by_leaf) >= MAX_LEAFS:
+            if not self._make_room(leaf_id):
                 return
             limit = LeafLimit(None, statement.stated_at)
             self.limits_by_leaf[leaf_id] = limit
--- a/clementinebank/ratelimit/tests/test_table.py
+++ b/clementinebank/ratelimit/tests/test_table.py
@@ -1,6 +1,7 @@
 """Guards the table of limits against many limited leafs.
 
-Limits of leafs that this instance doesn't call must cost next to nothing.
+Leafs that once named a limit must not keep out those that name one now, and
+limits of leafs that this instance doesn't call must cost next to nothing.
 """
 
 import random
@@ -9,6 +10,7 @@
 import pytest
 
 from clementinebank.ratelimit import (
+    LimitStatement,
     LimitTable,
     NamedLimit,
     WaitingRequests,
@@ -32,6 +34,28 @@
         table.on_named(f'leaf-{number}', NamedLimit(per_s), at, at)
 
 
+def test_ended_limits_leave_room_for_new_ones():
+    table = make_table()
+    name_limits(table, MAX_LEAFS)
+    name_limits(table, MAX_LEAFS, per_s=None, at=NOW + 1)
+    assert table.limited_count == 0
+    table.on_named('new', NamedLimit(5.0), NOW + 2, NOW + 2)
+    assert table.limit_of('new') is not None
+
+
+def test_number_of_limits_is_bounded():
+    """Other instances could name any number of leafs."""
+    table = make_table()
+    table.merge(
+        [
+            LimitStatement(f'leaf-{number}', 5.0, NOW)
+            for number in range(2 * MAX_LEAFS)
+        ],
+        NOW,
+    )
+    assert table.limited_count == MAX_LEAFS
+
+
 def check_cost_s(table):
     """Return the processor time of the checks of one second, in seconds."""
     table.wanted_by_leaf(NOW)
