Send the statements of many limited leafs in several messages

Seen: a message about limits carries 100 statements. When more limits began or ended at once, the others were dropped: of 151 limits the relay heard of 100.

Cause: the client sent one message for all leafs, and the encoder kept the newest statements.

Change: the leafs are divided into batches, one message each.

--- a/clementinebank/ratelimit/_client.py
+++ b/clementinebank/ratelimit/_client.py
@@ -1,7 +1,15 @@
 """Client that acquires tokens of limited leafs from their coordinators."""
 
 from collections import defaultdict
-from collections.abc import Awaitable, Callable, Collection, Mapping
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+)
+from itertools import islice
 
 import attrs
 import curio
@@ -10,6 +18,7 @@
 from clementinebank.clock import now
 from clementinebank.errors import Step
 from clementinebank.ratelimit._messages import (
+    MAX_STATEMENTS,
     Acquisition,
     decode_reply,
     encode_request,
@@ -116,8 +125,10 @@
         self._next_notice_at = now() + MIN_NOTICE_INTERVAL_S
         leaf_ids = table.pop_changed_leafs()
         for address in self.find_listeners():
-            if address != self.address and not self._is_paused(address):
-                await curio.spawn(self._ask, address, {}, leaf_ids, daemon=True)
+            if address == self.address or self._is_paused(address):
+                continue
+            for batch in _in_batches(leaf_ids):
+                await curio.spawn(self._ask, address, {}, batch, daemon=True)
         await self.on_changed_limits()
 
     async def _ask_if_due(
@@ -126,9 +137,9 @@
         if now() < self._next_ask_at.get(address, 0):
             return
         self._next_ask_at[address] = now() + MIN_ASK_INTERVAL_S
-        await curio.spawn(
-            self._ask, address, wanted_by_leaf, wanted_by_leaf, daemon=True
-        )
+        for leaf_ids in _in_batches(wanted_by_leaf):
+            wanted = {leaf_id: wanted_by_leaf[leaf_id] for leaf_id in leaf_ids}
+            await curio.spawn(self._ask, address, wanted, leaf_ids, daemon=True)
 
     async def _ask(
         self,
@@ -198,3 +209,10 @@
         while self._channels:
             _, channel = self._channels.popitem()
             await channel.close()
+
+
+def _in_batches(leaf_ids: Iterable[str]) -> Iterator[tuple[str, ...]]:
+    """Yield the leafs in batches whose statements fit into one message."""
+    remaining = iter(leaf_ids)
+    while batch := tuple(islice(remaining, MAX_STATEMENTS)):
+        yield batch
