--- a/clementinebank/ratelimit/_table.py
+++ b/clementinebank/ratelimit/_table.py
@@ -177,9 +177,7 @@
             known is None or requested_at < known.stated_at
         ):
             return False
-        was_limited = known is not None and known.is_limited
-        self._set(LimitStatement(leaf_id, named.per_s, now), now)
-        return was_limited and named.per_s is None
+        return self._set(LimitStatement(leaf_id, named.per_s, now), now)
 
     def merge(
         self, statements: Iterable[LimitStatement], now: float
@@ -191,21 +189,11 @@
         list of str
             Leafs whose limit has ended.
         """
-        ended: list[str] = []
-        for statement in statements:
-            known = self.limits_by_leaf.get(statement.leaf_id)
-            is_news = known is not None or statement.per_s is not None
-            if known is not None and statement.stated_at <= known.stated_at:
-                continue
-            if (
-                known is not None
-                and known.is_limited
-                and (statement.per_s is None)
-            ):
-                ended.append(statement.leaf_id)
-            if is_news:
-                self._set(statement, now)
-        return ended
+        return [
+            statement.leaf_id
+            for statement in statements
+            if self._is_news(statement) and self._set(statement, now)
+        ]
 
     def statements_of(self, leaf_ids: Iterable[str]) -> list[LimitStatement]:
         """Return the newest statements of some leafs, where there are any."""
@@ -323,6 +311,13 @@
         )
         return islice(cycle(order), max(0, waiting.count - held))
 
+    def _is_news(self, statement: LimitStatement) -> bool:
+        """Return whether a statement of another instance changes anything."""
+        known = self.limits_by_leaf.get(statement.leaf_id)
+        if known is None:
+            return statement.per_s is not None
+        return statement.stated_at > known.stated_at
+
     def _make_room(self, leaf_id: str) -> bool:
         """Forget a limit that has ended if there is no room for a new one.
 
@@ -345,13 +340,19 @@
         )
         return True
 
-    def _set(self, statement: LimitStatement, now: float) -> None:
-        """Record a statement and log a limit that begins, ends or changes."""
+    def _set(self, statement: LimitStatement, now: float) -> bool:
+        """Record a statement and log a limit that begins, ends or changes.
+
+        Returns
+        -------
+        bool
+            Whether a limit has ended.
+        """
         leaf_id, per_s = statement.leaf_id, statement.per_s
         limit = self.limits_by_leaf.get(leaf_id)
         if limit is None:
             if not self._make_room(leaf_id):
-                return
+                return False
             limit = LeafLimit(None, statement.stated_at)
             self.limits_by_leaf[leaf_id] = limit
         previous_per_s = limit.per_s
@@ -366,14 +367,15 @@
         limit.per_s = per_s
         limit.stated_at = statement.stated_at
         if (previous_per_s is None) == (per_s is None):
-            return
+            return False
         self._changed_leafs.add(leaf_id)
         if per_s is None:
             self._limited_leafs.discard(leaf_id)
             self._active_leafs.discard(leaf_id)
             limit.ended_at = now
-        else:
-            self._limited_leafs.add(leaf_id)
-            self._active_leafs.add(leaf_id)
-            limit.begin(now)
-            limit.use_share(self.share_of(leaf_id), self.rng.random(), now)
+            return True
+        self._limited_leafs.add(leaf_id)
+        self._active_leafs.add(leaf_id)
+        limit.begin(now)
+        limit.use_share(self.share_of(leaf_id), self.rng.random(), now)
+        return False
