Refuse a request at once if the rate limits leave too few shards for an answer

Seen by callers: when the leafs of all shards named a limit, hardly any request was answered, though the limits allowed for many.

Cause: each shard of a request took a token where there was one, and the request failed in the end because other shards had none. The tokens that it had used were lost to others that could have been answered. One-leaf requests were refused at once, but a request to many shards never was.

Change: a request is started only if enough shards for an answer have a token, or are expected to get one within a fifth of the objective, as for one-leaf requests. Otherwise it is refused as not run, with the time at which enough shards will have one, and its demand is recorded for the shards that lack it.

A single limited shard is left out as before.

--- a/clementinebank/forwarding/_forward.py
+++ b/clementinebank/forwarding/_forward.py
@@ -1,7 +1,7 @@
 """State machine of one forwarded request, without I/O."""
 
 from collections.abc import Collection
-from math import inf
+from math import ceil, inf
 
 import attrs
 
@@ -155,6 +155,8 @@
                 OBJECTIVE_RESERVE_S, MAX_OBJECTIVE_RESERVE_SHARE * objective_s
             )
             self._partial_answer_at = now + objective_s - reserve_s
+            if self._is_beyond_limits(self.route.scatter_gather, now):
+                return self._refuse_unanswered(now)
         actions: list[Action] = []
         for service in self.services:
             shard = ServiceShard(service)
@@ -215,6 +217,32 @@
         self.dispatcher.trace(now, 'abandoned')
         return self._end_all_shards(now, is_abandoned=True)
 
+    def _is_beyond_limits(
+        self, scatter_gather: ScatterGather, now: float
+    ) -> bool:
+        """Return whether the rate limits leave too few shards for an answer.
+
+        Such a request would use up tokens of the other shards for nothing. The
+        demand of the shards without a token is recorded, so that they have one
+        for a later request.
+        """
+        waits_s_by_service = {
+            service: self.router.next_token_s(service, now)
+            for service in self.services
+        }
+        needed = max(1, ceil(scatter_gather.min_share * len(self.services)))
+        wait_s = sorted(waits_s_by_service.values())[needed - 1]
+        if wait_s <= MAX_UNACCEPTED_SHARE * self.route.objective_s:
+            return False
+        self.dispatcher.token_wait_s = wait_s
+        for service, service_wait_s in waits_s_by_service.items():
+            if service_wait_s:
+                self.router.record_missed(service, now)
+                self._shards_by_service[service] = ServiceShard(
+                    service, missing_reason=RATE_LIMITED_REASON
+                )
+        return True
+
     def _is_final(self, leaf_response: LeafResponse) -> bool:
         """Return whether an unsuccessful response is the answer of its shard.
 
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -329,6 +329,23 @@
             now,
         )
 
+    def next_token_s(self, group_id: str, now: float) -> float:
+        """Return the seconds until a new request to the group has a token.
+
+        It is 0 if the rate limits permit a request now, or the rate of the
+        tokens isn't known yet.
+        """
+        if self.has_token(group_id, now):
+            return 0
+        return self.token_wait_s(group_id, now)
+
+    def record_missed(self, group_id: str, now: float) -> None:
+        """Record a request that was refused because the group has no token."""
+        leafs = self._usable_leafs(group_id, inf)
+        if leafs:
+            missed = self.rng.choice(leafs)
+            self.limits.on_missed(missed.leaf_id, now, is_waiting=False)
+
     def add_waiting(self, group_id: str, change: int) -> None:
         """Add `change` to the number of requests that wait for the group."""
         waiting = self.waiting_by_group.get(group_id, 0)
