Pass on when the rate limits permit a request that an aggregator refused

Seen: a request beyond the rate limits of its leafs was refused by one aggregator, asked of the next, and then gathered by the entry instance. Each of them used up tokens, and the caller was told to come back after 0.05 s instead of the time that the first one had worked out.

Cause: the entry instance passed over every aggregator that had not run the request, as if it were the aggregator that lacked room; the reply had no field for the time.

--- a/clementinebank/aggregation/_delegator.py
+++ b/clementinebank/aggregation/_delegator.py
@@ -142,7 +142,8 @@
         -------
         Result or None
             The answer, or the failure of a gathering that may have called
-            leafs; ``None`` if no aggregator has begun the request.
+            leafs or whose leafs are at their rate limits; ``None`` if no
+            aggregator has begun the request.
         """
         for address, delay_s in candidates:
             outcome = await self._ask(address, delay_s)
@@ -150,7 +151,10 @@
                 self.trace_event('gathered', missing=outcome.ok_value.missing)
                 return outcome
             failure = outcome.err_value
-            if failure.execution is not Execution.NOT_RUN:
+            # If it is known when to try again, the leafs are at their rate
+            # limits, for which no other instance has more tokens.
+            is_at_limits = failure.retry_after_s is not None
+            if is_at_limits or failure.execution is not Execution.NOT_RUN:
                 self.trace_event(
                     'refused', reason=failure.message, status=failure.status
                 )
--- a/clementinebank/aggregation/_messages.py
+++ b/clementinebank/aggregation/_messages.py
@@ -127,6 +127,7 @@
                 message=failure.message,
                 execution=failure.execution.value,
                 status=failure.status,
+                retry_after_ms=round((failure.retry_after_s or 0) * MS_PER_S),
             )
         )
     else:
@@ -188,6 +189,7 @@
         Step.DISPATCH,
         execution=executions[raw.execution],
         status=raw.status,
+        retry_after_s=raw.retry_after_ms / MS_PER_S or None,
     )
 
 
--- a/clementinebank/aggregation/tests/test_delegator.py
+++ b/clementinebank/aggregation/tests/test_delegator.py
@@ -35,6 +35,9 @@
 ANSWER = MergedAnswer(('sig',), 0, b'')
 ROUTE = make_route(services=SERVICES)
 REFUSED = Failure('overloaded', 'busy', Step.ADMIT)
+RATE_LIMITED = Failure(
+    'not_answered', 'rate_limited', Step.DISPATCH, status=503, retry_after_s=0.7
+)
 BROKEN = Failure(
     'peer_unreachable',
     'reset',
@@ -123,6 +126,14 @@
     assert route.timeout_s == pytest.approx(TIMEOUT_S - 0.02)
 
 
+def test_request_beyond_the_rate_limits_is_not_gathered_elsewhere():
+    """Each further instance would use up tokens for nothing."""
+    outcome, _, delegator, _ = forward(Err(RATE_LIMITED))
+    assert outcome == Err(RATE_LIMITED)
+    assert len(delegator.client.calls) == 1
+    assert not delegator.engine.routes
+
+
 def test_silent_aggregators_cost_a_part_of_the_objective():
     outcome, elapsed_s, delegator, _ = forward(None, None)
     assert outcome == Ok('gathered here')
--- a/clementinebank/aggregation/tests/test_messages.py
+++ b/clementinebank/aggregation/tests/test_messages.py
@@ -66,6 +66,13 @@
     assert (decoded.code, decoded.message) == ('code', 'why')
     assert decoded.execution is Execution.UNKNOWN
     assert decoded.status == 502
+    assert decoded.retry_after_s is None
+
+
+def test_caller_of_another_instance_learns_when_to_try_again():
+    failure = attrs.evolve(FAILURE, status=503, retry_after_s=0.7)
+    decoded = decode_outcome(encode_outcome(Err(failure))).err_value
+    assert decoded.retry_after_s == 0.7
 
 
 @pytest.mark.parametrize(
