Show that instances hold tokens of some shards that lapse

When the leafs of all shards name limits and several instances have demand, the tokens of different shards go to different instances.

A coordinator that serves its questions in order, the same at each shard, is the next thing to try.

--- a/clementinebank/forwarding/tests/test_limited_shards.py
+++ b/clementinebank/forwarding/tests/test_limited_shards.py
@@ -24,16 +24,42 @@
     make_simulation,
 )
 from clementinebank.http import HttpRequest
-from clementinebank.ratelimit import NamedLimit, equal_share
+from clementinebank.ratelimit import (
+    LimitCoordinator,
+    NamedLimit,
+    equal_share,
+)
 from clementinebank.routing import CallOutcome
 
 REPLICAS = 3
 SERVICE_S = 0.02
 DURATION_S = 20.0
+# Interval in which an instance checks what tokens it lacks, least interval
+# between its questions to the coordinator, and the time that one takes.
+CHECK_INTERVAL_S = 0.02
+ASK_INTERVAL_S = 0.05
+ROUND_TRIP_S = 0.02
 # Time in which a request that can't be answered is refused.
 REFUSAL_S = 0.02
 
 
+@attrs.define(eq=False)
+class Events:
+    """Actions that are run in the order of their times."""
+
+    _queue: list = attrs.Factory(list)
+    _order: object = attrs.Factory(count)
+
+    def add(self, at, action, *arguments):
+        event = (at, next(self._order), action, arguments)
+        heapq.heappush(self._queue, event)
+
+    def run(self):
+        while self._queue:
+            at, _, action, arguments = heapq.heappop(self._queue)
+            action(at, *arguments)
+
+
 @attrs.define(eq=False)
 class LimitedShards:
     """Requests at random times to shards of limited leafs.
@@ -55,8 +81,7 @@
     refusals: list = attrs.Factory(list)
     answered: int = 0
     asked: int = 0
-    _events: list = attrs.Factory(list)
-    _order: object = attrs.Factory(count)
+    events: object = attrs.Factory(lambda: Events())
 
     def __attrs_post_init__(self):
         """Let the leafs name their limits."""
@@ -74,19 +99,16 @@
         return self.simulation.router
 
     def run(self):
-        rng = random.Random(self.seed)
+        self.add_demand()
+        self.events.run()
+        return self
+
+    def add_demand(self):
+        rng = random.Random(f'demand-{self.seed}')
         at = START_S
         while at < START_S + DURATION_S:
             at += rng.expovariate(self.demand_per_s)
-            self._at(at, self._start)
-        while self._events:
-            at, _, action, arguments = heapq.heappop(self._events)
-            action(at, *arguments)
-        return self
-
-    def _at(self, at, action, *arguments):
-        event = (at, next(self._order), action, arguments)
-        heapq.heappush(self._events, event)
+            self.events.add(at, self._start)
 
     def _start(self, at):
         self.asked += 1
@@ -101,7 +123,7 @@
     def _perform(self, forward, started_at, at, actions):
         for action in actions:
             if isinstance(action, SendCall):
-                self._at(
+                self.events.add(
                     at + SERVICE_S, self._answer, forward, started_at, action
                 )
             elif isinstance(action, CancelCall):
@@ -114,7 +136,7 @@
                 self.refusals.append((at - started_at, action.failure))
         if not forward.is_finished:
             wake_at = max(at, forward.next_wakeup)
-            self._at(wake_at, self._wake, forward, started_at)
+            self.events.add(wake_at, self._wake, forward, started_at)
 
     def _wake(self, at, forward, started_at):
         if not forward.is_finished and forward.next_wakeup <= at:
@@ -130,6 +152,67 @@
         self._perform(forward, started_at, at, actions)
 
 
+@attrs.define(eq=False)
+class CoordinatedFleet:
+    """Instances with equal demand that ask one coordinator for tokens."""
+
+    size: int
+    per_s: float
+    demand_per_s: float
+    events: Events = attrs.Factory(Events)
+    coordinator: LimitCoordinator = attrs.Factory(LimitCoordinator)
+    next_ask_at: dict = attrs.Factory(dict)
+
+    def run(self):
+        """Return the number of requests that were answered."""
+        instances = [
+            LimitedShards(
+                self.per_s,
+                self.demand_per_s / self.size,
+                seed,
+                events=self.events,
+            )
+            for seed in range(self.size)
+        ]
+        for instance in instances:
+            instance.add_demand()
+            self._check(START_S, instance)
+        self.events.run()
+        return sum(instance.answered for instance in instances)
+
+    def _check(self, at, instance):
+        table = instance.router.limits
+        wanted_by_leaf = table.wanted_by_leaf(at)
+        for leaf_id in wanted_by_leaf:
+            table.use_coordinator(leaf_id)
+        if at >= self.next_ask_at.get(instance.seed, 0):
+            self.next_ask_at[instance.seed] = at + ASK_INTERVAL_S
+            arguments = (table, wanted_by_leaf, at)
+            self.events.add(at + ROUND_TRIP_S / 2, self._grant, *arguments)
+        if at < START_S + DURATION_S:
+            self.events.add(at + CHECK_INTERVAL_S, self._check, instance)
+
+    def _grant(self, at, table, wanted_by_leaf, asked_at):
+        granted_by_leaf = {
+            leaf_id: self.coordinator.grant(leaf_id, wanted, self.per_s, at)
+            for leaf_id, wanted in wanted_by_leaf.items()
+            if wanted
+        }
+        self.events.add(
+            at + ROUND_TRIP_S / 2,
+            self._add_tokens,
+            table,
+            wanted_by_leaf,
+            granted_by_leaf,
+            asked_at,
+        )
+
+    def _add_tokens(self, at, table, wanted_by_leaf, granted_by_leaf, asked_at):
+        for leaf_id, granted in granted_by_leaf.items():
+            limit = table.limit_of(leaf_id)
+            limit.on_granted(wanted_by_leaf[leaf_id], granted, asked_at, at)
+
+
 @pytest.mark.parametrize('seed', range(3))
 @pytest.mark.parametrize(
     ('per_s', 'demand_per_s'), [(6.0, 30.0), (3.0, 30.0), (1.0, 10.0)]
@@ -157,3 +240,12 @@
 def test_shards_beyond_the_minimum_are_left_out():
     load = LimitedShards(0.5, 30.0, limited_services=SERVICES[:1]).run()
     assert load.answered >= 0.99 * load.asked
+
+
+@pytest.mark.parametrize(
+    ('size', 'per_s'), [(2, 6.0), (7, 6.0), (7, 3.0), (20, 6.0)]
+)
+def test_tokens_of_all_shards_come_to_the_same_instance(size, per_s):
+    """Tokens of one shard lapse at an instance that lacks those of others."""
+    answered = CoordinatedFleet(size, per_s, demand_per_s=30.0).run()
+    assert answered >= 0.9 * REPLICAS * per_s * DURATION_S
