--- a/clementinebank/forwarding/_forward.py
+++ b/clementinebank/forwarding/_forward.py
@@ -222,8 +222,9 @@
     ) -> bool:
         """Return whether the rate limits leave too few shards for an answer.
 
-        Such a request would use up tokens of the other shards for nothing. Its
-        demand is recorded, so that a later request finds the tokens.
+        Such a request would use up tokens of the other shards for nothing. The
+        demand of the shards without a token is recorded, so that they have one
+        for a later request.
         """
         waits_s_by_service = {
             service: self.router.next_token_s(service, now)
@@ -233,10 +234,10 @@
         wait_s = sorted(waits_s_by_service.values())[needed - 1]
         if wait_s <= MAX_UNACCEPTED_SHARE * self.route.objective_s:
             return False
-        self.router.record_missed(self.services, needed, now)
         self.dispatcher.token_wait_s = wait_s
         for service, service_wait_s in waits_s_by_service.items():
             if service_wait_s:
+                self.router.record_missed(service, now)
                 self._shards_by_service[service] = ServiceShard(
                     service, missing_reason=RATE_LIMITED_REASON
                 )
--- a/clementinebank/ratelimit/_table.py
+++ b/clementinebank/ratelimit/_table.py
@@ -64,7 +64,7 @@
     return 0
 
 
-def _none_waiting(now: float) -> Iterable[WaitingRequests]:
+def _none_waiting() -> Iterable[WaitingRequests]:
     """Return nothing, for a table whose owner doesn't let requests wait."""
     return ()
 
@@ -84,7 +84,7 @@
         Returns the share of this instance in the limit of a leaf, 0 to 1,
         which it uses without a coordinator.
     waiting : callable
-        Returns the requests that wait for a leaf at a runtime time.
+        Returns the requests that wait for a leaf.
     rng : random.Random
         Spreads the first tokens of many instances over time.
     limits_by_leaf : dict of str to LeafLimit
@@ -92,7 +92,7 @@
     """
 
     share_of: ShareOf = _no_share
-    waiting: Callable[[float], Iterable[WaitingRequests]] = _none_waiting
+    waiting: Callable[[], Iterable[WaitingRequests]] = _none_waiting
     rng: random.Random = attrs.Factory(random.Random)
     limits_by_leaf: dict[str, LeafLimit] = attrs.Factory(dict)
     _changed_leafs: set[str] = attrs.Factory(set)
@@ -218,7 +218,7 @@
         instance earns its share of the limit.
         """
         lacking_by_leaf: Counter[str] = Counter()
-        for waiting in self.waiting(now):
+        for waiting in self.waiting():
             lacking_by_leaf.update(self._divide(waiting, now))
         self._active_leafs.update(lacking_by_leaf)
         wanted_by_leaf: dict[str, int] = {}
--- a/clementinebank/ratelimit/tests/simulation.py
+++ b/clementinebank/ratelimit/tests/simulation.py
@@ -106,7 +106,7 @@
         self.service = LimitService(self.table, self._merge)
         self.is_dead = False
 
-    def _waiting_requests(self, at):
+    def _waiting_requests(self):
         return [WaitingRequests(self.fleet.leaf_ids, self.waiting)]
 
     def _leaf_with_token(self):
--- a/clementinebank/ratelimit/tests/test_table.py
+++ b/clementinebank/ratelimit/tests/test_table.py
@@ -82,7 +82,7 @@
 @pytest.mark.parametrize('has_waiting', [False, True])
 def test_demand_for_an_idle_leaf_asks_for_tokens(has_waiting):
     count = 0
-    table = make_table(waiting=lambda at: [WaitingRequests(['leaf-7'], count)])
+    table = make_table(waiting=lambda: [WaitingRequests(['leaf-7'], count)])
     name_limits(table, 20)
     for leaf_id in table.limits_by_leaf:
         table.use_coordinator(leaf_id)
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -1,7 +1,6 @@
 """Choice of the replica that gets a shard request."""
 
 import random
-from collections import Counter, deque
 from collections.abc import Collection, Iterable, Mapping
 from math import inf
 
@@ -42,36 +41,12 @@
 # refuses is retried, which costs a token of the extra-load budget.
 SLOTS_FOR_OTHER_INSTANCES = 1
 
-# Time for which tokens are acquired for requests like a refused one, and the
-# time whose expected requests get them in advance, in seconds.
-MISSED_TIME_S = 1.0
-MISSED_HORIZON_S = 0.2
-
 
 @invariant('no-new-work-for-draining-leaf', 'R6')
 def _is_not_draining(leaf: LeafState) -> bool:
     return not leaf.is_draining
 
 
-@attrs.frozen
-class MissedRequest:
-    """Request to several groups that was refused for want of tokens.
-
-    Parameters
-    ----------
-    group_ids : tuple of str
-        Groups that it was for.
-    needed : int
-        Number of groups of which it needed a token.
-    missed_at : float
-        Runtime time of the refusal in seconds.
-    """
-
-    group_ids: tuple[str, ...]
-    needed: int
-    missed_at: float
-
-
 @attrs.define
 class Router:
     """Selector of the replicas that get the requests of one service.
@@ -118,7 +93,6 @@
     latencies: Latencies = attrs.Factory(Latencies)
     limits: LimitTable = attrs.field()
     _group_id_by_leaf: dict[str, str] = attrs.Factory(dict)
-    _missed_requests: deque[MissedRequest] = attrs.Factory(deque)
 
     @limits.default
     def _create_limits(self) -> LimitTable:
@@ -358,33 +332,19 @@
     def next_token_s(self, group_id: str, now: float) -> float:
         """Return the seconds until a new request to the group has a token.
 
-        It is 0 if the rate limits permit a request now. It is 0 as well if the
-        rate of the tokens isn't known, unless requests were refused lately.
+        It is 0 if the rate limits permit a request now, or the rate of the
+        tokens isn't known yet.
         """
         if self.has_token(group_id, now):
             return 0
-        unknown_s = MISSED_TIME_S if self._has_missed(now) else 0
-        return self.token_wait_s(group_id, now) or unknown_s
+        return self.token_wait_s(group_id, now)
 
-    def record_missed(
-        self, group_ids: Collection[str], needed: int, now: float
-    ) -> None:
-        """Record a request that was refused for want of tokens.
-
-        Tokens for a request like it are acquired for a while.
-
-        Parameters
-        ----------
-        group_ids : collection of str
-            Groups that the request was for.
-        needed : int
-            Number of groups of which it needed a token.
-        now : float
-            Runtime time in seconds.
-        """
-        self._missed_requests.append(
-            MissedRequest(tuple(group_ids), needed, now)
-        )
+    def record_missed(self, group_id: str, now: float) -> None:
+        """Record a request that was refused because the group has no token."""
+        leafs = self._usable_leafs(group_id, inf)
+        if leafs:
+            missed = self.rng.choice(leafs)
+            self.limits.on_missed(missed.leaf_id, now, is_waiting=False)
 
     def add_waiting(self, group_id: str, change: int) -> None:
         """Add `change` to the number of requests that wait for the group."""
@@ -500,12 +460,9 @@
         for leaf_id in self.limits.merge(statements, now):
             self._start_slowly(leaf_id, now)
 
-    def _waiting_requests(self, now: float) -> Iterable[WaitingRequests]:
+    def _waiting_requests(self) -> Iterable[WaitingRequests]:
         """Return the requests that wait for each group, nearest leafs first."""
-        waiting_by_group = Counter(self.waiting_by_group)
-        for group_id, count in self._missed_by_group(now).items():
-            waiting_by_group[group_id] = max(waiting_by_group[group_id], count)
-        for group_id, count in waiting_by_group.items():
+        for group_id, count in self.waiting_by_group.items():
             if count:
                 leafs = sorted(
                     self._usable_leafs(group_id, inf),
@@ -514,51 +471,6 @@
                 leaf_ids = [leaf.leaf_id for leaf in leafs]
                 yield WaitingRequests(leaf_ids, count)
 
-    def _missed_by_group(self, now: float) -> dict[str, int]:
-        """Return the tokens to hold for requests like those refused lately.
-
-        All instances begin with the same group, the scarcest one that is
-        needed, and acquire tokens of the others only for the tokens that they
-        hold of it. Otherwise the tokens of different groups would come to
-        different instances and lapse.
-        """
-        if not self._has_missed(now):
-            return {}
-        missed = self._missed_requests
-        count = max(1, int(len(missed) * MISSED_HORIZON_S / MISSED_TIME_S))
-        latest = missed[-1]
-        needed = sorted(
-            latest.group_ids, key=lambda each: (-self._rate_of(each), each)
-        )[: latest.needed]
-        first = needed[-1]
-        held = min(count, self._token_count(first, now))
-        return {first: count} | {
-            group_id: held for group_id in needed if group_id != first
-        }
-
-    def _has_missed(self, now: float) -> bool:
-        """Return whether a request was refused lately for want of tokens."""
-        missed = self._missed_requests
-        while missed and missed[0].missed_at <= now - MISSED_TIME_S:
-            missed.popleft()
-        return bool(missed)
-
-    def _rate_of(self, group_id: str) -> float:
-        """Return the requests a second that the leafs of a group take."""
-        limits = [
-            self.limits.limit_of(leaf.leaf_id)
-            for leaf in self._usable_leafs(group_id, inf)
-        ]
-        return sum(limit.rate_per_s if limit else inf for limit in limits)
-
-    def _token_count(self, group_id: str, now: float) -> int:
-        """Return the tokens that are held of all limited leafs of a group."""
-        limits = [
-            self.limits.limit_of(leaf.leaf_id)
-            for leaf in self._usable_leafs(group_id, inf)
-        ]
-        return sum(limit.token_count(now) for limit in limits if limit)
-
     def _start_slowly(self, leaf_id: str, now: float) -> None:
         """Raise the requests to a leaf whose limit has ended over some time.
 
