Count the arrivals in sliding windows in one place of the tests

Three tests of rate limits counted them each in its own way; same windows, same bounds. The soak's check differs: it excuses windows beside faults.

--- a/clementinebank/ratelimit/tests/simulation.py
+++ b/clementinebank/ratelimit/tests/simulation.py
@@ -20,11 +20,11 @@
     WaitingRequests,
     equal_share,
 )
+from clementinebank.ratelimit.tests.windows import greatest_count
 from clementinebank.validation import Address
 
 DELAY_S = 0.01
 SERVICE_S = 0.03
-WINDOW_S = 4.0
 # Wait of a request for a token, and the interval of its checks.
 MAX_WAIT_S = 0.15
 POLL_INTERVAL_S = 0.01
@@ -248,7 +248,7 @@
 
     def greatest_count(self, since):
         """Return the most arrivals in a window that begins at ``since``."""
-        return _greatest_count(self.arrivals, since)
+        return greatest_count(self.arrivals, since)
 
     def greatest_leaf_count(self, settling_s):
         """Return the most arrivals at one leaf in a window.
@@ -256,20 +256,9 @@
         The windows of a leaf begin some time after its first response.
         """
         return max(
-            _greatest_count(arrivals, arrivals[0] + SERVICE_S + settling_s)
+            greatest_count(arrivals, arrivals[0] + SERVICE_S + settling_s)
             for arrivals in self.arrivals_by_leaf.values()
         )
 
     def count_between(self, begin, end):
         return sum(begin <= each < end for each in self.arrivals)
-
-
-def _greatest_count(arrivals, since):
-    later = [each for each in arrivals if each >= since]
-    end = 0
-    greatest = 0
-    for index, begin in enumerate(later):
-        while end < len(later) and later[end] < begin + WINDOW_S:
-            end += 1
-        greatest = max(greatest, end - index)
-    return greatest
--- a/clementinebank/ratelimit/tests/test_fleet.py
+++ b/clementinebank/ratelimit/tests/test_fleet.py
@@ -9,11 +9,8 @@
 import pytest
 
 from clementinebank.clock import FakeClockKernel, now
-from clementinebank.ratelimit.tests.simulation import (
-    TOLERANCE,
-    WINDOW_S,
-    Fleet,
-)
+from clementinebank.ratelimit.tests.simulation import TOLERANCE, Fleet
+from clementinebank.ratelimit.tests.windows import WINDOW_S
 
 SETTLING_S = 1.0
 DURATION_S = 20.0
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -9,10 +9,10 @@
 import time
 
 from clementinebank.booking import new_key
+from clementinebank.ratelimit.tests.windows import WINDOW_S, greatest_count
 from tests.harness import send_request, wait_until
 
 RATE_PER_S = 8
-WINDOW_S = 4.0
 TOLERANCE = 5
 SETTLING_S = 1.0
 DURATION_S = 6.0
@@ -56,15 +56,8 @@
 def _greatest_count(fleet, leaf_id, since):
     """Return the most arrivals at a leaf in a window, in Unix time."""
     reply = send_request(fleet.leaf_ports[leaf_id], 'GET', '/observed')
-    times = [each for each in reply.decoded_body['work_arrivals']]
-    later = [each for each in times if each >= since]
-    return max(
-        (
-            sum(begin <= each < begin + WINDOW_S for each in later)
-            for begin in later
-        ),
-        default=0,
-    )
+    times = reply.decoded_body['work_arrivals']
+    return greatest_count(sorted(times), since)
 
 
 def test_searches_keep_the_limit_of_a_leaf(fleet):
