Reserve the ports of a test fleet until it stops

Seen: test_check_catches_unverified_reply_ids failed once beside another suite: the bytes at the port of a killed instance were an HTTP/2 SETTINGS frame, so a listener for instances of another run had the port.

Cause, as far as shown: the harness chose ports that were free at that moment. While an instance is down, its port is free, and another run on the machine may choose it. Shown by a run: asked twice, the harness gave the same port again. That this happened in the failed run isn't shown, but only fleets of the harness listen in that range.

Change: a port is reserved by the lock of a file until the fleet stops or its process ends.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -4,7 +4,9 @@
 calls them over TCP on the local host.
 """
 
+import fcntl
 import http.client
+import itertools
 import json
 import os
 import random
@@ -12,9 +14,12 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import uuid
+from collections.abc import Iterable
 from pathlib import Path
+from typing import IO
 
 import attrs
 import yaml
@@ -23,34 +28,51 @@
 STOP_LIMIT_S = 20
 POLL_INTERVAL_S = 0.05
 PORT_RANGE = range(15_000, 32_000)
+# Files whose locks reserve ports among the test runs on this machine.
+LOCKS_PATH = Path(tempfile.gettempdir()) / 'clementinebank-ports'
 ROOT = Path(__file__).parent.parent
 
+_locks_by_port: dict[int, IO[str]] = {}
+
 
 def find_free_ports(count: int) -> list[int]:
-    """Return different TCP ports of the local host that are free.
+    """Return different TCP ports of the local host, reserved for the caller.
 
     They lie below the range from which the kernel takes the ports of outgoing
     connections, since such a connection could otherwise occupy the port of an
-    instance while the instance is restarted. The search begins at a random
-    port, so that two fleets that start at the same time rarely choose the
-    same ones.
+    instance while the instance is restarted. No other test run on this machine
+    gets them until ``release_ports`` or the end of this process. The search
+    begins at a random port.
     """
     start_index = random.SystemRandom().randrange(len(PORT_RANGE))
-    candidates = [*PORT_RANGE[start_index:], *PORT_RANGE[:start_index]][::-1]
-    sockets: list[socket.socket] = []
+    candidates = [*PORT_RANGE[start_index:], *PORT_RANGE[:start_index]]
+    reserved = (port for port in candidates if _reserve_port(port))
+    ports = list(itertools.islice(reserved, count))
+    if len(ports) < count:
+        release_ports(ports)
+        raise OSError(f'only {len(ports)} of {count} ports are free')
+    return ports
+
+
+def release_ports(ports: Iterable[int]) -> None:
+    """Give reserved ports back."""
+    for port in ports:
+        _locks_by_port.pop(port).close()
+
+
+def _reserve_port(port: int) -> bool:
+    """Lock the file of a port, and return whether the port is free."""
+    LOCKS_PATH.mkdir(exist_ok=True)
+    lock = (LOCKS_PATH / str(port)).open('w')
     try:
-        while len(sockets) < count:
-            sock = socket.socket()
-            try:
-                sock.bind(('127.0.0.1', candidates.pop()))
-            except OSError:
-                sock.close()
-            else:
-                sockets.append(sock)
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', port))
+    except OSError:
+        lock.close()
+        return False
+    _locks_by_port[port] = lock
+    return True
 
 
 @attrs.frozen
@@ -173,6 +195,7 @@
     instance_list_port: int = 0
     leaf_ports: dict = attrs.Factory(dict)
     document_change_id: str = attrs.Factory(lambda: str(uuid.uuid4()))
+    _ports: list = attrs.Factory(list)
 
     def start(self):
         """Start all processes and apply the document."""
@@ -287,6 +310,7 @@
                 process.kill()
         for process in self.processes.values():
             process.wait(STOP_LIMIT_S)
+        release_ports(self._ports)
 
     def _assign_ports(self):
         leafs = [
@@ -295,7 +319,8 @@
             for leaf_id, leaf in _leafs_of(section)
         ]
         count = 2 + 3 * self.instance_count + len(leafs)
-        ports = iter(find_free_ports(count))
+        self._ports = find_free_ports(count)
+        ports = iter(self._ports)
         self.key_value_port = next(ports)
         self.instance_list_port = next(ports)
         self.instances = [
