--- a/clementinebank/forwarding/_forward.py
+++ b/clementinebank/forwarding/_forward.py
@@ -1,7 +1,7 @@
 """State machine of one forwarded request, without I/O."""
 
 from collections.abc import Collection
-from math import ceil, inf
+from math import inf
 
 import attrs
 
@@ -226,12 +226,19 @@
         demand of the shards without a token is recorded, so that they have one
         for a later request.
         """
+        if not self.router.limits.limited_count:
+            return False
         waits_s_by_service = {
             service: self.router.next_token_s(service, now)
             for service in self.services
         }
-        needed = max(1, ceil(scatter_gather.min_share * len(self.services)))
-        wait_s = sorted(waits_s_by_service.values())[needed - 1]
+        wait_s = next(
+            wait_s
+            for count, wait_s in enumerate(
+                sorted(waits_s_by_service.values()), start=1
+            )
+            if self._is_enough(count, scatter_gather)
+        )
         if wait_s <= MAX_UNACCEPTED_SHARE * self.route.objective_s:
             return False
         self.dispatcher.token_wait_s = wait_s
