--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -264,6 +264,8 @@
         self.born = int(time.time() * 1000)
         # Share of the answers that the leaf sends a second time, late.
         self.extra_late_share = 0.0
+        # Whether such a copy breaks off in its head, at a random byte.
+        self.breaks_off = False
         self.extras = 0
 
     async def start(self):
@@ -292,6 +294,8 @@
                 writer.write(answer)
                 if self.rng.random() < self.extra_late_share:
                     late = answer
+                    if self.breaks_off:
+                        late = answer[:self.rng.randrange(1, answer.index(b'\r\n\r\n'))]
                     self.extras += 1
                     self.record.write(
                         f'will send the answer to {message[1].get("x-request-id")} '
@@ -317,7 +321,7 @@
         if self.semaphore.locked() and self.waiting >= self.queue:
             self.refusals += 1
             self.record.write(f'refused {request_id} by {self.leaf_id} (not executed)')
-            return encode_response(503, {**common, 'X-Not-Executed': 'full'})
+            return encode_response(503, {'X-Not-Executed': 'full', **common})
         limit = now() + int(headers.get('x-deadline-ms', 10000)) / 1000
         self.waiting += 1
         try:
