--- a/clementinebank/aggregation/_delegator.py
+++ b/clementinebank/aggregation/_delegator.py
@@ -212,6 +212,9 @@
             finish_at - now() - delay_s,
             self.request.http_request,
             self.remaining_route(delay_s),
+            self.request.account,
+            self.request.priority,
+            self.request.regions,
         )
         outcome = await self.delegator.client.gather(
             address,
--- a/clementinebank/aggregation/_messages.py
+++ b/clementinebank/aggregation/_messages.py
@@ -39,12 +39,21 @@
     route : Route
         Scatter-gather route of the request; its objective is the time that is
         left of it, in seconds.
+    account : str
+        Client account of the caller; empty if the deployment has none.
+    priority : int
+        Priority of the request; 0 is the highest.
+    regions : frozenset of str or None
+        Regions that may run the request; ``None`` allows all.
     """
 
     request_id: str
     deadline_s: float
     http_request: HttpRequest
     route: Route
+    account: str = ''
+    priority: int = 0
+    regions: frozenset[str] | None = None
 
 
 GatherOutcome = Result[MergedAnswer, Failure]
@@ -79,6 +88,10 @@
         min_share=route.scatter_gather.min_share,
         objective_ms=_to_ms(route.objective_s),
         max_attempts=route.max_attempts,
+        account=request.account,
+        priority=request.priority,
+        has_regions=request.regions is not None,
+        regions=sorted(request.regions or ()),
     ).SerializeToString()
 
 
@@ -113,6 +126,9 @@
             scatter_gather=scatter_gather,
             max_attempts=raw.max_attempts,
         ),
+        raw.account,
+        raw.priority,
+        frozenset(raw.regions) if raw.has_regions else None,
     )
 
 
--- a/clementinebank/aggregation/_service.py
+++ b/clementinebank/aggregation/_service.py
@@ -105,7 +105,12 @@
     async def _run(self, request: GatherRequest) -> GatherOutcome:
         deadline = now() + min(MAX_DEADLINE_S, request.deadline_s)
         forwarded = ForwardRequest(
-            request.request_id, deadline, request.http_request
+            request.request_id,
+            deadline,
+            request.http_request,
+            request.account,
+            request.priority,
+            request.regions,
         )
         return await self.gather(forwarded, request.route)
 
--- a/clementinebank/aggregation/tests/test_messages.py
+++ b/clementinebank/aggregation/tests/test_messages.py
@@ -58,6 +58,14 @@
     return raw.SerializeToString()
 
 
+@pytest.mark.parametrize(
+    'regions', [None, frozenset(), frozenset(('east', 'west'))]
+)
+def test_request_keeps_its_account_and_regions(regions):
+    request = attrs.evolve(REQUEST, account='acme', priority=3, regions=regions)
+    assert decode_request(encode_request(request)) == request
+
+
 def test_messages_survive_encoding():
     assert decode_request(encode_request(REQUEST)) == REQUEST
     answer = Ok(MergedAnswer(('sig-a', 'sig-b'), 1, b'records'))
--- a/clementinebank/forwarding/_messages.py
+++ b/clementinebank/forwarding/_messages.py
@@ -22,11 +22,20 @@
         Runtime time in seconds until which the caller waits.
     http_request : HttpRequest
         HTTP request of the caller.
+    account : str
+        Client account of the caller; empty if the deployment has none.
+    priority : int
+        Priority of the request; 0 is the highest.
+    regions : frozenset of str or None
+        Regions that may run the request; ``None`` allows all.
     """
 
     request_id: str
     deadline: float
     http_request: HttpRequest
+    account: str = ''
+    priority: int = 0
+    regions: frozenset[str] | None = None
 
 
 @attrs.frozen
--- a/clementinebank/routes/_model.py
+++ b/clementinebank/routes/_model.py
@@ -83,6 +83,10 @@
         Number of leafs of each service that may run the same request.
     priority : int
         Priority of the route; 0 is the highest.
+    is_public : bool
+        Whether requests need no key of a client account.
+    regions : frozenset of str or None
+        Regions that may run requests of the route; ``None`` allows all.
     """
 
     name: str
@@ -95,6 +99,8 @@
     scatter_gather: ScatterGather | None = None
     max_attempts: int = 2
     priority: int = 0
+    is_public: bool = False
+    regions: frozenset[str] | None = None
 
     @property
     def services(self) -> tuple[str, ...]:
