Keep requests in their home regions and out of evacuated data centres

Cause: the adapter decoded neither the regions that a route allows nor the orders of evacuation, so requests reached leafs of other regions and of evacuated data centres. Change: the dispatcher excludes leafs outside the regions from each call and an invariant checks it; aggregators are chosen in the regions; a leaf of an evacuated data centre is unusable and returns with a slow start.

--- a/clementinebank/aggregation/_delegator.py
+++ b/clementinebank/aggregation/_delegator.py
@@ -81,6 +81,7 @@
         self.selector.update(
             self.relays.aggregators_by_data_centre,
             engine.directory.records_by_id.values(),
+            engine.directory.evacuated_data_centres,
         )
         aggregators = self.selector.addresses_for(engine.aggregated_services())
         engine.set_fleet(
@@ -98,7 +99,7 @@
         if route.scatter_gather is None:
             return await self.engine.forward(request, route)
         candidates = self.selector.candidates(
-            route.scatter_gather.services, now()
+            route.scatter_gather.services, now(), request.regions
         )
         if not candidates:
             return await self.engine.forward(request, route)
--- a/clementinebank/aggregation/_selector.py
+++ b/clementinebank/aggregation/_selector.py
@@ -1,7 +1,7 @@
 """Choice of the aggregators that may gather a request."""
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -63,6 +63,7 @@
         self,
         members_by_data_centre: Mapping[str, tuple[FleetMember, ...]],
         records: Iterable[LeafRecord],
+        evacuated_data_centres: Collection[str] = (),
     ) -> None:
         """Apply the registered aggregators and leafs.
 
@@ -72,11 +73,19 @@
             Aggregators of each data centre.
         records : iterable of LeafRecord
             Registered leafs; draining ones are ignored.
+        evacuated_data_centres : collection of str
+            Data centres whose leafs get no requests; their aggregators aren't
+            asked, since all leafs are far from them.
         """
-        self._members_by_data_centre = members_by_data_centre
+        self._members_by_data_centre = {
+            data_centre: members
+            for data_centre, members in members_by_data_centre.items()
+            if data_centre not in evacuated_data_centres
+        }
         self._services_by_region = {}
         for record in records:
-            if not record.is_draining:
+            is_evacuated = record.data_centre in evacuated_data_centres
+            if not record.is_draining and not is_evacuated:
                 self._services_by_region.setdefault(
                     self._region_of(record.data_centre), set()
                 ).add(record.service)
@@ -90,7 +99,10 @@
         }
 
     def candidates(
-        self, services: Iterable[str], now: float
+        self,
+        services: Iterable[str],
+        now: float,
+        regions: Collection[str] | None = None,
     ) -> list[tuple[Address, float]]:
         """Return the aggregators to ask for a request, best first.
 
@@ -100,6 +112,9 @@
             Services whose parts make the answer.
         now : float
             Runtime time in seconds.
+        regions : collection of str or None
+            Regions that may run the request, and to which its body may be
+            sent; ``None`` allows all.
 
         Returns
         -------
@@ -119,6 +134,7 @@
             for data_centre, members in members_by_data_centre.items()
             for member in members
             if not self._is_paused(member.address, now)
+            and (regions is None or self._region_of(data_centre) in regions)
         ]
         usable.sort(key=lambda each: each[:2])
         return [
@@ -171,8 +187,7 @@
         )
 
     def _region_of(self, data_centre: str) -> str:
-        regions = self.delays.regions_by_data_centre
-        return regions.get(data_centre, data_centre)
+        return self.delays.region_of(data_centre)
 
     def _weight(self, member: FleetMember) -> float:
         """Return a random sort key; large members are first more often."""
--- a/clementinebank/aggregation/tests/test_selector.py
+++ b/clementinebank/aggregation/tests/test_selector.py
@@ -154,3 +154,22 @@
     for number in range(50, 80):
         joined = [*small, member(number, 0.516)]
         assert set(chosen) <= set(choose_aggregators(joined, chosen))
+
+
+def test_aggregator_outside_the_regions_of_a_request_is_not_asked():
+    selector = make_selector('dc-1')
+    asked = selector.candidates(SERVICES, NOW, frozenset(('r-0',)))
+    assert {address.port for address, _ in asked} <= {1, 2, 21}
+    assert asked
+    assert not selector.candidates(SERVICES, NOW, frozenset(('r-9',)))
+
+
+def test_aggregators_and_leafs_of_an_evacuated_data_centre_are_left_out():
+    selector = make_selector('dc-1')
+    records = [
+        make_leaf_record(service, number)
+        for service in SERVICES
+        for number in (0, 1)
+    ]
+    selector.update(MEMBERS, records, {'dc-1'})
+    assert set(ports(selector)) <= {1, 2, 21}
--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -1,5 +1,6 @@
 """Attempts of one request: first sends, hedges, retries and cancels."""
 
+from collections.abc import Collection
 from typing import Any, Protocol
 
 import attrs
@@ -38,6 +39,11 @@
     return leaf_id not in excluded
 
 
+@invariant('request-stays-in-its-regions', 'R4')
+def _is_in_regions(region: str | None, regions: Collection[str] | None) -> bool:
+    return regions is None or region in regions
+
+
 CallAction = SendCall | CancelCall
 
 
@@ -140,7 +146,7 @@
             return actions
         probe_id = self.router.probe_target(shard.group_id, now)
         is_allowed = (
-            probe_id is not None and probe_id not in shard.excluded_leafs
+            probe_id is not None and probe_id not in self._excluded_leafs(shard)
         )
         if probe_id and is_allowed and self._spend_token(shard, PROBE_RESERVE):
             # A probe repeats a request that another leaf gets as well, so that
@@ -197,7 +203,7 @@
             return self.end_shard(shard, now)
         if failure.code == SHED_CODE and not shard.attempts_by_id:
             wait_s = self.router.refusal_wait_s(
-                shard.group_id, leaf_id, shard.excluded_leafs
+                shard.group_id, leaf_id, self._excluded_leafs(shard)
             )
             if wait_s is not None:
                 self._set_waiting(shard, is_waiting=True)
@@ -262,7 +268,7 @@
         leaf_id = self.router.choose(
             shard.group_id,
             now,
-            shard.excluded_leafs,
+            self._excluded_leafs(shard),
             remaining_s,
             may_wait=now < shard.local_wait_until,
             is_repeated=shard.is_waiting,
@@ -318,13 +324,23 @@
                 shard.missing_reason = RATE_LIMITED_REASON
                 return True
         if self.router.has_leaf_in_time(
-            shard.group_id, remaining_s, shard.unsuitable_leafs
+            shard.group_id,
+            remaining_s,
+            shard.unsuitable_leafs | self._leafs_outside(shard),
         ):
             return False
         if not shard.sent_count:
             shard.missing_reason = 'no_leaf'
         return True
 
+    def _leafs_outside(self, shard: Shard) -> set[str]:
+        """Return the leafs of the shard in regions that may not run it."""
+        return self.router.leafs_outside(shard.group_id, self.policy.regions)
+
+    def _excluded_leafs(self, shard: Shard) -> set[str]:
+        """Return the leafs that must not get the next attempt of the shard."""
+        return shard.excluded_leafs | self._leafs_outside(shard)
+
     def _has_attempt_left(self, shard: Shard) -> bool:
         """Return whether the request of a shard may be sent once more.
 
@@ -364,7 +380,7 @@
         leaf_id = self.router.choose(
             shard.group_id,
             now,
-            shard.excluded_leafs,
+            self._excluded_leafs(shard),
             self.finish_at - now,
             is_extra=True,
         )
@@ -406,6 +422,12 @@
             now=now,
             deadline=self.request.deadline,
         )
+        check(
+            'request-stays-in-its-regions',
+            self.request.request_id,
+            region=self.router.regions_by_leaf.get(leaf_id),
+            regions=self.policy.regions,
+        )
         attempt_id = f'{self.request.request_id}.{self.sent_count}'
         self.sent_count += 1
         reasons = self.router.choice_trace_fields(leaf_id)
--- a/clementinebank/dispatch/_policy.py
+++ b/clementinebank/dispatch/_policy.py
@@ -47,6 +47,8 @@
         the latencies of the group set it.
     expected_s : float
         Usual service time in seconds of a kind that has had few calls.
+    regions : frozenset of str or None
+        Regions whose leafs may run the request; ``None`` allows all.
     """
 
     is_repeatable: bool = True
@@ -59,3 +61,4 @@
     waits_for_budget: bool = True
     profile: str = ''
     expected_s: float = DEFAULT_EXPECTED_SERVICE_S
+    regions: frozenset[str] | None = None
--- a/clementinebank/forwarding/_delays.py
+++ b/clementinebank/forwarding/_delays.py
@@ -31,6 +31,10 @@
     regions_by_data_centre: Mapping[str, str]
     _delays_by_data_centre: dict[str, float] = attrs.Factory(dict)
 
+    def region_of(self, data_centre: str) -> str:
+        """Return the region of a data centre, its own name if it is unknown."""
+        return self.regions_by_data_centre.get(data_centre, data_centre)
+
     def delay_s(self, data_centre: str) -> float:
         """Return the estimated one-way delay to a data centre in seconds."""
         estimate_s = self._delays_by_data_centre.get(data_centre)
--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -167,6 +167,10 @@
             record.incarnation_id: self.delays.delay_s(record.data_centre)
             for record in self.directory.records_by_id.values()
         }
+        self.router.regions_by_leaf = {
+            record.incarnation_id: self.delays.region_of(record.data_centre)
+            for record in self.directory.records_by_id.values()
+        }
         known_leaf_ids = set(self.router.leafs_by_id)
         self.router.update_service(topology, now(), delays_s_by_leaf, MAX_SLOTS)
         self._update_budgets()
@@ -284,6 +288,9 @@
         )
         if record.is_draining:
             leaf.start_drain(now())
+        leaf.set_evacuated(
+            now(), is_evacuated=self.directory.is_evacuated(record.data_centre)
+        )
         if is_new:
             cold_s = min(SLOW_START_S, record.cold_s)
             leaf.cold_since = (
--- a/clementinebank/forwarding/_forward.py
+++ b/clementinebank/forwarding/_forward.py
@@ -107,6 +107,7 @@
             max_unaccepted_s=self._max_unaccepted_s(),
             profile=route.name,
             expected_s=EXPECTED_LATENCY_SHARE * route.objective_s,
+            regions=self.request.regions,
         )
         self.dispatcher = Dispatcher(
             self.request, self.router, 0, policy=policy
--- a/clementinebank/forwarding/tests/simulation.py
+++ b/clementinebank/forwarding/tests/simulation.py
@@ -117,9 +117,9 @@
     cancelled: list = attrs.Factory(list)
     endings: list = attrs.Factory(list)
 
-    def start(self, deadline_s=2.0):
+    def start(self, deadline_s=2.0, **options):
         message = HttpRequest('GET', '/')
-        request = ForwardRequest('q', self.now + deadline_s, message)
+        request = ForwardRequest('q', self.now + deadline_s, message, **options)
         self.forward = ForwardStateMachine(
             request, self.route, self.route.services, self.router
         )
--- a/clementinebank/gateway/__init__.py
+++ b/clementinebank/gateway/__init__.py
@@ -7,6 +7,8 @@
     Change,
     ConfigurationWritten,
     DecodeEntry,
+    EvacuationBegun,
+    EvacuationEnded,
     LeafRemoved,
     LeafWritten,
 )
@@ -26,6 +28,8 @@
     'ConfigurationWritten',
     'ControlStateUpdater',
     'DecodeEntry',
+    'EvacuationBegun',
+    'EvacuationEnded',
     'Gateway',
     'GatewayBounds',
     'GatewaySettings',
--- a/clementinebank/gateway/_changes.py
+++ b/clementinebank/gateway/_changes.py
@@ -30,6 +30,26 @@
     leaf_id: str
 
 
-Change = ConfigurationWritten | LeafWritten | LeafRemoved
+@attrs.frozen
+class EvacuationBegun:
+    """The leafs of a data centre must get no requests."""
+
+    data_centre: str
+
+
+@attrs.frozen
+class EvacuationEnded:
+    """The leafs of a data centre may get requests again."""
+
+    data_centre: str
+
+
+Change = (
+    ConfigurationWritten
+    | LeafWritten
+    | LeafRemoved
+    | EvacuationBegun
+    | EvacuationEnded
+)
 # Decodes an entry; returns ``None`` if it changes nothing in a gateway.
 DecodeEntry = Callable[[Entry], Change | None]
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -207,6 +207,7 @@
                 f'no route of version {self.route_table.version} matches',
                 NOT_FOUND,
             )
+        request = attrs.evolve(request, regions=route.regions)
         outcome = await self.delegator.forward(request, route)
         if isinstance(outcome, Err):
             return self.caller_codec.encode_failure(
@@ -428,6 +429,10 @@
     def _metric_samples(self) -> list[Any]:
         return [
             create_sample(names.KEY_VALUE_CALLS, self.store.calls),
+            create_sample(
+                names.EVACUATED_DATA_CENTRES,
+                len(self.leaf_directory.evacuated_data_centres),
+            ),
             create_sample(
                 names.LIMITED_LEAFS, self.engine.router.limits.limited_count
             ),
--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -1,5 +1,6 @@
 """Settings of a gateway instance."""
 
+from math import inf
 from pathlib import Path
 
 import attrs
@@ -42,6 +43,9 @@
         Time after a fault within which the bounds need not hold, in seconds.
     change_s : float
         Time after which a changed configuration must be in force, in seconds.
+    evacuation_s : float
+        Time after which the leafs of an evacuated data centre must get no
+        requests, in seconds; infinity if the platform states none.
     retry_ratio : float
         Extra requests (retries and hedges) to a service for each request of
         a caller, over the whole fleet.
@@ -55,11 +59,14 @@
     retry_burst: float
     stable_window_s: float = 4.0
     change_s: float = 3.0
+    evacuation_s: float = inf
 
     @property
     def freshness(self) -> FreshnessBounds:
         """Return the bounds on the age of the instance's control state."""
-        return FreshnessBounds(min(self.change_s, self.drain_s))
+        return FreshnessBounds(
+            min(self.change_s, self.drain_s, self.evacuation_s)
+        )
 
     @property
     def watch_wait_s(self) -> float:
@@ -197,6 +204,11 @@
         retry_burst=reader.number('retry_burst'),
         stable_window_s=reader.number('stable_window_ms') / MS_PER_S,
         change_s=reader.number('change_ms') / MS_PER_S,
+        evacuation_s=(
+            reader.number('evacuation_ms', minimum=1) / MS_PER_S
+            if reader.has('evacuation_ms')
+            else inf
+        ),
     )
     reader.report_unknown_fields()
     return bounds
--- a/clementinebank/gateway/_updater.py
+++ b/clementinebank/gateway/_updater.py
@@ -13,6 +13,8 @@
     Change,
     ConfigurationWritten,
     DecodeEntry,
+    EvacuationBegun,
+    EvacuationEnded,
     LeafRemoved,
     LeafWritten,
 )
@@ -121,6 +123,7 @@
         self.relays.load(filter(_is_relay_registration, state.entries), now())
         changes = self._decode_all(state.entries)
         self.leaf_directory.retain(_leaf_ids(changes), now())
+        self.leaf_directory.evacuate(_evacuated_data_centres(changes))
         self._apply_changes(changes)
         await self.on_changes_applied()
 
@@ -158,6 +161,19 @@
                 self.leaf_directory.register(change.record)
             elif isinstance(change, LeafRemoved):
                 self.leaf_directory.remove(change.leaf_id, now())
+            else:
+                self._apply_evacuation(change)
+
+    def _apply_evacuation(
+        self, change: EvacuationBegun | EvacuationEnded
+    ) -> None:
+        named = {change.data_centre}
+        evacuated = self.leaf_directory.evacuated_data_centres
+        self.leaf_directory.evacuate(
+            evacuated | named
+            if isinstance(change, EvacuationBegun)
+            else evacuated - named
+        )
 
     def _on_feed_success(self) -> None:
         if self._consecutive_failures:
@@ -196,6 +212,14 @@
     return entry.key.startswith(KEY_PREFIX)
 
 
+def _evacuated_data_centres(changes: Iterable[Change]) -> set[str]:
+    return {
+        change.data_centre
+        for change in changes
+        if isinstance(change, EvacuationBegun)
+    }
+
+
 def _leaf_ids(changes: Iterable[Change]) -> set[str]:
     return {
         change.record.leaf_id
--- a/clementinebank/gateway/tests/test_follower.py
+++ b/clementinebank/gateway/tests/test_follower.py
@@ -17,6 +17,8 @@
 from clementinebank.gateway import (
     ConfigurationWritten,
     ControlStateUpdater,
+    EvacuationBegun,
+    EvacuationEnded,
     LeafRemoved,
     LeafWritten,
 )
@@ -181,3 +183,22 @@
         seconds=3,
     )
     assert updater.route_table.version == 9
+
+
+def test_evacuation_begins_and_ends_with_its_entry():
+    begun = stored_state(configuration_change(7), EvacuationBegun('dc'))
+    updater = run_updater([begun], [])
+    assert updater.leaf_directory.is_evacuated('dc')
+    updater = run_updater([begun], [change_batch(EvacuationEnded('dc'))])
+    assert not updater.leaf_directory.is_evacuated('dc')
+
+
+def test_end_of_an_evacuation_that_was_missed_is_found_by_a_full_read():
+    updater = run_updater(
+        [
+            stored_state(configuration_change(7), EvacuationBegun('dc')),
+            stored_state(configuration_change(8), EvacuationBegun('other')),
+        ],
+        [failure(HISTORY_LOST)],
+    )
+    assert updater.leaf_directory.evacuated_data_centres == {'other'}
--- a/clementinebank/leafs/_directory.py
+++ b/clementinebank/leafs/_directory.py
@@ -33,11 +33,14 @@
     removed_at_by_id : dict of str to float
         Runtime time in seconds at which a registration was removed, for the
         leafs in their grace period.
+    evacuated_data_centres : frozenset of str
+        Data centres whose leafs get no requests, by order of the operators.
     """
 
     drain_limit_s: float
     records_by_id: dict[str, LeafRecord] = attrs.Factory(dict)
     removed_at_by_id: dict[str, float] = attrs.Factory(dict)
+    evacuated_data_centres: frozenset[str] = frozenset()
 
     @property
     def removal_grace_s(self) -> float:
@@ -46,6 +49,25 @@
             MAX_REMOVAL_GRACE_S, MAX_REMOVAL_GRACE_SHARE * self.drain_limit_s
         )
 
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Return whether the leafs of a data centre get no requests."""
+        return data_centre in self.evacuated_data_centres
+
+    def evacuate(self, data_centres: Collection[str]) -> None:
+        """Replace the data centres that are evacuated, and log each change.
+
+        Parameters
+        ----------
+        data_centres : collection of str
+            All data centres whose leafs get no requests from now on.
+        """
+        evacuated = frozenset(data_centres)
+        for begun in sorted(evacuated - self.evacuated_data_centres):
+            log_message(message_type='evacuation:begun', data_centre=begun)
+        for ended in sorted(self.evacuated_data_centres - evacuated):
+            log_message(message_type='evacuation:ended', data_centre=ended)
+        self.evacuated_data_centres = evacuated
+
     def data_centre_of(self, incarnation_id: str) -> str:
         """Return the data centre of a leaf, empty if it isn't known."""
         leaf_id = incarnation_id.rpartition('@')[0]
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -106,6 +106,11 @@
     'gauge',
     'Leafs that name a rate limit now.',
 )
+EVACUATED_DATA_CENTRES = _register(
+    'clementinebank_evacuated_data_centres',
+    'gauge',
+    'Data centres whose leafs get no requests by order of the operators.',
+)
 VIOLATIONS = _register(
     'clementinebank_invariant_violations_total',
     'counter',
--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -131,6 +131,8 @@
         When the leaf is ejected and readmitted.
     draining_since : float or None
         Runtime time of the first sign of a drain, ``None`` without a drain.
+    is_evacuated : bool
+        Whether the operators have evacuated the data centre of the leaf.
     ejected_since : float or None
         Runtime time of the last ejection, ``None`` for a leaf in use.
     """
@@ -150,6 +152,7 @@
     queue_factor: float = DEFAULT_QUEUE_FACTOR
     ejection_policy: EjectionPolicy = EjectionPolicy()
     draining_since: float | None = None
+    is_evacuated: bool = False
     ejected_since: float | None = None
     _consecutive_failures: int = 0
     _consecutive_refusals: int = 0
@@ -449,6 +452,16 @@
             self.draining_since = now
             log_message(message_type='leaf:draining', leaf=self.leaf_id)
 
+    def set_evacuated(self, now: float, *, is_evacuated: bool) -> None:
+        """Stop or resume the use of the leaf; it resumes with a slow start.
+
+        All instances learn of the end of an evacuation at about the same time,
+        and the leaf has served nothing meanwhile.
+        """
+        if self.is_evacuated and not is_evacuated:
+            self.cold_since = now
+        self.is_evacuated = is_evacuated
+
     def on_status(
         self, now: float, requested_at: float, status: LeafStatus
     ) -> None:
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -74,6 +74,8 @@
         Budgets of groups that do not share that of the service.
     waiting_by_group : dict of str to int
         Number of requests of this instance that wait for a free leaf.
+    regions_by_leaf : mapping of str to str
+        Region of each leaf, for requests that only some regions may run.
     latencies : Latencies
         Recent service times of the leafs.
     limits : LimitTable
@@ -90,6 +92,7 @@
     budget: ExtraLoadBudget = attrs.field(init=False)
     budgets_by_group: dict[str, ExtraLoadBudget] = attrs.Factory(dict)
     waiting_by_group: dict[str, int] = attrs.Factory(dict)
+    regions_by_leaf: Mapping[str, str] = attrs.Factory(dict)
     latencies: Latencies = attrs.Factory(Latencies)
     limits: LimitTable = attrs.field()
     _group_id_by_leaf: dict[str, str] = attrs.Factory(dict)
@@ -142,6 +145,27 @@
         """Return the group of a leaf, empty if the leaf isn't known."""
         return self._group_id_by_leaf.get(leaf_id, '')
 
+    def leafs_outside(
+        self, group_id: str, regions: Collection[str] | None
+    ) -> set[str]:
+        """Return the leafs of a group that are in none of the regions.
+
+        Parameters
+        ----------
+        group_id : str
+            Group of the leafs.
+        regions : collection of str or None
+            Regions that may run a request; ``None`` allows all.
+        """
+        group = self.service.groups_by_id.get(group_id)
+        if regions is None or group is None:
+            return set()
+        return {
+            leaf_id
+            for leaf_id in group.leafs_by_id
+            if self.regions_by_leaf.get(leaf_id) not in regions
+        }
+
     def budget_of(self, group_id: str) -> ExtraLoadBudget:
         """Return the budget from which extra requests of a group are paid."""
         return self.budgets_by_group.get(group_id, self.budget)
@@ -606,7 +630,7 @@
     def _usable_leafs(
         self, group_id: str, remaining_s: float
     ) -> list[LeafState]:
-        """Return the leafs that do not drain and are near enough to answer."""
+        """Return the leafs that may get work and are near enough to answer."""
         group = self.service.groups_by_id.get(group_id)
         if group is None:
             return []
@@ -614,7 +638,9 @@
         return [
             leaf
             for leaf in leafs
-            if not leaf.is_draining and leaf.round_trip_s < remaining_s
+            if not leaf.is_draining
+            and not leaf.is_evacuated
+            and leaf.round_trip_s < remaining_s
         ]
 
     def _with_token(
