--- /dev/null
+++ b/clementinebank/placement/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of placement."""
