--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -1,57 +1,28 @@
 """State that an instance keeps of one leaf, and its limits and ejection."""
 
-import enum
 from math import inf
 
 import attrs
 from eliot import log_message
 
+from clementinebank.routing._leaf_costs import LeafCosts
+from clementinebank.routing._outcomes import CallOutcome
 from clementinebank.routing._policy import EjectionPolicy
 from clementinebank.upstream import LeafStatus
 
-# Weight of a new service time in the moving average of a leaf.
-SERVICE_TIME_WEIGHT = 0.1
-# Seconds added to the cost of a leaf whose calls are all refused or fail. Each
-# such call needs a retry, and the budget allows one for five requests: if a
-# leaf always refuses, four of five retries get no token.
-UNSERVED_PENALTY_S = 0.3
-# Weight of a new call in the share of unserved calls, which were refused or
-# failed.
-UNSERVED_AVERAGE_WEIGHT = 0.2
-UNSERVED_HALF_LIFE_S = 5.0
-# Weight of a new report in the moving average of the load of the other
-# instances, which changes within a few requests.
-FOREIGN_LOAD_WEIGHT = 0.3
-# A service time counts in the average as at most this multiple of the average,
-# so that one straggler does not move work to a farther data centre.
-MAX_SAMPLE_FACTOR = 2.0
-# Service time that is assumed before the first reply.
-INITIAL_SERVICE_S = 0.005
 # Least service time in the estimate of how many requests are on the link, which
 # divides by it.
 MIN_SERVICE_DIVISOR_S = 0.0005
 # The shortest service time is raised by this factor at each reply that is not
 # faster, so that it adapts to a leaf whose requests take longer than before.
 MIN_SERVICE_RISE_FACTOR = 1.01
-
-# A reported load raises the cost of a leaf by at most this share, and the
-# reported state "cold" multiplies it by this factor: wrong reports cannot
-# remove a leaf that answers well.
-MAX_LOAD_PENALTY = 1.0
-COLD_PENALTY = 2.0
-
 # A cold leaf gets a share of its requests that rises to 1 during this time.
 SLOW_START_S = 10.0
 MIN_SLOW_START_SHARE = 0.1
-
 # Factors of the limit of requests in flight after a refusal and after a reply
 # that waited in the queue of the leaf.
 REFUSAL_LIMIT_FACTOR = 0.5
 QUEUE_LIMIT_FACTOR = 0.9
-DEFAULT_QUEUE_FACTOR = 4.0
-# Least time between two decreases of the limit, so that all refusals of one
-# overload decrease it once.
-DECREASE_INTERVAL_S = 0.05
 REFUSAL_PAUSE_S = 0.002
 # The pause grows by this factor for each further refusal in a row: a leaf that
 # refuses for seconds would use up the budget if it were asked again every few
@@ -64,69 +35,21 @@
 # Bound of the counted refusals in a row; with a much larger count the pause
 # would exceed the range of a float before it is bounded.
 MAX_COUNTED_REFUSALS = 10
-
 EJECT_AFTER_FAILURES = 3
 PROBE_INTERVAL_S = 0.2
 
 
-class CallOutcome(enum.Enum):
-    """End of a call to a leaf, as it affects the state of the leaf."""
-
-    GOOD = 'good'
-    REFUSED = 'refused'
-    DRAINING = 'draining'
-    FAILED = 'failed'
-    CANCELLED = 'cancelled'
-    UNSENT = 'unsent'
-
-
-# Outcome of a failed call by its error code; other codes mean a failure.
-OUTCOMES_BY_CODE = {
-    'shed': CallOutcome.REFUSED,
-    'draining': CallOutcome.DRAINING,
-    'snapshot_unavailable': CallOutcome.UNSENT,
-    'expired': CallOutcome.UNSENT,
-    'pool_retired': CallOutcome.UNSENT,
-}
-
-
 @attrs.define
-class LeafState:
-    """Measurements, limits and ejection of one leaf.
-
-    The cost of a leaf follows from what this instance measured; the status
-    that the leaf reports can only raise it.
+class LeafState(LeafCosts):
+    """Limits and ejection of one leaf, besides its measurements.
 
     Parameters
     ----------
-    leaf_id : str
-        The leaf.
-    delay_s : float
-        One-way link delay in seconds.
-    max_in_flight : int
-        Upper bound of the limit, the number of connections to the leaf.
-    limit : float
-        Adaptive limit of requests in flight.
-    in_flight : int
-        Requests of this instance that have not ended.
-    service_s : float
-        Moving average of the service time in seconds, without the link.
-    min_service_s : float
-        Shortest recent service time in seconds, 0 before the first reply.
-    reported_status : LeafStatus or None
-        Last status that the leaf reported.
     cold_since : float or None
         Runtime time at which the slow start began, ``None`` for a warm leaf.
-    slots : int
-        Requests that the leaf serves at the same time before others queue.
-    foreign_load : float
-        Requests of other instances at the leaf, averaged over its reports.
     overtaken_since : float or None
         Runtime time at which a call to the leaf was overtaken that has not
         ended yet, ``None`` without such a call.
-    queue_factor : float
-        A reply with more than this multiple of the shortest service time is
-        considered to have waited in the queue of the leaf.
     ejection_policy : EjectionPolicy
         When the leaf is ejected and readmitted.
     draining_since : float or None
@@ -137,19 +60,8 @@
         Runtime time of the last ejection, ``None`` for a leaf in use.
     """
 
-    leaf_id: str
-    delay_s: float = 0
-    max_in_flight: int = 1
-    limit: float = 1
-    in_flight: int = 0
-    service_s: float = INITIAL_SERVICE_S
-    min_service_s: float = 0
-    reported_status: LeafStatus | None = None
     cold_since: float | None = None
-    slots: int = 1
-    foreign_load: float = 0
     overtaken_since: float | None = None
-    queue_factor: float = DEFAULT_QUEUE_FACTOR
     ejection_policy: EjectionPolicy = EjectionPolicy()
     draining_since: float | None = None
     is_evacuated: bool = False
@@ -160,12 +72,9 @@
     _consecutive_ejections: int = 0
     _good_probes: int = 0
     _overtaken_attempt_id: str = ''
-    _unserved_share: float = 0
-    _unserved_share_updated_at: float = 0
     _next_probe_at: float = 0
     _ejected_until: float = float('-inf')
     _last_refused_at: float = float('-inf')
-    _limit_decreased_at: float = float('-inf')
 
     @property
     def is_draining(self) -> bool:
@@ -186,31 +95,6 @@
         """Return whether an overtaken call to the leaf has not ended yet."""
         return self.overtaken_since is not None
 
-    @property
-    def round_trip_s(self) -> float:
-        """Return the link delay there and back in seconds."""
-        return 2 * self.delay_s
-
-    @property
-    def average_reply_s(self) -> float:
-        """Return the average service time plus the round trip in seconds."""
-        return self.round_trip_s + self.service_s
-
-    @property
-    def cost_s(self) -> float:
-        """Return the expected time of one more request in seconds.
-
-        Among the leafs that may be chosen, the one of least cost is preferred.
-        """
-        slot_load = (self.in_flight + 1 + self.foreign_load) / self.slots
-        service_with_queue_s = max(1, slot_load) * self.service_s
-        return (self.round_trip_s + service_with_queue_s) * self._report_penalty
-
-    @property
-    def min_reply_s(self) -> float:
-        """Return the shortest time in seconds until an answer can arrive."""
-        return self.round_trip_s + self.min_service_s
-
     def has_room(self, now: float, shared_limit: float = inf) -> bool:
         """Return whether the leaf may get one more request now.
 
@@ -416,36 +300,6 @@
         self.overtaken_since = None
         return True
 
-    def unserved_penalty_s(self, now: float) -> float:
-        """Return the expected penalty for an unserved call in seconds.
-
-        It is the penalty of one unserved call times the share of calls that
-        were refused or failed. The share decays with time, so that a leaf that
-        was avoided is tried again.
-        """
-        age_s = max(0, now - self._unserved_share_updated_at)
-        share = self._unserved_share * 0.5 ** (age_s / UNSERVED_HALF_LIFE_S)
-        return UNSERVED_PENALTY_S * share
-
-    def set_capacity(self, slots: int, max_in_flight: int) -> None:
-        """Set the slots of the leaf and the connections to it."""
-        self.slots = max(1, slots)
-        self.max_in_flight = max_in_flight
-        self.limit = min(self.limit, max_in_flight)
-
-    def on_load(self, running: int, waiting: int) -> None:
-        """Update the load of other instances from the load in a reply.
-
-        Parameters
-        ----------
-        running : int
-            Requests that the leaf was serving, of all instances.
-        waiting : int
-            Requests that waited in the queue of the leaf.
-        """
-        foreign = max(0, running + waiting - self.in_flight)
-        self.foreign_load += FOREIGN_LOAD_WEIGHT * (foreign - self.foreign_load)
-
     def start_drain(self, now: float) -> None:
         """Send no new work until the leaf reports that it serves again."""
         if self.draining_since is None:
@@ -493,17 +347,6 @@
         drain_start = self.draining_since
         return drain_start is not None and requested_at > drain_start
 
-    @property
-    def _report_penalty(self) -> float:
-        """Return the factor by which the reported status raises the cost."""
-        if self.reported_status is None:
-            return 1
-        load = min(1, max(0, self.reported_status.load))
-        penalty = 1 + MAX_LOAD_PENALTY * load
-        return penalty * (
-            COLD_PENALTY if self.reported_status.state == 'cold' else 1
-        )
-
     def _record_success(self, now: float, service_s: float) -> None:
         """Update the service times and the limit after a good reply."""
         self._consecutive_refusals = 0
@@ -516,23 +359,6 @@
         else:
             self.limit = min(self.max_in_flight, self.limit + 1 / self.limit)
 
-    def _update_unserved_share(self, now: float, outcome: CallOutcome) -> None:
-        """Update the share of calls that were refused or failed."""
-        is_unserved = outcome in {CallOutcome.REFUSED, CallOutcome.FAILED}
-        if not is_unserved and outcome is not CallOutcome.GOOD:
-            return
-        age_s = max(0, now - self._unserved_share_updated_at)
-        share = self._unserved_share * 0.5 ** (age_s / UNSERVED_HALF_LIFE_S)
-        self._unserved_share = share + UNSERVED_AVERAGE_WEIGHT * (
-            is_unserved - share
-        )
-        self._unserved_share_updated_at = now
-
-    def _update_service_s(self, service_s: float) -> None:
-        """Add a service time in seconds to the moving average."""
-        counted_s = min(service_s, MAX_SAMPLE_FACTOR * self.service_s)
-        self.service_s += SERVICE_TIME_WEIGHT * (counted_s - self.service_s)
-
     def _record_refusal(self, now: float) -> None:
         """Pause the leaf, longer the more it refused, and lower its limit."""
         self._consecutive_refusals = min(
@@ -541,13 +367,6 @@
         self._last_refused_at = now
         self._decrease_limit(now, REFUSAL_LIMIT_FACTOR)
 
-    def _was_queued(self, service_s: float) -> bool:
-        """Return whether a reply was so slow that it must have queued."""
-        return (
-            self.in_flight > 0
-            and service_s > self.queue_factor * self.min_service_s
-        )
-
     def _update_ejection(self, now: float, is_slow: bool) -> None:
         """Eject the leaf after slow replies, readmit it after good probes."""
         self._consecutive_slow_replies = (
@@ -568,9 +387,3 @@
                 log_message(message_type='leaf:readmitted', leaf=self.leaf_id)
                 if self.ejection_policy.readmits_cold:
                     self.cold_since = now
-
-    def _decrease_limit(self, now: float, factor: float) -> None:
-        """Multiply the limit by a factor unless it was decreased just now."""
-        if now - self._limit_decreased_at >= DECREASE_INTERVAL_S:
-            self._limit_decreased_at = now
-            self.limit = max(1, self.limit * factor)
--- /dev/null
+++ b/clementinebank/routing/_rate_limits.py
@@ -0,0 +1,90 @@
+"""Rate limits that leafs have named, as the routing asks for them."""
+
+from collections.abc import Iterable
+from math import inf
+
+from clementinebank.ratelimit import LimitStatement, NamedLimit
+from clementinebank.routing._replicas import Replicas
+
+
+class RateLimitQueries(Replicas):
+    """Tokens and waits of groups whose leafs name rate limits."""
+
+    __slots__ = ()
+
+    def has_token(self, group_id: str, now: float) -> bool:
+        """Return whether the rate limits permit a request to the group."""
+        leafs = self._usable_leafs(group_id, inf)
+        return not leafs or any(
+            self.limits.may_send(leaf.leaf_id, now) for leaf in leafs
+        )
+
+    def token_wait_s(self, group_id: str, now: float) -> float:
+        """Return how long a new request waits for a rate-limited leaf.
+
+        Returns
+        -------
+        float
+            Seconds until all requests of this instance that wait for the group
+            and one more can have got a token; 0 if a leaf names no limit or
+            the rate of the tokens isn't known yet.
+        """
+        return self.limits.wait_s(
+            [leaf.leaf_id for leaf in self._usable_leafs(group_id, inf)],
+            self.waiting_by_group.get(group_id, 0),
+            now,
+        )
+
+    def next_token_s(self, group_id: str, now: float) -> float:
+        """Return the seconds until a new request to the group has a token.
+
+        It is 0 if the rate limits permit a request now, or the rate of the
+        tokens isn't known yet.
+        """
+        if self.has_token(group_id, now):
+            return 0
+        return self.token_wait_s(group_id, now)
+
+    def record_missed(self, group_id: str, now: float) -> None:
+        """Record a request that was refused because the group has no token."""
+        leafs = self._usable_leafs(group_id, inf)
+        if leafs:
+            missed = self.rng.choice(leafs)
+            self.limits.on_missed(missed.leaf_id, now, is_waiting=False)
+
+    def add_waiting(self, group_id: str, change: int) -> None:
+        """Add `change` to the number of requests that wait for the group."""
+        waiting = self.waiting_by_group.get(group_id, 0)
+        self.waiting_by_group[group_id] = max(0, waiting + change)
+
+    def on_named_limit(
+        self,
+        leaf_id: str,
+        named: NamedLimit | None,
+        now: float,
+        elapsed_s: float,
+    ) -> None:
+        """Record what a response states about the rate limit of its leaf.
+
+        Parameters
+        ----------
+        leaf_id : str
+            Leaf that responded; an unknown one is ignored.
+        named : NamedLimit or None
+            The statement, ``None`` if the response makes none.
+        now : float
+            Runtime time in seconds.
+        elapsed_s : float
+            Time since the request was sent, in seconds.
+        """
+        if named is None or leaf_id not in self.leafs_by_id:
+            return
+        if self.limits.on_named(leaf_id, named, now - elapsed_s, now):
+            self._start_slowly(leaf_id, now)
+
+    def merge_limits(
+        self, statements: Iterable[LimitStatement], now: float
+    ) -> None:
+        """Apply rate limits that other instances have heard, where newer."""
+        for leaf_id in self.limits.merge(statements, now):
+            self._start_slowly(leaf_id, now)
--- a/clementinebank/routing/tests/test_router.py
+++ b/clementinebank/routing/tests/test_router.py
@@ -19,8 +19,9 @@
     LeafState,
     Router,
 )
+from clementinebank.routing import _choice as choice_module
+from clementinebank.routing import _leaf_costs as costs_module
 from clementinebank.routing import _leaf_state as leaf_module
-from clementinebank.routing import _router as router_module
 from clementinebank.routing._latencies import Latencies
 from clementinebank.search.tests.simulation import make_service
 from clementinebank.upstream import LeafStatus
@@ -281,7 +282,7 @@
     ),
     check_full_leaf_is_not_chosen: (LeafState, 'has_room', lambda *_: True),
     check_slot_is_left_to_other_instances: (
-        router_module,
+        choice_module,
         'SLOTS_FOR_OTHER_INSTANCES',
         0,
     ),
@@ -301,7 +302,7 @@
         property(_cost_from_reported_load),
     ),
     check_wrong_load_report_does_not_exclude_leaf: (
-        leaf_module,
+        costs_module,
         'MAX_LOAD_PENALTY',
         100,
     ),
