Bound the memory of a relay and of the metrics in bytes

Cause: the log of entries kept up to 4,096 changes with their whole values, also earlier versions of the same key that nobody reads. Followers that had left, data centres without a relay, paused relays and route names in the metrics (22 kB each) were kept for ever as well.

Change: of each key only the last change is kept, so the log is the state and its removals. The state, the removals, the followers and the distributions have bounds in bytes that are shares of resources.memory_mb; a state that is larger leaves the last one in force. A state that is read again adds its removals to the log, so that followers needn't read everything again too.

test_log.py: the test of the chain patched the constant MAX_CHANGES, which is gone; it now sets max_removal_bytes of the log to the size of one removal, where a follower loses history as soon as two keys are removed. A second property does the same with a relay that reads all again at random.

--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -123,6 +123,7 @@
         settings = self.settings
         bounds = settings.bounds
         self.leaf_directory = LeafDirectory(bounds.drain_s)
+        self._bound_memory()
         self._create_engine()
         self._create_feed()
         self.updater = ControlStateUpdater(
@@ -254,6 +255,13 @@
             ExtraLoadLimits(bounds.retry_ratio, bounds.retry_burst)
         )
 
+    def _bound_memory(self) -> None:
+        """Bound what is kept longer than a request by the own memory."""
+        resources = self.settings.resources
+        self.entry_log.max_state_bytes = resources.state_bytes
+        self.entry_log.max_removal_bytes = resources.removal_bytes
+        self.metrics.max_distribution_bytes = resources.distribution_bytes
+
     def _create_engine(self) -> None:
         """Create the forwarding of requests, here and by aggregators."""
         settings = self.settings
@@ -328,7 +336,11 @@
     def _create_feed(self) -> None:
         """Create the feed of control entries and the relay of this instance."""
         settings = self.settings
-        service = RelayService(self.entry_log, self.limit_service.encode_notice)
+        service = RelayService(
+            self.entry_log,
+            self.limit_service.encode_notice,
+            settings.resources.follower_bytes,
+        )
         cores = settings.resources.cores
         self.peer_server = RpcServer(
             settings.peers.host,
--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -24,6 +24,13 @@
 BYTES_PER_MB = 1_000_000
 # Share of the memory for the bodies of responses of leafs that are being read.
 BUFFERED_MEMORY_SHARE = 0.2
+# Shares of the memory for the entries of the store as bytes, for what is kept
+# of removed ones, for the followers of a relay, and for the distributions of
+# the metrics.
+STATE_MEMORY_SHARE = 0.25
+REMOVALS_MEMORY_SHARE = 0.01
+FOLLOWERS_MEMORY_SHARE = 0.02
+METRICS_MEMORY_SHARE = 0.05
 # Bodies of the largest accepted size that fit into the buffers at once.
 MAX_BODIES_IN_BUFFERS = 16
 
@@ -101,14 +108,38 @@
     @property
     def buffer_limit(self) -> BufferLimit:
         """Return the bounds of the response bodies that are being read."""
-        max_bytes = BUFFERED_MEMORY_SHARE * self.memory_mb * BYTES_PER_MB
+        max_bytes = self._share_bytes(BUFFERED_MEMORY_SHARE)
         return BufferLimit(max_bytes, int(max_bytes / MAX_BODIES_IN_BUFFERS))
 
+    @property
+    def state_bytes(self) -> float:
+        """Return the largest size of the entries of the store, in bytes."""
+        return self._share_bytes(STATE_MEMORY_SHARE)
+
+    @property
+    def removal_bytes(self) -> float:
+        """Return the largest size of the removed entries, in bytes."""
+        return self._share_bytes(REMOVALS_MEMORY_SHARE)
+
+    @property
+    def follower_bytes(self) -> float:
+        """Return the largest size of what a relay keeps of followers."""
+        return self._share_bytes(FOLLOWERS_MEMORY_SHARE)
+
+    @property
+    def distribution_bytes(self) -> float:
+        """Return the largest size of the distributions of the metrics."""
+        return self._share_bytes(METRICS_MEMORY_SHARE)
+
     @property
     def cores(self) -> float:
         """Return the processor of the instance in cores."""
         return round(self.processor_share * self.processor_speed, 3)
 
+    def _share_bytes(self, share: float) -> float:
+        """Return a share of the memory in bytes."""
+        return share * self.memory_mb * BYTES_PER_MB
+
 
 @attrs.frozen
 class GatewaySettings:
--- a/clementinebank/gateway/_updater.py
+++ b/clementinebank/gateway/_updater.py
@@ -35,6 +35,8 @@
 MAX_RETRY_INTERVAL_BEFORE_LOAD_S = 0.2
 # Longest wait afterwards.
 MAX_RETRY_INTERVAL_S = 0.8
+# Wait after a state that is too large for the memory of the instance.
+TOO_LARGE_RETRY_S = 5.0
 # Interval of the check for removed leafs whose grace period is over.
 EXPIRY_CHECK_INTERVAL_S = 0.4
 
@@ -116,8 +118,11 @@
         if isinstance(loaded, Err):
             await self._back_off(loaded.err_value)
             return
-        self._on_feed_success()
         state = loaded.ok_value
+        if not self.entry_log.can_load(state.entries):
+            await self._refuse_state()
+            return
+        self._on_feed_success()
         await self.entry_log.load(state)
         self._must_reload = False
         self.relays.load(filter(_is_relay_registration, state.entries), now())
@@ -136,8 +141,11 @@
                 return
             await self._back_off(received.err_value)
             return
-        self._on_feed_success()
         batch = received.ok_value
+        if not self.entry_log.can_hold(batch.entries):
+            await self._refuse_state()
+            return
+        self._on_feed_success()
         await self.entry_log.append(batch)
         for entry in filter(_is_relay_registration, batch.entries):
             self.relays.apply(entry, now())
@@ -145,6 +153,15 @@
             self._apply_changes(self._decode_all(batch.entries))
             await self.on_changes_applied()
 
+    async def _refuse_state(self) -> None:
+        """Leave the last state in force that is small enough, and wait."""
+        log_message(
+            message_type='feed:state_too_large',
+            max_bytes=self.entry_log.max_state_bytes,
+            version=self.route_table.version,
+        )
+        await curio.sleep(TOO_LARGE_RETRY_S)
+
     def _decode_all(self, entries: Iterable[Entry]) -> list[Change]:
         decoded = [
             self.decode_entry(entry)
--- a/clementinebank/gateway/tests/test_follower.py
+++ b/clementinebank/gateway/tests/test_follower.py
@@ -86,7 +86,7 @@
         return Ok(ChangeBatch((), revision))
 
 
-def run_updater(states, batches, seconds=1.0):
+def run_updater(states, batches, seconds=1.0, log=None):
     """Run an updater on a fake feed for some seconds and return it."""
 
     async def ignore():
@@ -100,7 +100,7 @@
             RouteTable(),
             LeafDirectory(DRAIN_S),
             RelayDirectory(),
-            EntryLog(),
+            log or EntryLog(),
             ignore,
         )
         await curio.spawn(updater.run, daemon=True)
@@ -202,3 +202,16 @@
         [failure(HISTORY_LOST)],
     )
     assert updater.leaf_directory.evacuated_data_centres == {'other'}
+
+
+def test_state_that_is_too_large_leaves_the_last_one_in_force():
+    """The instance would be killed for its memory otherwise."""
+    large = Ok(ChangeBatch((Entry('x', bytes(9_000), 6),), 6))
+    updater = run_updater(
+        [stored_state(configuration_change(7))],
+        [large, change_batch(configuration_change(8))],
+        seconds=8,
+        log=EntryLog(max_state_bytes=8_000),
+    )
+    assert updater.route_table.version == 8
+    assert 'x' not in updater.entry_log.entries_by_key
--- a/clementinebank/metrics/_metrics.py
+++ b/clementinebank/metrics/_metrics.py
@@ -8,6 +8,7 @@
 import attrs
 from hdrh.histogram import HdrHistogram
 
+from clementinebank.clock import now
 from clementinebank.metrics._names import METRICS_BY_NAME
 
 MICROSECONDS_PER_MS = 1000
@@ -19,8 +20,16 @@
 # Most combinations of label texts that are counted apart for one counter. Some
 # label texts come from leafs, so that memory would grow without this bound.
 MAX_LABEL_SETS = 500
-# Text of every label of the counter that adds up all further combinations.
+# Longest label text that is kept; longer ones are cut.
+MAX_LABEL_CHARS = 100
+# Text of every label that adds up all further combinations.
 OTHER_LABEL = 'other'
+# Memory of a distribution with its labels, in bytes.
+DISTRIBUTION_BYTES = 24_000
+# Memory for the distributions if no size is given, in bytes.
+MAX_DISTRIBUTION_BYTES = 24_000_000
+# A distribution that got no time for so long makes room for a new one.
+IDLE_AFTER_S = 600.0
 
 Labels = tuple[tuple[str, str], ...]
 
@@ -125,11 +134,18 @@
         Value of each counter by metric name and labels.
     distributions : dict
         Distribution of each summary by metric name and labels.
+    max_distribution_bytes : float
+        Largest size of the distributions in memory, in bytes. Beyond it a new
+        one replaces one that is idle, or is added up under ``other``.
     """
 
     counters: Counter[tuple[str, Labels]] = attrs.Factory(Counter)
     distributions: dict[tuple[str, Labels], Distribution] = attrs.Factory(dict)
+    max_distribution_bytes: float = MAX_DISTRIBUTION_BYTES
     _sources: list[Source] = attrs.Factory(list)
+    _counter_sets_by_name: Counter[str] = attrs.Factory(Counter)
+    # Runtime time of the last record of each distribution, oldest first.
+    _recorded_at_by_key: dict[tuple[str, Labels], float] = attrs.Factory(dict)
 
     def add(self, name: str, amount: float = 1, **labels: str) -> None:
         """Increase a counter.
@@ -143,8 +159,10 @@
             If the name or a label is not registered.
         """
         key = _metric_key(name, labels)
-        if key not in self.counters and self._has_max_label_sets(name):
-            key = _metric_key(name, dict.fromkeys(labels, OTHER_LABEL))
+        if key not in self.counters:
+            if self._counter_sets_by_name[name] >= MAX_LABEL_SETS:
+                key = _metric_key(name, dict.fromkeys(labels, OTHER_LABEL))
+            self._counter_sets_by_name[name] += key not in self.counters
         self.counters[key] += amount  # type: ignore[assignment]
 
     def record_ms(self, name: str, milliseconds: float, **labels: str) -> None:
@@ -155,10 +173,7 @@
         ValueError
             If the name or a label is not registered.
         """
-        key = _metric_key(name, labels)
-        if key not in self.distributions:
-            self.distributions[key] = Distribution()
-        self.distributions[key].record_ms(milliseconds)
+        self._distribution_of(name, labels).record_ms(milliseconds)
 
     def add_source(self, source: Source) -> None:
         """Register a function that yields samples of state kept elsewhere.
@@ -184,9 +199,33 @@
             for (name, labels), distribution in self.distributions.items()
         ]
 
-    def _has_max_label_sets(self, name: str) -> bool:
-        """Return whether a counter may get no further combination of labels."""
-        return sum(key[0] == name for key in self.counters) >= MAX_LABEL_SETS
+    def _distribution_of(
+        self, name: str, labels: dict[str, str]
+    ) -> Distribution:
+        """Return the distribution of some labels, or that of all others."""
+        key = _metric_key(name, labels)
+        if key not in self.distributions and not self._make_room():
+            key = _metric_key(name, dict.fromkeys(labels, OTHER_LABEL))
+        if key not in self.distributions:
+            self.distributions[key] = Distribution()
+        self._recorded_at_by_key.pop(key, None)
+        self._recorded_at_by_key[key] = now()
+        return self.distributions[key]
+
+    def _make_room(self) -> bool:
+        """Return whether one more distribution is within the size."""
+        idle_before = now() - IDLE_AFTER_S
+        while self._recorded_at_by_key and not self._has_room():
+            oldest, recorded_at = next(iter(self._recorded_at_by_key.items()))
+            if recorded_at > idle_before:
+                break
+            self._recorded_at_by_key.pop(oldest)
+            self.distributions.pop(oldest, None)
+        return self._has_room()
+
+    def _has_room(self) -> bool:
+        size = (len(self.distributions) + 1) * DISTRIBUTION_BYTES
+        return size <= self.max_distribution_bytes
 
     def merge_distributions(self, encoded: list[dict[str, Any]]) -> None:
         """Add the distributions of another instance.
@@ -197,10 +236,9 @@
             If ``encoded`` is not a result of ``encode_distributions``.
         """
         for each in encoded:
-            key = _metric_key(each['name'], each['labels'])
-            distribution = self.distributions.get(key) or Distribution()
-            distribution.merge(each)
-            self.distributions[key] = distribution
+            # Invalid data must not leave an empty distribution.
+            Distribution().merge(each)
+            self._distribution_of(each['name'], each['labels']).merge(each)
 
 
 def create_sample(name: str, amount: float, **labels: str) -> Sample:
@@ -221,4 +259,6 @@
         raise ValueError(
             f'metric {name} with labels {sorted(labels)} is not registered'
         )
-    return name, tuple((label, labels[label]) for label in description.labels)
+    return name, tuple(
+        (label, labels[label][:MAX_LABEL_CHARS]) for label in description.labels
+    )
--- a/clementinebank/metrics/tests/test_metrics.py
+++ b/clementinebank/metrics/tests/test_metrics.py
@@ -8,15 +8,22 @@
 
 import re
 
+import curio
 import pytest
 
+from clementinebank.clock import FakeClockKernel
 from clementinebank.metrics import (
     METRICS_BY_NAME,
     Metrics,
     format_metrics,
     names,
 )
-from clementinebank.metrics._metrics import MAX_LABEL_SETS
+from clementinebank.metrics._metrics import (
+    DISTRIBUTION_BYTES,
+    IDLE_AFTER_S,
+    MAX_LABEL_CHARS,
+    MAX_LABEL_SETS,
+)
 
 LINE = re.compile(r'[a-z_]+(\{([a-z]+="([^"\\\n]|\\.)*",?)+\})? [-0-9.e+]+')
 
@@ -58,8 +65,8 @@
     assert merged.distributions[_latency_key()].count == 100
 
 
-def _latency_key():
-    return names.LATENCY, (('service', 'desk'),)
+def _latency_key(service='desk'):
+    return names.LATENCY, (('service', service),)
 
 
 @pytest.mark.parametrize('text', ['', 'no base64', 'AAAA'])
@@ -92,3 +99,38 @@
     assert description.name.endswith('_total') == (
         description.kind == 'counter'
     )
+
+
+def _record_routes(metrics, numbers):
+    for number in numbers:
+        metrics.record_ms(names.LATENCY, 7, service=f'route-{number}')
+
+
+def test_distributions_are_bounded_in_bytes():
+    """Fault: each route name ever served kept 22 kB for ever."""
+
+    async def run():
+        metrics = Metrics(max_distribution_bytes=10 * DISTRIBUTION_BYTES)
+        _record_routes(metrics, range(30))
+        assert len(metrics.distributions) <= 11
+        other = metrics.distributions[_latency_key('other')]
+        assert other.count == 20
+        await curio.sleep(IDLE_AFTER_S / 2)
+        _record_routes(metrics, [0])
+        await curio.sleep(IDLE_AFTER_S / 2)
+        _record_routes(metrics, [30])
+        return metrics
+
+    with FakeClockKernel() as kernel:
+        metrics = kernel.run(run)
+    # A new route takes the place of one that is no longer served.
+    assert metrics.distributions[_latency_key('route-30')].count == 1
+    assert metrics.distributions[_latency_key('route-0')].count == 2
+    assert _latency_key('route-1') not in metrics.distributions
+
+
+def test_long_label_texts_are_cut():
+    metrics = Metrics()
+    metrics.add(names.LEAF_FAILURES, service='a' * 10_000, reason='b')
+    [(_, labels)] = metrics.counters
+    assert len(labels[0][1]) == MAX_LABEL_CHARS
--- a/clementinebank/relay/_directory.py
+++ b/clementinebank/relay/_directory.py
@@ -23,6 +23,9 @@
 INITIAL_FLEET_SIZE = 8
 # Least processor of an aggregator in cores.
 MIN_CORES = 0.001
+# Aggregators that are remembered of data centres without a relay. Each needs
+# about 500 bytes; the store bounds the names of data centres.
+MAX_LOST_AGGREGATORS = 1000
 
 
 @attrs.frozen
@@ -132,6 +135,7 @@
         data_centre = entry.key.removeprefix(KEY_PREFIX)
         if entry.value is None:
             self.records_by_data_centre.pop(data_centre, None)
+            self._forget_lost_data_centres()
             log_message(
                 message_type='relay:unregistered', data_centre=data_centre
             )
@@ -147,10 +151,9 @@
             return
         record = decoded.ok_value
         self.records_by_data_centre[data_centre] = record
+        self.aggregators_by_data_centre.pop(data_centre, None)
         self.aggregators_by_data_centre[data_centre] = record.aggregators
-        # Adds the initial size before the first sum and drops old sums.
-        self.fleet_size(now)
-        self._recent_sizes.append((now, self._total_fleet_share()))
+        self._record_size(now)
         log_message(
             message_type='relay:registered',
             data_centre=data_centre,
@@ -206,6 +209,29 @@
         )
         return [record.address for record in others]
 
+    def _record_size(self, now: float) -> None:
+        """Add the present sum; smaller earlier ones no longer count."""
+        # Adds the initial size before the first sum and drops old sums.
+        self.fleet_size(now)
+        size = self._total_fleet_share()
+        while self._recent_sizes and self._recent_sizes[-1][1] <= size:
+            self._recent_sizes.pop()
+        self._recent_sizes.append((now, size))
+
+    def _forget_lost_data_centres(self) -> None:
+        """Drop the longest known aggregators of data centres without relay."""
+        lost = {
+            data_centre: 1 + len(members)
+            for data_centre, members in self.aggregators_by_data_centre.items()
+            if data_centre not in self.records_by_data_centre
+        }
+        excess = sum(lost.values()) - MAX_LOST_AGGREGATORS
+        for data_centre, count in lost.items():
+            if excess <= 0:
+                break
+            self.aggregators_by_data_centre.pop(data_centre)
+            excess -= count
+
     def _total_fleet_share(self) -> int:
         return sum(
             record.fleet_share
--- a/clementinebank/relay/_log.py
+++ b/clementinebank/relay/_log.py
@@ -1,7 +1,7 @@
 """Entries that an instance knows, and their recent changes."""
 
 import contextlib
-from collections import deque
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -10,9 +10,12 @@
 from clementinebank.clock import now, run_before
 from clementinebank.relay._model import ChangeBatch, Entry, StoredState
 
-# Number of changes that are kept. A follower that lacks more reads all entries
-# again; at ten changes a second the changes of several minutes are kept.
-MAX_CHANGES = 4096
+# Size of the removals that are kept if none is given. A follower that lacks
+# more reads all entries again.
+MAX_REMOVAL_BYTES = 1_000_000
+# Memory of an entry besides its key and value: three objects, and its places
+# in the mappings of a log.
+ENTRY_OVERHEAD_BYTES = 350
 # Size of the keys and values of a page; leaves room for the other parts of a
 # message, which may have MAX_MESSAGE_BYTES (1.5 MB).
 MAX_PAGE_BYTES = 1_000_000
@@ -36,7 +39,10 @@
 
 @attrs.define(eq=False)
 class EntryLog:
-    """Entries in their newest version, and the recent changes.
+    """Entries in their newest version, and the recent removals.
+
+    Of each key only the last change is kept: the entry itself, or its removal.
+    So the memory follows from what is stored and not from its history.
 
     Parameters
     ----------
@@ -48,13 +54,24 @@
     confirmed_at : float
         Runtime time in seconds at which the store last confirmed, directly or
         through relays, that there were no later changes.
+    max_state_bytes : float
+        Largest size of the entries in memory, in bytes.
+    max_removal_bytes : float
+        Largest size of the removals in memory, in bytes.
     """
 
     entries_by_key: dict[str, Entry] = attrs.Factory(dict)
     revision: int = 0
     confirmed_at: float = float('-inf')
+    max_state_bytes: float = float('inf')
+    max_removal_bytes: float = MAX_REMOVAL_BYTES
     _kept_after_revision: int = 0
-    _changes: deque[Entry] = attrs.Factory(deque)
+    # Last change of each key in the order of the revisions.
+    _last_changes_by_key: dict[str, Entry] = attrs.Factory(dict)
+    # Those of the last changes that are removals.
+    _removals_by_key: dict[str, Entry] = attrs.Factory(dict)
+    _state_bytes: int = 0
+    _removal_bytes: int = 0
     _update_event: Any = attrs.Factory(curio.Event)
 
     @property
@@ -66,11 +83,51 @@
         """Return the time from the last confirmation to ``at``, in seconds."""
         return at - self.confirmed_at
 
+    def can_hold(self, entries: Iterable[Entry]) -> bool:
+        """Return whether the state stays within its size with these entries.
+
+        Each entry replaces the one with its key.
+        """
+        growth_by_key = {
+            entry.key: _size_of(entry)
+            - _size_of(self.entries_by_key.get(entry.key))
+            for entry in entries
+        }
+        growth = sum(growth_by_key.values())
+        return self._state_bytes + growth <= self.max_state_bytes
+
+    def can_load(self, entries: Iterable[Entry]) -> bool:
+        """Return whether a state of these entries is within its size."""
+        return sum(map(_size_of, entries)) <= self.max_state_bytes
+
     async def load(self, state: StoredState) -> None:
-        """Replace all entries by a whole state and drop the changes."""
-        self.entries_by_key = {each.key: each for each in state.entries}
-        self._changes.clear()
-        self._kept_after_revision = state.revision
+        """Replace all entries by a whole state.
+
+        Entries that it lacks count as removed at its revision, so that those
+        who follow this log need no whole state themselves.
+        """
+        entries_by_key = {each.key: each for each in state.entries}
+        if self.is_loaded and state.revision >= self.revision:
+            missing = self.entries_by_key.keys() - entries_by_key.keys()
+            removals = {
+                key: removal
+                for key, removal in self._removals_by_key.items()
+                if key not in entries_by_key
+            } | {key: Entry(key, None, state.revision) for key in missing}
+        else:
+            removals = {}
+            self._kept_after_revision = state.revision
+        self.entries_by_key = entries_by_key
+        self._state_bytes = sum(map(_size_of, entries_by_key.values()))
+        self._removals_by_key = removals
+        self._removal_bytes = sum(map(_size_of, removals.values()))
+        self._last_changes_by_key = {
+            each.key: each
+            for each in sorted(
+                (*entries_by_key.values(), *removals.values()), key=_revision_of
+            )
+        }
+        self._drop_old_removals()
         self.revision = state.revision
         await self._record_confirmation(state.age_s)
 
@@ -81,6 +138,7 @@
         """
         for change in batch.entries:
             self._apply(change)
+        self._drop_old_removals()
         self.revision = max(self.revision, batch.revision)
         await self._record_confirmation(batch.age_s)
 
@@ -94,10 +152,12 @@
         """
         if revision < self._kept_after_revision:
             return None
-        last_by_key = {
-            each.key: each for each in self._changes if each.revision > revision
-        }
-        return tuple(sorted(last_by_key.values(), key=_revision_of))
+        changes: list[Entry] = []
+        for change in reversed(self._last_changes_by_key.values()):
+            if change.revision <= revision:
+                break
+            changes.append(change)
+        return tuple(sorted(changes, key=_revision_of))
 
     def page_after(self, key: str) -> EntryPage:
         """Return the entries with greater keys, as many as fit a message.
@@ -128,16 +188,32 @@
         await previous.set()
 
     def _apply(self, change: Entry) -> None:
-        known = self.entries_by_key.get(change.key)
+        known = self._last_changes_by_key.get(change.key)
         if known is not None and known.revision > change.revision:
             return
+        self._state_bytes -= _size_of(self.entries_by_key.pop(change.key, None))
+        self._removal_bytes -= _size_of(
+            self._removals_by_key.pop(change.key, None)
+        )
         if change.value is None:
-            self.entries_by_key.pop(change.key, None)
+            self._removals_by_key[change.key] = change
+            self._removal_bytes += _size_of(change)
         else:
             self.entries_by_key[change.key] = change
-        self._changes.append(change)
-        if len(self._changes) > MAX_CHANGES:
-            self._kept_after_revision = self._changes.popleft().revision
+            self._state_bytes += _size_of(change)
+        self._last_changes_by_key.pop(change.key, None)
+        self._last_changes_by_key[change.key] = change
+
+    def _drop_old_removals(self) -> None:
+        """Drop the oldest removals until they are within their size."""
+        while self._removal_bytes > self.max_removal_bytes:
+            key = next(iter(self._removals_by_key))
+            removal = self._removals_by_key.pop(key)
+            self._last_changes_by_key.pop(key)
+            self._removal_bytes -= _size_of(removal)
+            self._kept_after_revision = max(
+                self._kept_after_revision, removal.revision
+            )
 
     async def _record_confirmation(self, age_s: float) -> None:
         """Record a confirmation of this age and wake waiting tasks."""
@@ -147,3 +223,10 @@
 
 def _revision_of(entry: Entry) -> int:
     return entry.revision
+
+
+def _size_of(entry: Entry | None) -> int:
+    """Return about how much memory an entry needs, in bytes."""
+    if entry is None:
+        return 0
+    return len(entry.key) + len(entry.value or b'') + ENTRY_OVERHEAD_BYTES
--- a/clementinebank/relay/_service.py
+++ b/clementinebank/relay/_service.py
@@ -26,6 +26,11 @@
 # this has a better source.
 AGE_TOLERANCE_S = 0.5
 MAX_FRESHER_FOLLOWERS = 3
+# Memory for the followers if no size is given, in bytes.
+MAX_FOLLOWER_BYTES = 4_000_000
+# Memory of a follower besides its names: the last request with its numbers,
+# and its places in the mappings.
+FOLLOWER_OVERHEAD_BYTES = 1500
 # Ages of the same confirmation differ by the time that messages are on their
 # way; the relay's confirmation is newer only if it is newer by more than this.
 CONFIRMATION_TOLERANCE_S = 0.1
@@ -36,6 +41,37 @@
     return b''
 
 
+@attrs.frozen
+class _Follower:
+    """Instance that reads from this one.
+
+    Parameters
+    ----------
+    request : WatchRequest
+        Its last request.
+    asked_at : float
+        Runtime time of that request in seconds.
+    is_fresher : bool
+        Whether its state was fresher than that of this instance.
+    """
+
+    request: WatchRequest
+    asked_at: float
+    is_fresher: bool
+
+    @property
+    def confirmed_at(self) -> float:
+        """Return when the store last confirmed its state."""
+        return self.asked_at - self.request.age_s
+
+    @property
+    def size(self) -> int:
+        """Return about how much memory it needs, in bytes."""
+        request = self.request
+        names = (request.instance_id, request.data_centre, request.after_key)
+        return sum(map(len, names)) + FOLLOWER_OVERHEAD_BYTES
+
+
 @attrs.define(eq=False)
 class RelayService:
     """Server of the ``Watch`` method, which sends entries to followers.
@@ -49,15 +85,17 @@
         Entries that this instance knows, and their age.
     create_notice : callable
         Returns what another service adds to each reply, empty if nothing.
+    max_follower_bytes : float
+        Largest size of what is kept of the followers, in bytes; those that
+        asked longest ago are forgotten first.
     """
 
     log: EntryLog
     create_notice: Callable[[], bytes] = _no_notice
-    _asked_at_by_instance: dict[str, float] = attrs.Factory(dict)
-    # Last request of each instance in ``_asked_at_by_instance``.
-    _requests_by_instance: dict[str, WatchRequest] = attrs.Factory(dict)
-    # Last confirmations of the followers that are fresher than this instance.
-    _confirmed_at_by_fresher: dict[Address, float] = attrs.Factory(dict)
+    max_follower_bytes: float = MAX_FOLLOWER_BYTES
+    # Followers in the order of their last requests.
+    _followers_by_instance: dict[str, _Follower] = attrs.Factory(dict)
+    _follower_bytes: int = 0
 
     async def handle_watch(self, payload: bytes) -> bytes:
         """Return the encoded reply to one encoded request.
@@ -72,31 +110,24 @@
             If the payload is not a valid request.
         """
         request = decode_request(payload)
-        self._asked_at_by_instance[request.instance_id] = now()
-        self._requests_by_instance[request.instance_id] = request
-        self._update_fresher_followers(request)
+        self._record_follower(request)
         reply = await self._reply(request)
         return encode_reply(attrs.evolve(reply, notice=self.create_notice()))
 
     def follower_count(self) -> int:
         """Return the number of instances that read from this one now."""
-        inactive_before = now() - FOLLOWER_TIMEOUT_S
-        inactive = [
-            instance_id
-            for instance_id, asked_at in self._asked_at_by_instance.items()
-            if asked_at < inactive_before
-        ]
-        for instance_id in inactive:
-            self._asked_at_by_instance.pop(instance_id)
-            self._requests_by_instance.pop(instance_id)
-        return len(self._asked_at_by_instance)
+        self._forget_inactive()
+        return len(self._followers_by_instance)
 
     def members_of(self, data_centre: str) -> list[FleetMember]:
         """Return the followers in a data centre that can be aggregators."""
-        self.follower_count()
+        self._forget_inactive()
+        requests = [
+            each.request for each in self._followers_by_instance.values()
+        ]
         return [
             FleetMember(request.address, request.cores)
-            for request in self._requests_by_instance.values()
+            for request in requests
             if request.data_centre == data_centre and request.cores > 0
         ]
 
@@ -109,20 +140,37 @@
         """
         fresh_after = self.log.confirmed_at + AGE_TOLERANCE_S
         candidates = [
-            (confirmed_at, address)
-            for address, confirmed_at in self._confirmed_at_by_fresher.items()
-            if confirmed_at > fresh_after
+            (follower.confirmed_at, follower.request.address)
+            for follower in self._followers_by_instance.values()
+            if follower.is_fresher and follower.confirmed_at > fresh_after
         ]
         candidates.sort(key=lambda pair: -pair[0])
         return [address for _, address in candidates[:MAX_FRESHER_FOLLOWERS]]
 
-    def _update_fresher_followers(self, request: WatchRequest) -> None:
-        """Add the sender of a request if it is fresher, else remove it."""
-        confirmed_at = now() - request.age_s
-        if self._is_follower_fresher(request):
-            self._confirmed_at_by_fresher[request.address] = confirmed_at
-        else:
-            self._confirmed_at_by_fresher.pop(request.address, None)
+    def _record_follower(self, request: WatchRequest) -> None:
+        """Keep the last request of a follower."""
+        self._forget(request.instance_id)
+        follower = _Follower(request, now(), self._is_follower_fresher(request))
+        self._followers_by_instance[request.instance_id] = follower
+        self._follower_bytes += follower.size
+        self._forget_inactive()
+
+    def _forget_inactive(self) -> None:
+        """Forget followers that no longer ask, and those beyond the size."""
+        inactive_before = now() - FOLLOWER_TIMEOUT_S
+        while self._followers_by_instance:
+            oldest = next(iter(self._followers_by_instance.values()))
+            is_inactive = oldest.asked_at < inactive_before
+            if not is_inactive and (
+                self._follower_bytes <= self.max_follower_bytes
+            ):
+                return
+            self._forget(oldest.request.instance_id)
+
+    def _forget(self, instance_id: str) -> None:
+        follower = self._followers_by_instance.pop(instance_id, None)
+        if follower is not None:
+            self._follower_bytes -= follower.size
 
     def _is_follower_fresher(self, request: WatchRequest) -> bool:
         """Return whether the follower's state is fresher than the own one."""
--- a/clementinebank/relay/_sources.py
+++ b/clementinebank/relay/_sources.py
@@ -319,7 +319,11 @@
         return now() < self._store_paused_until
 
     def _pause_relay(self, address: Address, reason: str) -> None:
-        self._paused_until_by_relay[address] = now() + RELAY_PAUSE_S
+        self._paused_until_by_relay = {
+            each: paused_until
+            for each, paused_until in self._paused_until_by_relay.items()
+            if paused_until > now()
+        } | {address: now() + RELAY_PAUSE_S}
         log_message(
             message_type='relay:left',
             relay=str(address),
--- a/clementinebank/relay/tests/test_log.py
+++ b/clementinebank/relay/tests/test_log.py
@@ -14,7 +14,7 @@
 
 from clementinebank.clock import FakeClockKernel
 from clementinebank.relay import ChangeBatch, Entry, EntryLog, StoredState
-from clementinebank.relay import _log as log_module
+from clementinebank.relay._log import MAX_REMOVAL_BYTES
 
 KEYS = ('a', 'b', 'c', 'd')
 # Key and whether it is written or deleted.
@@ -46,14 +46,17 @@
 
 @seed(5)
 @settings(max_examples=150, deadline=None)
-@given(CHANGES, st.integers(0, 2**32), st.sampled_from([3, 4096]))
-def test_chain_of_logs_ends_with_what_is_stored(changes, draw, kept):
+@given(
+    CHANGES, st.integers(0, 2**32), st.sampled_from([600, MAX_REMOVAL_BYTES])
+)
+def test_chain_of_logs_ends_with_what_is_stored(changes, draw, max_bytes):
     """A follower that reads at random moments misses no change."""
 
     async def scenario():
         rng = random.Random(draw)
         history = history_of(changes)
-        relay, follower = EntryLog(), EntryLog()
+        relay = EntryLog(max_removal_bytes=max_bytes)
+        follower = EntryLog()
         await relay.load(StoredState((), 1))
         await follower.load(StoredState((), 1))
         for at in range(0, len(history), 3):
@@ -67,12 +70,7 @@
         assert follower.entries_by_key == expected
         assert follower.revision == relay.revision
 
-    original = log_module.MAX_CHANGES
-    log_module.MAX_CHANGES = kept
-    try:
-        run_scenario(scenario)
-    finally:
-        log_module.MAX_CHANGES = original
+    run_scenario(scenario)
 
 
 async def catch_up(follower, relay):
@@ -84,6 +82,53 @@
         await follower.append(ChangeBatch(changes, relay.revision))
 
 
+@seed(6)
+@settings(max_examples=150, deadline=None)
+@given(
+    CHANGES, st.integers(0, 2**32), st.sampled_from([600, MAX_REMOVAL_BYTES])
+)
+def test_follower_of_a_log_that_reads_all_again_misses_nothing(
+    changes, draw, max_bytes
+):
+    """A state that is loaded again must not hide removals from followers."""
+
+    async def scenario():
+        rng = random.Random(draw)
+        history = history_of(changes)
+        relay = EntryLog(max_removal_bytes=max_bytes)
+        follower = EntryLog()
+        await relay.load(StoredState((), 1))
+        await follower.load(StoredState((), 1))
+        for at in range(0, len(history), 3):
+            batch = tuple(history[at : at + 3])
+            revision = batch[-1].revision
+            if rng.random() < 0.5:
+                stored = tuple(stored_at(history, revision).values())
+                await relay.load(StoredState(stored, revision))
+            else:
+                await relay.append(ChangeBatch(batch, revision))
+            if rng.random() < 0.4:
+                await catch_up(follower, relay)
+        await catch_up(follower, relay)
+        assert relay.entries_by_key == stored_at(history, relay.revision)
+        assert follower.entries_by_key == relay.entries_by_key
+
+    run_scenario(scenario)
+
+
+def test_state_of_an_earlier_revision_makes_followers_read_all_again():
+    """A store that was set back may have removed what the log never saw."""
+
+    async def scenario():
+        log = EntryLog()
+        await log.load(StoredState((Entry('a', b'', 7),), 10))
+        await log.load(StoredState((), 5))
+        assert log.changes_since(4) is None
+        assert log.changes_since(5) == ()
+
+    run_scenario(scenario)
+
+
 def test_changes_before_a_load_are_reported_as_missing():
     async def scenario():
         log = EntryLog()
