Authenticate callers by the keys of client accounts

The adapter decoded no accounts, so requests with unknown keys ran and a caller's own account header reached leafs.

The configuration now carries the accounts. The entry instance takes the key from the request before anything else sees it, refuses unknown keys (401, or 503 if its knowledge is older than a change may take) unless the route is public, and sets account, priority and regions (those of route and account both bind). A known key counts on a public route too. Malformed accounts are reported by field, never with a key. Refusals at admission are logged at most five times a second for each code.

--- a/clementinebank/forwarding/_messages.py
+++ b/clementinebank/forwarding/_messages.py
@@ -28,6 +28,9 @@
         Priority of the request; 0 is the highest.
     regions : frozenset of str or None
         Regions that may run the request; ``None`` allows all.
+    api_key : str
+        Key of the caller until its account is known; afterwards, and if it
+        gave none, empty. It never leaves this instance.
     """
 
     request_id: str
@@ -36,6 +39,7 @@
     account: str = ''
     priority: int = 0
     regions: frozenset[str] | None = None
+    api_key: str = attrs.field(default='', repr=False)
 
 
 @attrs.frozen
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -22,7 +22,9 @@
     LeafCodec,
     LinkDelays,
 )
+from clementinebank.gateway._admission import Admission
 from clementinebank.gateway._changes import DecodeEntry
+from clementinebank.gateway._refusal_log import RefusalLog
 from clementinebank.gateway._request_log import RequestLog
 from clementinebank.gateway._settings import GatewaySettings
 from clementinebank.gateway._updater import ControlStateUpdater
@@ -46,7 +48,7 @@
     RelayRegistration,
     RelayService,
 )
-from clementinebank.routes import CallerLimits, RouteTable
+from clementinebank.routes import CallerLimits, Route, RouteTable
 from clementinebank.routing import rendezvous_subset
 from clementinebank.rpc import RpcServer
 from clementinebank.validation import Address
@@ -114,6 +116,8 @@
     aggregation: AggregationService = attrs.field(init=False)
     limit_service: LimitService = attrs.field(init=False)
     limit_client: LimitClient = attrs.field(init=False)
+    admission: Admission = attrs.field(init=False)
+    refusal_log: RefusalLog = attrs.Factory(RefusalLog)
     updater: ControlStateUpdater = attrs.field(init=False)
     peer_server: RpcServer = attrs.field(init=False)
     server: HttpServer = attrs.field(init=False)
@@ -123,6 +127,7 @@
         settings = self.settings
         bounds = settings.bounds
         self.leaf_directory = LeafDirectory(bounds.drain_s)
+        self.admission = Admission(self.route_table, self.entry_log, bounds)
         self._create_engine()
         self._create_feed()
         self.updater = ControlStateUpdater(
@@ -190,49 +195,58 @@
         except Failure as failure:
             self._count_refusal(failure)
             return self.caller_codec.encode_failure('', failure, RETRY_AFTER_S)
-        if self.route_table.configuration is None:
-            return self._refuse(
+        try:
+            route = self._find_route(message)
+            request = await self.admission.admit(request, route)
+        except Failure as failure:
+            return self._refuse(request.request_id, failure)
+        outcome = await self.delegator.forward(request, route)
+        if isinstance(outcome, Err):
+            return self.caller_codec.encode_failure(
                 request.request_id,
-                'no_routes',
-                'the routes are not known yet',
-                UNAVAILABLE,
+                outcome.err_value,
+                outcome.err_value.retry_after_s or RETRY_AFTER_S,
+            )
+        return self.caller_codec.encode(request.request_id, outcome.ok_value)
+
+    def _find_route(self, message: HttpRequest) -> Route:
+        """Return the route of a request.
+
+        Raises
+        ------
+        Failure
+            If no route is known or none matches.
+        """
+        if self.route_table.configuration is None:
+            raise Failure(
+                'no_routes', 'the routes are not known yet', Step.ADMIT
             )
         route = self.route_table.find(
             message.headers.get('host', ''), message.path
         )
         if route is None:
-            return self._refuse(
-                request.request_id,
+            raise Failure(
                 'no_route',
                 f'no route of version {self.route_table.version} matches',
-                NOT_FOUND,
-            )
-        request = attrs.evolve(request, regions=route.regions)
-        outcome = await self.delegator.forward(request, route)
-        if isinstance(outcome, Err):
-            return self.caller_codec.encode_failure(
-                request.request_id,
-                outcome.err_value,
-                outcome.err_value.retry_after_s or RETRY_AFTER_S,
+                Step.ADMIT,
+                status=NOT_FOUND,
             )
-        return self.caller_codec.encode(request.request_id, outcome.ok_value)
+        return route
 
-    def _refuse(
-        self, request_id: str, code: str, message: str, status: int
-    ) -> HttpResponse:
-        failure = Failure(code, message, Step.ADMIT, status=status)
+    def _refuse(self, request_id: str, failure: Failure) -> HttpResponse:
+        """Return the response to a request that is not admitted."""
         self._count_refusal(failure)
-        log_message(
-            message_type='request:refused',
+        self.refusal_log.record(
+            failure,
             request_id=request_id,
             instance=self.settings.instance_id,
             version=self.route_table.version,
-            code=code,
-            reason=message,
             confirmed_s=round(now() - self.updater.confirmed_at, 3),
         )
         return self.caller_codec.encode_failure(
-            request_id, failure, RETRY_AFTER_WITHOUT_ROUTES_S
+            request_id,
+            failure,
+            failure.retry_after_s or RETRY_AFTER_WITHOUT_ROUTES_S,
         )
 
     def apply_settings(self, settings: GatewaySettings) -> None:
@@ -246,6 +260,7 @@
             log_message(message_type='gateway:restart_needed')
         self.settings = applied
         self.feed.seed_relays = seeds
+        self.admission.apply_bounds(bounds)
         self.registration.is_seed = applied.peers in seeds
         self.leaf_directory.drain_limit_s = bounds.drain_s
         self.updater.watch_wait_s = bounds.watch_wait_s
--- a/clementinebank/ratelimit/__init__.py
+++ b/clementinebank/ratelimit/__init__.py
@@ -11,6 +11,7 @@
     named_limit_of,
     read_named_limit,
 )
+from clementinebank.ratelimit._quota import Quota, QuotaBounds, account_key
 from clementinebank.ratelimit._service import ACQUIRE_PATH, LimitService
 from clementinebank.ratelimit._table import (
     LimitStatement,
@@ -28,9 +29,12 @@
     'LimitStatement',
     'LimitTable',
     'NamedLimit',
+    'Quota',
+    'QuotaBounds',
     'TOKEN_LIFETIME_S',
     'TokenBucket',
     'WaitingRequests',
+    'account_key',
     'equal_share',
     'named_limit_of',
     'read_named_limit',
--- a/clementinebank/routes/_model.py
+++ b/clementinebank/routes/_model.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from clementinebank.accounts import ClientAccount
+
 # Limits of a caller's request where the configuration gives none.
 DEFAULT_HEADER_BYTES = 16_384
 DEFAULT_BODY_BYTES = 2_097_152
@@ -151,9 +153,12 @@
         Connections that one leaf of a service accepts from all instances.
     limits : CallerLimits
         Limits for the requests of callers.
+    accounts : tuple of ClientAccount
+        All client accounts; empty if callers need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     connections_by_service: dict[str, int]
     limits: CallerLimits = CallerLimits()
+    accounts: tuple[ClientAccount, ...] = ()
