--- a/clementinebank/placement/_spill.py
+++ b/clementinebank/placement/_spill.py
@@ -21,7 +21,7 @@
 RISE_TIME_S = 1.0
 # Bound of the factor by which a large gain shortens the rise.
 MAX_RISE_FACTOR = 20.0
-FALL_TIME_S = 4.0
+FALL_TIME_S = 3.0
 # A change of the share counts at most this time since the one before, so that
 # rare calls don't move it by stale knowledge.
 MAX_STEP_S = 0.25
