Read everything again when a watch can't be read; ask other relays at once

A relay that the store failed asked the other relays only in a pause that the back-off of the updater always outlasted.

A relay that the store fails asks the other relays in the same call. Changes that exceed a message of a relay are read in pages too (same fault on the way to followers).

--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -66,6 +66,9 @@
         Bound of this and all other response bodies that are being read.
     bytes_sent : int
         Bytes passed to the socket, over all requests.
+    has_partial_response : bool
+        Whether the head of the last response was read, but not all of its
+        body.
     """
 
     host: str
@@ -74,6 +77,7 @@
     allows_close_delimited: bool = False
     buffers: BufferLimit = attrs.Factory(BufferLimit)
     bytes_sent: int = 0
+    has_partial_response: bool = False
     _sock: Any = None
     _http: Any = None
     _reusable_until: float = float('inf')
@@ -188,9 +192,12 @@
             If the transport fails.
         """
         turn = ReadTurn()
+        self.has_partial_response = False
         head = await self._read_head(turn)
+        self.has_partial_response = True
         self._check_length(head)
         body = await self._read_body(turn)
+        self.has_partial_response = False
         self._start_next_cycle()
         headers = {
             name.decode('latin-1'): value.decode('latin-1')
--- a/clementinebank/relay/_client.py
+++ b/clementinebank/relay/_client.py
@@ -80,18 +80,24 @@
         entries: list[Entry] = []
         first: WatchReply | None = None
         after_key = ''
+        first_at = now()
         while True:
             request = self._create_request(0, 0, after_key)
             result = await self._call(address, request)
             if isinstance(result, Err):
                 return result
             page = result.ok_value
-            first = first or page
+            if first is None:
+                first, first_at = page, now()
             entries.extend(page.entries)
+            if not self.log.can_load(entries):
+                message = 'the entries are too large for this instance'
+                return Err(_failure('state_too_large', message, address))
             if not page.has_more:
                 break
             after_key = page.entries[-1].key
-        return Ok(StoredState(tuple(entries), first.revision, first.age_s))
+        age_s = first.age_s + now() - first_at
+        return Ok(StoredState(tuple(entries), first.revision, age_s))
 
     async def wait_for_changes(
         self, address: Address, revision: int, wait_s: float
--- a/clementinebank/relay/_log.py
+++ b/clementinebank/relay/_log.py
@@ -89,8 +89,8 @@
         Each entry replaces the one with its key.
         """
         growth_by_key = {
-            entry.key: _size_of(entry)
-            - _size_of(self.entries_by_key.get(entry.key))
+            entry.key: _memory_of(entry)
+            - _memory_of(self.entries_by_key.get(entry.key))
             for entry in entries
         }
         growth = sum(growth_by_key.values())
@@ -98,7 +98,7 @@
 
     def can_load(self, entries: Iterable[Entry]) -> bool:
         """Return whether a state of these entries is within its size."""
-        return sum(map(_size_of, entries)) <= self.max_state_bytes
+        return sum(map(_memory_of, entries)) <= self.max_state_bytes
 
     async def load(self, state: StoredState) -> None:
         """Replace all entries by a whole state.
@@ -118,9 +118,9 @@
             removals = {}
             self._kept_after_revision = state.revision
         self.entries_by_key = entries_by_key
-        self._state_bytes = sum(map(_size_of, entries_by_key.values()))
+        self._state_bytes = sum(map(_memory_of, entries_by_key.values()))
         self._removals_by_key = removals
-        self._removal_bytes = sum(map(_size_of, removals.values()))
+        self._removal_bytes = sum(map(_memory_of, removals.values()))
         self._last_changes_by_key = {
             each.key: each
             for each in sorted(
@@ -191,16 +191,18 @@
         known = self._last_changes_by_key.get(change.key)
         if known is not None and known.revision > change.revision:
             return
-        self._state_bytes -= _size_of(self.entries_by_key.pop(change.key, None))
-        self._removal_bytes -= _size_of(
+        self._state_bytes -= _memory_of(
+            self.entries_by_key.pop(change.key, None)
+        )
+        self._removal_bytes -= _memory_of(
             self._removals_by_key.pop(change.key, None)
         )
         if change.value is None:
             self._removals_by_key[change.key] = change
-            self._removal_bytes += _size_of(change)
+            self._removal_bytes += _memory_of(change)
         else:
             self.entries_by_key[change.key] = change
-            self._state_bytes += _size_of(change)
+            self._state_bytes += _memory_of(change)
         self._last_changes_by_key.pop(change.key, None)
         self._last_changes_by_key[change.key] = change
 
@@ -210,7 +212,7 @@
             key = next(iter(self._removals_by_key))
             removal = self._removals_by_key.pop(key)
             self._last_changes_by_key.pop(key)
-            self._removal_bytes -= _size_of(removal)
+            self._removal_bytes -= _memory_of(removal)
             self._kept_after_revision = max(
                 self._kept_after_revision, removal.revision
             )
@@ -225,7 +227,12 @@
     return entry.revision
 
 
-def _size_of(entry: Entry | None) -> int:
+def size_of(entries: Iterable[Entry]) -> int:
+    """Return the size of the keys and values of entries, in bytes."""
+    return sum(len(each.key) + len(each.value or b'') for each in entries)
+
+
+def _memory_of(entry: Entry | None) -> int:
     """Return about how much memory an entry needs, in bytes."""
     if entry is None:
         return 0
--- a/clementinebank/relay/_service.py
+++ b/clementinebank/relay/_service.py
@@ -12,7 +12,7 @@
     decode_request,
     encode_reply,
 )
-from clementinebank.relay._log import EntryLog
+from clementinebank.relay._log import MAX_PAGE_BYTES, EntryLog, size_of
 from clementinebank.validation import Address
 
 WATCH_PATH = '/clementinebank.Relay/Watch'
@@ -194,7 +194,8 @@
                 page.entries, log.revision, age_s, has_more=page.has_more
             )
         changes = log.changes_since(request.revision)
-        if changes is None:
+        if changes is None or size_of(changes) > MAX_PAGE_BYTES:
+            # What doesn't fit a message is read in pages as well.
             return WatchReply(
                 revision=log.revision, age_s=age_s, is_history_lost=True
             )
--- a/clementinebank/relay/_sources.py
+++ b/clementinebank/relay/_sources.py
@@ -170,14 +170,28 @@
         """
         await self._wait_for_seed_relays()
         if not self.registration.is_active_relay or self._is_store_paused():
-            for address in self._usable_relays():
-                changes = await self._watch_relay(address, revision)
-                if changes is not None:
-                    return changes
-        if self._is_store_paused():
-            message = 'no relay is usable and the store failed recently'
-            return Err(Failure('no_source', message, Step.READ_HEAD))
-        return await self._watch_store(revision, wait_s)
+            changes = await self._watch_relays(revision)
+            if changes is not None:
+                return changes
+            if self._is_store_paused():
+                message = 'no relay is usable and the store failed recently'
+                return Err(Failure('no_source', message, Step.READ_HEAD))
+            return await self._watch_store(revision, wait_s)
+        stored = await self._watch_store(revision, wait_s)
+        if isinstance(stored, Ok) or stored.err_value.code == HISTORY_LOST:
+            return stored
+        # The caller waits after a failure, so the others are asked now.
+        return await self._watch_relays(revision) or stored
+
+    async def _watch_relays(
+        self, revision: int
+    ) -> Result[ChangeBatch, Failure] | None:
+        """Return the changes that the first fresh relay knows, if any is."""
+        for address in self._usable_relays():
+            changes = await self._watch_relay(address, revision)
+            if changes is not None:
+                return changes
+        return None
 
     async def _wait_for_seed_relays(self) -> None:
         """Wait until the seed relays had time to register.
@@ -263,7 +277,9 @@
             self._on_store_reply()
             if result.ok_value.entries:
                 self._next_store_watch_at = now() + STORE_WATCH_PAUSE_S
-        elif result.err_value.code != HISTORY_LOST:
+        elif result.err_value.code == HISTORY_LOST:
+            self._next_store_watch_at = now() + STORE_WATCH_PAUSE_S
+        else:
             self._pause_store()
         return result
 
--- a/clementinebank/relay/tests/simulation.py
+++ b/clementinebank/relay/tests/simulation.py
@@ -12,10 +12,15 @@
 
 from clementinebank.clock import now, run_before
 from clementinebank.errors import Failure, Step
+from clementinebank.gateway import (
+    ControlStateUpdater,
+    LeafRemoved,
+    LeafWritten,
+)
+from clementinebank.leafs import LeafDirectory, LeafRecord
 from clementinebank.relay import (
     CONFLICT,
     HISTORY_LOST,
-    KEY_PREFIX,
     LEASE_ENDED,
     ChangeBatch,
     Entry,
@@ -28,9 +33,10 @@
     RelayService,
     StoredState,
 )
+from clementinebank.routes import RouteTable
 from clementinebank.validation import Address
 
-# Bound on the time until a change is in force.
+# Bound on the time until a change is in force, and on that of a drain.
 MAX_CHANGE_DELAY_S = 3.0
 # Delay of a message in one direction, and of a call to the store.
 DELAY_S = 0.01
@@ -38,6 +44,7 @@
 WATCH_WAIT_S = 5.0
 # Longer than any test.
 NEVER_S = 1e6
+LEAF_PREFIX = 'servers/'
 REGIONS = {'dc-0': 'r-0', 'dc-1': 'r-0', 'dc-2': 'r-1'}
 
 
@@ -45,6 +52,21 @@
     return Err(Failure(code, code, Step.READ_HEAD))
 
 
+def decode_entry(entry):
+    """Return the change of a registered leaf; other keys change nothing."""
+    if not entry.key.startswith(LEAF_PREFIX):
+        return None
+    leaf_id = entry.key.removeprefix(LEAF_PREFIX)
+    if entry.value is None:
+        return LeafRemoved(leaf_id)
+    address = Address('127.0.0.1', 1)
+    return LeafWritten(LeafRecord(leaf_id, 1, 1, 's', address, 'dc-0', 3))
+
+
+async def ignore():
+    return None
+
+
 @attrs.define(eq=False)
 class FakeStore:
     """Store in memory: linearizable keys with history and leases."""
@@ -274,10 +296,21 @@
             REGIONS,
             rng,
         )
+        self.leafs = LeafDirectory(MAX_CHANGE_DELAY_S)
+        self.updater = ControlStateUpdater(
+            self.feed,
+            decode_entry,
+            RouteTable(),
+            self.leafs,
+            self.directory,
+            self.log,
+            ignore,
+            WATCH_WAIT_S,
+        )
 
     async def start(self):
         self.is_dead = False
-        for corofunc in (self._apply_entries, self.registration.run):
+        for corofunc in (self.updater.run, self.registration.run):
             self.tasks.append(await curio.spawn(corofunc, daemon=True))
 
     async def kill(self):
@@ -287,34 +320,6 @@
         self.tasks.clear()
         self._create_parts()
 
-    async def _apply_entries(self):
-        """Read and apply entries as the ``ControlStateUpdater`` does."""
-        is_gap = True
-        while True:
-            if is_gap:
-                found = await self.feed.read_all()
-            else:
-                found = await self.feed.wait_for_changes(
-                    self.log.revision, WATCH_WAIT_S
-                )
-            if isinstance(found, Err):
-                is_gap = is_gap or found.err_value.code == HISTORY_LOST
-                await curio.sleep(0.1)
-                continue
-            received = found.ok_value
-            await (self.log.load if is_gap else self.log.append)(received)
-            for entry in received.entries:
-                if entry.key.startswith(KEY_PREFIX):
-                    self.directory.apply(entry, now())
-            if is_gap:
-                relays = [
-                    entry
-                    for entry in received.entries
-                    if entry.key.startswith(KEY_PREFIX)
-                ]
-                self.directory.load(relays, now())
-            is_gap = False
-
     def value_of(self, key):
         entry = self.log.entries_by_key.get(key)
         return entry.value if entry else None
--- a/clementinebank/relay/tests/test_fleet.py
+++ b/clementinebank/relay/tests/test_fleet.py
@@ -145,6 +145,24 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize('fault', [turn_away, cut_from_store])
+@pytest.mark.parametrize('outage_s', [1.0, 3.0, 5.5])
+def test_relay_without_the_store_learns_from_the_other_relays(fault, outage_s):
+    """Fault: it asked the others only in a pause that it always slept through.
+
+    A relay that the store reset for 5.5 s learned of nothing in that time.
+    """
+
+    async def scenario(fleet):
+        relay = fleet.relays[0]
+        await fault(relay)
+        await curio.sleep(outage_s)
+        for number in range(3):
+            await assert_in_force(fleet, b'v%d' % number)
+
+    run_scenario(scenario)
+
+
 def test_every_instance_reloads_if_the_history_is_lost():
     async def scenario(fleet):
         for instance in fleet.instances:
--- a/clementinebank/relay/tests/test_memory.py
+++ b/clementinebank/relay/tests/test_memory.py
@@ -94,14 +94,14 @@
         )
         await service.handle_watch(encode_request(request))
         await curio.sleep(0.001)
+    # Those that asked last.
+    assert 20 < service.follower_count() < count
     return service
 
 
 def test_followers_are_bounded_in_bytes():
-    used, service = measure(follow_from_many, 2000)
+    used, _ = measure(follow_from_many, 2000)
     assert used < 4 * 50_000
-    # The last ones are those that are followers still.
-    assert 20 < service.follower_count() < 2000
 
 
 async def follow_and_leave(count):
--- a/clementinebank/relay/tests/test_messages.py
+++ b/clementinebank/relay/tests/test_messages.py
@@ -13,6 +13,7 @@
 from clementinebank.clock import FakeClockKernel, now
 from clementinebank.relay import (
     WATCH_PATH,
+    ChangeBatch,
     Entry,
     EntryLog,
     RelayClient,
@@ -157,3 +158,30 @@
 
     with FakeClockKernel() as kernel:
         assert (kernel.run(run) >= 2.0) == waits
+
+
+def test_changes_that_exceed_a_message_are_read_in_pages():
+    """The same refused message would be sent again and again otherwise."""
+
+    async def run():
+        log = EntryLog()
+        await log.load(StoredState((), 12))
+        changes = tuple(
+            Entry(f'k{number}', bytes(600_000), 13 + number)
+            for number in range(4)
+        )
+        await log.append(ChangeBatch(changes, 16))
+        server = RpcServer(
+            '127.0.0.1', 0, {WATCH_PATH: RelayService(log).handle_watch}
+        )
+        client, address, task = await connect_client(server)
+        lost = await client.wait_for_changes(address, 12, 0)
+        assert lost.err_value.code == 'history_lost'
+        found = await client.read_all(address)
+        assert found.ok_value.entries == changes
+        some = await client.wait_for_changes(address, 15, 0)
+        assert some.ok_value.entries == changes[-1:]
+        await client.close()
+        await task.join()
+
+    curio.run(run)
