Let the operators' prices hold work in its data centre

Cause: nothing asked the new decision to leave a data centre. Change: the router asks the placement before each choice and tells it of calls and responses; prices and policy come from the optional settings section placement; the worth of a service follows from its routes. Without the section the router has no placement and chooses as before.

--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -27,8 +27,10 @@
 )
 from clementinebank.forwarding._shares import FleetShares
 from clementinebank.forwarding._topology import LeafTopology, create_topology
+from clementinebank.forwarding._worth import values_of_services
 from clementinebank.http import BufferLimit
 from clementinebank.leafs import LeafDirectory, LeafEndpoint, LeafRecord
+from clementinebank.placement import PlacementSettings, create_placement
 from clementinebank.ratelimit import LimitTable
 from clementinebank.routes import Route, RouteTable
 from clementinebank.routing import (
@@ -110,6 +112,8 @@
         another instance.
     rng : random.Random
         Source of randomness for the choice of leafs.
+    placement : PlacementSettings
+        What the operators pay for work that leaves its data centre.
     router : Router
         Routing state; its groups are the services.
     """
@@ -124,6 +128,7 @@
     on_request_end: OnRequestEnd | None = None
     on_gathering_end: OnRequestEnd | None = None
     rng: random.Random = attrs.Factory(random.Random)
+    placement: PlacementSettings = PlacementSettings()
     router: Router = attrs.field(init=False)
     _pools_by_service: dict[str, LeafPools] = attrs.Factory(dict)
     _aggregated_services: set[str] = attrs.Factory(set)
@@ -134,6 +139,7 @@
             LeafTopology({}, MAX_SLOTS, self.limits.ratio),
             self.rng,
             policy=FORWARDING_ROUTING_POLICY,
+            placement=create_placement(self.placement),
             limits=LimitTable(self._limit_share, rng=self.rng),
         )
 
@@ -171,6 +177,7 @@
             record.incarnation_id: self.delays.region_of(record.data_centre)
             for record in self.directory.records_by_id.values()
         }
+        self._update_placement()
         known_leaf_ids = set(self.router.leafs_by_id)
         self.router.update_service(topology, now(), delays_s_by_leaf, MAX_SLOTS)
         self._update_budgets()
@@ -195,6 +202,24 @@
             if service not in topology.groups_by_id:
                 await self._pools_by_service.pop(service).stop()
 
+    def _update_placement(self) -> None:
+        """Apply the places of the leafs and the worth of the services."""
+        placement = self.router.placement
+        if placement is None:
+            return
+        placement.set_values(values_of_services(self.table.configuration))
+        delays = self.delays
+        own_region = delays.region_of(delays.data_centre)
+        self.router.prices_by_leaf = {
+            record.incarnation_id: self.placement.price(
+                is_same_data_centre=record.data_centre == delays.data_centre,
+                is_same_region=(
+                    delays.region_of(record.data_centre) == own_region
+                ),
+            )
+            for record in self.directory.records_by_id.values()
+        }
+
     def set_limits(self, limits: ExtraLoadLimits) -> None:
         """Apply changed bounds of the extra requests to every budget."""
         self.limits = limits
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -299,6 +299,7 @@
             buffers=settings.resources.buffer_limit,
             on_request_end=request_log.record,
             on_gathering_end=request_log.record_gathering,
+            placement=settings.placement,
         )
         self.delegator = Delegator(
             self.engine,
@@ -453,9 +454,24 @@
         self._count_refusal(failure)
         log_message(message_type='caller:failure', reason=str(failure))
 
+    def _placement_samples(self) -> list[Any]:
+        """Return the calls by their place, none without a placement."""
+        placement = self.engine.router.placement
+        if placement is None:
+            return []
+        return [
+            create_sample(
+                names.PLACED_CALLS, placement.home_count, place='home'
+            ),
+            create_sample(
+                names.PLACED_CALLS, placement.away_count, place='away'
+            ),
+        ]
+
     def _metric_samples(self) -> list[Any]:
         return [
             create_sample(names.KEY_VALUE_CALLS, self.store.calls),
+            *self._placement_samples(),
             create_sample(
                 names.EVACUATED_DATA_CENTRES,
                 len(self.leaf_directory.evacuated_data_centres),
--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -8,6 +8,7 @@
 
 from clementinebank.errors import FieldProblem
 from clementinebank.http import BufferLimit
+from clementinebank.placement import PLACEMENT_POLICIES, PlacementSettings
 from clementinebank.relay import FreshnessBounds
 from clementinebank.validation import Address, FieldReader, load_yaml
 
@@ -166,6 +167,8 @@
         Addresses at which a few instances listen for other instances; asked
         for the control state before any relay is registered. This instance
         and instances that no longer exist may be among them.
+    placement : PlacementSettings
+        What the operators pay for work that leaves its data centre.
     """
 
     instance_id: str
@@ -179,6 +182,7 @@
     bounds: GatewayBounds
     resources: ResourceLimits
     seeds: tuple[Address, ...] = ()
+    placement: PlacementSettings = PlacementSettings()
 
 
 def load_gateway_settings(
@@ -211,12 +215,32 @@
         bounds=_read_bounds(reader.child('bounds')),
         resources=_read_resources(reader.child('resources')),
         seeds=reader.addresses('seeds'),
+        placement=_read_placement(reader.child('placement', required=False)),
     )
     for part in (reader, listen, regions):
         part.report_unknown_fields()
     return settings
 
 
+def _read_placement(reader: FieldReader) -> PlacementSettings:
+    """Read the prices of work that leaves; without them nothing is held."""
+    defaults = PlacementSettings()
+    placement = PlacementSettings(
+        reader.text(
+            'policy', defaults.policy, choices=tuple(PLACEMENT_POLICIES)
+        ),
+        reader.number(
+            'data_centre_price', defaults.data_centre_price, maximum=1
+        ),
+        reader.number('region_price', defaults.region_price, maximum=1),
+        reader.number('max_away_share', defaults.max_away_share, maximum=1),
+    )
+    if placement.region_price < placement.data_centre_price:
+        reader.report('region_price', 'must not be below data_centre_price')
+    reader.report_unknown_fields()
+    return placement
+
+
 def _read_resources(reader: FieldReader) -> ResourceLimits:
     resources = ResourceLimits(
         reader.number('processor_share', minimum=MIN_PROCESSOR),
--- a/clementinebank/gateway/tests/test_settings.py
+++ b/clementinebank/gateway/tests/test_settings.py
@@ -117,3 +117,35 @@
 
 def test_invalid_change_leaves_the_settings_in_force(path):
     assert not _run_watcher(path, lambda watcher: path.write_text('bounds: 3'))
+
+
+def test_placement_and_evacuation_are_read_and_optional(path):
+    assert load_gateway_settings(path).ok_value.placement.policy == 'fastest'
+    path.write_text(
+        f'{GOOD}  evacuation_ms: 2500\n'
+        'placement: {policy: priced, data_centre_price: 0.01}\n'
+    )
+    settings = load_gateway_settings(path).ok_value
+    assert settings.placement.policy == 'priced'
+    assert settings.placement.data_centre_price == 0.01
+    assert settings.bounds.freshness.max_change_delay_s == 2.5
+
+
+@pytest.mark.parametrize(
+    ('placement', 'field'),
+    [
+        ('{policy: cheapest}', 'placement.policy'),
+        ('{data_centre_price: -1}', 'placement.data_centre_price'),
+        ('{region_price: 2}', 'placement.region_price'),
+        (
+            '{data_centre_price: 0.2, region_price: 0.1}',
+            'placement.region_price',
+        ),
+        ('{max_away_share: much}', 'placement.max_away_share'),
+        ('{price: 1}', 'placement.price'),
+    ],
+)
+def test_bad_placement_is_reported_by_its_name(path, placement, field):
+    path.write_text(f'{GOOD}placement: {placement}\n')
+    problems = load_gateway_settings(path).err_value
+    assert [problem.field for problem in problems] == [field]
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -106,6 +106,12 @@
     'gauge',
     'Leafs that name a rate limit now.',
 )
+PLACED_CALLS = _register(
+    'clementinebank_placed_calls_total',
+    'counter',
+    'Calls that could be placed at home or elsewhere, by their place.',
+    'place',
+)
 EVACUATED_DATA_CENTRES = _register(
     'clementinebank_evacuated_data_centres',
     'gauge',
--- a/clementinebank/placement/_policies.py
+++ b/clementinebank/placement/_policies.py
@@ -26,13 +26,8 @@
     ) -> Sequence[PlacementOption]:
         """Return the options to which the next call may be placed."""
 
-    def on_placed(
-        self,
-        group_id: str,
-        chosen: PlacementOption,
-        options: Sequence[PlacementOption],
-    ) -> None:
-        """Count a call that was placed."""
+    def on_placed(self, group_id: str, price: float) -> None:
+        """Count a call that was placed on a leaf of a price."""
 
     def on_response(
         self, group_id: str, price: float, elapsed_s: float, now: float
--- a/clementinebank/placement/_spill.py
+++ b/clementinebank/placement/_spill.py
@@ -106,6 +106,9 @@
         Runtime time in seconds of the last log line.
     observed_by_price : dict of float to ObservedTime
         Times of the responses of the places of each price.
+    home_price : float or None
+        Price of a call that stays at home, ``None`` if the last decision had
+        leafs of one place only.
     """
 
     share: float = 0
@@ -114,6 +117,7 @@
     updated_at: float = -inf
     logged_at: float = -inf
     observed_by_price: dict[float, ObservedTime] = attrs.Factory(dict)
+    home_price: float | None = None
 
     def update(self, gain: float, price: float, now: float) -> None:
         """Move the share by the gain of leaving.
@@ -211,34 +215,39 @@
         group = self.values_by_group.get(group_id)
         home_price = min((each.price for each in options), default=0)
         home = [each for each in options if each.price == home_price]
-        if group is None or len(home) == len(options):
+        if group is None:
             return options
         state = self.states_by_group.setdefault(group_id, SpillState())
+        is_decided = len(home) < len(options)
+        state.home_price = home_price if is_decided else None
+        if not is_decided:
+            return options
         gain, price = _leaving_gain(options, group, state, now)
         previous_share = state.share
         state.update(gain, price, now)
         self._log_change(group_id, state, previous_share, now)
-        share = min(state.share, self.settings.max_away_share)
-        state.credit = min(MAX_CREDIT, state.credit + share)
         return options if gain > 0 and state.credit >= 1 else home
 
-    def on_placed(
-        self,
-        group_id: str,
-        chosen: PlacementOption,
-        options: Sequence[PlacementOption],
-    ) -> None:
-        """Count a call that was placed; one that left spends its permission."""
-        home_price = min(each.price for each in options)
-        if all(each.price == home_price for each in options):
+    def on_placed(self, group_id: str, price: float) -> None:
+        """Count a call that was placed; one that leaves uses a permission.
+
+        Parameters
+        ----------
+        group_id : str
+            Group of the called leaf.
+        price : float
+            Price of a call to it.
+        """
+        state = self.states_by_group.get(group_id)
+        if state is None or state.home_price is None:
             return
-        if chosen.price == home_price:
+        share = min(state.share, self.settings.max_away_share)
+        state.credit = min(MAX_CREDIT, state.credit + share)
+        if price == state.home_price:
             self.home_count += 1
-            return
-        self.away_count += 1
-        state = self.states_by_group.get(group_id)
-        if state is not None:
-            state.credit -= 1
+        else:
+            self.away_count += 1
+            state.credit = max(0, state.credit - 1)
 
     def on_response(
         self, group_id: str, price: float, elapsed_s: float, now: float
--- a/clementinebank/placement/tests/test_spill.py
+++ b/clementinebank/placement/tests/test_spill.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from statistics import fmean
 
 import pytest
 
@@ -27,6 +28,7 @@
 # Calls a second that three leafs of two slots serve.
 CAPACITY_PER_S = 3 * 2 / 0.0638
 MAX_LOSS_OF_CALLERS = 0.02
+SEEDS = (1, 2, 3)
 SETTINGS = PlacementSettings(PRICED, 0.005, 0.01)
 AWAY = PlacementOption('away', 0.005, 0.07)
 
@@ -49,10 +51,15 @@
 
 
 def assert_callers_are_served_as_by_the_fastest(*zones):
-    priced = simulate(*zones)
-    fastest = simulate(*zones, policy=FASTEST)
-    assert priced.in_time() >= fastest.in_time() - MAX_LOSS_OF_CALLERS
-    return priced, fastest
+    """Compare the policies on the same requests; return the runs of seed 1."""
+    priced = [simulate(*zones, seed=seed) for seed in SEEDS]
+    fastest = [simulate(*zones, policy=FASTEST, seed=seed) for seed in SEEDS]
+    assert mean_in_time(priced) >= mean_in_time(fastest) - MAX_LOSS_OF_CALLERS
+    return priced[0], fastest[0]
+
+
+def mean_in_time(simulations):
+    return fmean(each.in_time() for each in simulations)
 
 
 @pytest.mark.parametrize('share', [0.5, 0.8])
@@ -181,7 +188,7 @@
     placement = SpillPlacement(SETTINGS)
     options = (PlacementOption('home', 0, 0.1), AWAY)
     assert placement.permitted(GROUP, options, 0) == options
-    placement.on_placed(GROUP, AWAY, options)
+    placement.on_placed(GROUP, AWAY.price)
     assert not placement.states_by_group
 
 
--- a/clementinebank/placement/tests/zones.py
+++ b/clementinebank/placement/tests/zones.py
@@ -76,6 +76,11 @@
     def __attrs_post_init__(self):
         """Create the leafs and the placement of each data centre."""
         self.rng = random.Random(self.seed)
+        # Of their own, so that all policies get the same requests.
+        self.demand_rngs = [
+            random.Random(f'{self.seed} {zone}')
+            for zone in range(len(self.zones))
+        ]
         self.leafs = {
             f'{zone}-{number}': _Leaf(f'{zone}-{number}', zone)
             for zone, each in enumerate(self.zones)
@@ -130,7 +135,7 @@
 
     def _schedule_arrival(self, zone):
         rate = self.zones[zone].requests_per_s(self.now)
-        at = self.now + self.rng.expovariate(max(rate, 0.01))
+        at = self.now + self.demand_rngs[zone].expovariate(max(rate, 0.01))
         if at < self.duration_s:
             self._schedule(at, self._arrive, zone)
 
@@ -168,7 +173,7 @@
             [each for each in permitted if each.expected_s == least_s]
         )
         if placement is not None:
-            placement.on_placed(GROUP, chosen, options)
+            placement.on_placed(GROUP, chosen.price)
             state = placement.states_by_group.get(GROUP)
             self.shares.append((self.now, zone, state.share if state else 0))
         leaf = self.leafs[chosen.leaf_id]
--- a/clementinebank/routing/_calls.py
+++ b/clementinebank/routing/_calls.py
@@ -39,6 +39,10 @@
         check('no-new-work-for-draining-leaf', request_id, leaf=leaf)
         leaf.on_sent(now)
         self.limits.on_sent(leaf_id, now, is_extra=is_extra)
+        if self.placement is not None and not is_extra:
+            self.placement.on_placed(
+                self.group_of(leaf_id), self.prices_by_leaf.get(leaf_id, 0)
+            )
 
     def on_end(
         self,
@@ -68,6 +72,7 @@
             return
         if outcome is CallOutcome.GOOD:
             self._add_latency(leaf, elapsed_s, profile)
+            self._record_response(leaf_id, elapsed_s, now)
         slow_bound_s = self._slow_bound_s(leaf, profile)
         if profile:
             service_s = max(0, elapsed_s - leaf.round_trip_s)
@@ -76,6 +81,17 @@
             )
         leaf.on_end(now, elapsed_s, outcome, slow_bound_s)
 
+    def _record_response(
+        self, leaf_id: str, elapsed_s: float, now: float
+    ) -> None:
+        if self.placement is not None:
+            self.placement.on_response(
+                self.group_of(leaf_id),
+                self.prices_by_leaf.get(leaf_id, 0),
+                elapsed_s,
+                now,
+            )
+
     def on_cancel(
         self,
         leaf_id: str,
--- a/clementinebank/routing/_choice.py
+++ b/clementinebank/routing/_choice.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 from math import inf
 
+from clementinebank.placement import PlacementOption
 from clementinebank.routing._leaf_state import LeafState
 from clementinebank.routing._replicas import Replicas
 
@@ -78,6 +79,7 @@
             with_room = [leaf for leaf in usable if leaf.has_room(now)]
         if not with_room:
             return None
+        with_room = self._permitted(group_id, with_room, now)
         chosen = self._cheapest_of_sample(with_room, now)
         if not self.limits.may_send(chosen.leaf_id, now):
             with_room = self._with_token(with_room, usable, now)
@@ -206,6 +208,25 @@
             if leaf.has_room(now) and may_send(leaf.leaf_id, now)
         ]
 
+    def _permitted(
+        self, group_id: str, with_room: list[LeafState], now: float
+    ) -> list[LeafState]:
+        """Return the leafs with room that the placement permits."""
+        if self.placement is None:
+            return with_room
+        options = [
+            PlacementOption(
+                leaf.leaf_id,
+                self.prices_by_leaf.get(leaf.leaf_id, 0),
+                leaf.cost_s,
+                leaf.unserved_share(now),
+            )
+            for leaf in with_room
+        ]
+        permitted = self.placement.permitted(group_id, options, now)
+        permitted_ids = {option.leaf_id for option in permitted}
+        return [leaf for leaf in with_room if leaf.leaf_id in permitted_ids]
+
     def _cheapest_of_sample(
         self, with_room: list[LeafState], now: float
     ) -> LeafState:
--- a/clementinebank/routing/_leaf_costs.py
+++ b/clementinebank/routing/_leaf_costs.py
@@ -108,16 +108,19 @@
         """Return the shortest time in seconds until an answer can arrive."""
         return self.round_trip_s + self.min_service_s
 
-    def unserved_penalty_s(self, now: float) -> float:
-        """Return the expected penalty for an unserved call in seconds.
+    def unserved_share(self, now: float) -> float:
+        """Return the share of the recent calls that were refused or failed.
 
-        It is the penalty of one unserved call times the share of calls that
-        were refused or failed. The share decays with time, so that a leaf that
-        was avoided is tried again.
+        It decays with time, so that a leaf that was avoided is tried again.
         """
         age_s = max(0, now - self._unserved_share_updated_at)
-        share = self._unserved_share * 0.5 ** (age_s / UNSERVED_HALF_LIFE_S)
-        return UNSERVED_PENALTY_S * share
+        return float(
+            self._unserved_share * 0.5 ** (age_s / UNSERVED_HALF_LIFE_S)
+        )
+
+    def unserved_penalty_s(self, now: float) -> float:
+        """Return the expected penalty for an unserved call in seconds."""
+        return UNSERVED_PENALTY_S * self.unserved_share(now)
 
     def set_capacity(self, slots: int, max_in_flight: int) -> None:
         """Set the slots of the leaf and the connections to it."""
--- a/clementinebank/routing/_replicas.py
+++ b/clementinebank/routing/_replicas.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from clementinebank.placement import Placement
 from clementinebank.ratelimit import LimitTable, WaitingRequests
 from clementinebank.routing._budget import (
     DEFAULT_BUCKET_CAPACITY,
@@ -43,6 +44,11 @@
         Number of requests of this instance that wait for a free leaf.
     regions_by_leaf : mapping of str to str
         Region of each leaf, for requests that only some regions may run.
+    placement : Placement or None
+        Holds requests back from other data centres; ``None`` if the leaf of
+        least expected time gets each request.
+    prices_by_leaf : mapping of str to float
+        Price of a request to each leaf, for the placement.
     latencies : Latencies
         Recent service times of the leafs.
     limits : LimitTable
@@ -60,6 +66,8 @@
     budgets_by_group: dict[str, ExtraLoadBudget] = attrs.Factory(dict)
     waiting_by_group: dict[str, int] = attrs.Factory(dict)
     regions_by_leaf: Mapping[str, str] = attrs.Factory(dict)
+    placement: Placement | None = None
+    prices_by_leaf: Mapping[str, float] = attrs.Factory(dict)
     latencies: Latencies = attrs.Factory(Latencies)
     limits: LimitTable = attrs.field()
     _group_id_by_leaf: dict[str, str] = attrs.Factory(dict)
