Count a removed leaf from its removal through any number of relays

Besides, an age that passed between instances lost the time of its way, so that two relays that the store refuses made an old state younger with each exchange.

Change: a removal counts from when it happened as far as that is known. What the store tells of counts at most 0.8 s (for a drain limit of 3 s) after the last confirmation without it, unless the store failed and no relay was fresh: then registrations may have expired, and it counts from now. Relays pass the age of each removal on, and the time of the way is added to all ages. An expired leaf goes with the change that tells of it, else within 0.1 s.

Leafs whose registrations expire in an outage of the store stay.

--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -45,6 +45,7 @@
     RelayedFeed,
     RelayRegistration,
     RelayService,
+    RemovalBounds,
 )
 from clementinebank.routes import CallerLimits, RouteTable
 from clementinebank.routing import rendezvous_subset
@@ -124,6 +125,7 @@
         bounds = settings.bounds
         self.leaf_directory = LeafDirectory(bounds.drain_s)
         self._bound_memory()
+        self._bound_removals()
         self._create_engine()
         self._create_feed()
         self.updater = ControlStateUpdater(
@@ -249,6 +251,7 @@
         self.feed.seed_relays = seeds
         self.registration.is_seed = applied.peers in seeds
         self.leaf_directory.drain_limit_s = bounds.drain_s
+        self._bound_removals()
         self.updater.watch_wait_s = bounds.watch_wait_s
         self.feed.bounds = bounds.freshness
         self.engine.set_limits(
@@ -262,6 +265,13 @@
         self.entry_log.max_removal_bytes = resources.removal_bytes
         self.metrics.max_distribution_bytes = resources.distribution_bytes
 
+    def _bound_removals(self) -> None:
+        """Let removals count early enough for the drain limit."""
+        self.entry_log.removal_bounds = RemovalBounds(
+            self.leaf_directory.removal_notice_s,
+            self.settings.bounds.freshness.max_age_s,
+        )
+
     def _create_engine(self) -> None:
         """Create the forwarding of requests, here and by aggregators."""
         settings = self.settings
--- a/clementinebank/gateway/_updater.py
+++ b/clementinebank/gateway/_updater.py
@@ -38,7 +38,7 @@
 # Wait after a state that is too large for the memory of the instance.
 TOO_LARGE_RETRY_S = 5.0
 # Interval of the check for removed leafs whose grace period is over.
-EXPIRY_CHECK_INTERVAL_S = 0.4
+EXPIRY_CHECK_INTERVAL_S = 0.1
 
 OnChangesApplied = Callable[[], Awaitable[None]]
 
@@ -123,13 +123,16 @@
             await self._refuse_state()
             return
         self._on_feed_success()
+        removed_at = self.entry_log.removal_time(now())
         await self.entry_log.load(state)
         self._must_reload = False
         self.relays.load(filter(_is_relay_registration, state.entries), now())
         changes = self._decode_all(state.entries)
-        self.leaf_directory.retain(_leaf_ids(changes), now())
+        self.leaf_directory.retain(_leaf_ids(changes), removed_at)
         self.leaf_directory.evacuate(_evacuated_data_centres(changes))
-        self._apply_changes(changes)
+        for change in changes:
+            self._apply_change(change, removed_at)
+        self.leaf_directory.expire(now())
         await self.on_changes_applied()
 
     async def _apply_next_changes(self, revision: int) -> None:
@@ -146,11 +149,19 @@
             await self._refuse_state()
             return
         self._on_feed_success()
+        removal_times = [
+            self.entry_log.removal_time(now(), entry) for entry in batch.entries
+        ]
         await self.entry_log.append(batch)
         for entry in filter(_is_relay_registration, batch.entries):
             self.relays.apply(entry, now())
         if batch.entries:
-            self._apply_changes(self._decode_all(batch.entries))
+            for entry, removed_at in zip(
+                batch.entries, removal_times, strict=True
+            ):
+                for change in self._decode_all([entry]):
+                    self._apply_change(change, removed_at)
+            self.leaf_directory.expire(now())
             await self.on_changes_applied()
 
     async def _refuse_state(self) -> None:
@@ -170,16 +181,16 @@
         ]
         return [change for change in decoded if change is not None]
 
-    def _apply_changes(self, changes: Iterable[Change]) -> None:
-        for change in changes:
-            if isinstance(change, ConfigurationWritten):
-                self.route_table.activate(change.configuration)
-            elif isinstance(change, LeafWritten):
-                self.leaf_directory.register(change.record)
-            elif isinstance(change, LeafRemoved):
-                self.leaf_directory.remove(change.leaf_id, now())
-            else:
-                self._apply_evacuation(change)
+    def _apply_change(self, change: Change, removed_at: float) -> None:
+        """Apply a change; a removal counts from ``removed_at`` on."""
+        if isinstance(change, ConfigurationWritten):
+            self.route_table.activate(change.configuration)
+        elif isinstance(change, LeafWritten):
+            self.leaf_directory.register(change.record)
+        elif isinstance(change, LeafRemoved):
+            self.leaf_directory.remove(change.leaf_id, removed_at)
+        else:
+            self._apply_evacuation(change)
 
     def _apply_evacuation(
         self, change: EvacuationBegun | EvacuationEnded
--- a/clementinebank/leafs/_directory.py
+++ b/clementinebank/leafs/_directory.py
@@ -14,6 +14,9 @@
 # The same bound as a share of the drain limit, the time after which a leaving
 # leaf must get no new requests.
 MAX_REMOVAL_GRACE_SHARE = 0.6
+# Part of the drain limit for the check of the grace period and for the way of
+# a request from its choice of a leaf to that leaf.
+REQUEST_RESERVE_S = 0.4
 
 
 @attrs.define(eq=False)
@@ -31,8 +34,8 @@
     records_by_id : dict of str to LeafRecord
         Newest record of each leaf, including those in their grace period.
     removed_at_by_id : dict of str to float
-        Runtime time in seconds at which a registration was removed, for the
-        leafs in their grace period.
+        Runtime time in seconds from which the removal of a registration
+        counts, for the leafs in their grace period.
     evacuated_data_centres : frozenset of str
         Data centres whose leafs get no requests, by order of the operators.
     """
@@ -49,6 +52,16 @@
             MAX_REMOVAL_GRACE_S, MAX_REMOVAL_GRACE_SHARE * self.drain_limit_s
         )
 
+    @property
+    def removal_notice_s(self) -> float:
+        """Return the time until a removal must count, in seconds.
+
+        It begins when the registration is known to exist for the last time.
+        With the grace period it ends within the drain limit.
+        """
+        limit_s = self.drain_limit_s - REQUEST_RESERVE_S
+        return max(0, limit_s - self.removal_grace_s)
+
     def is_evacuated(self, data_centre: str) -> bool:
         """Return whether the leafs of a data centre get no requests."""
         return data_centre in self.evacuated_data_centres
@@ -117,6 +130,13 @@
     def remove(self, leaf_id: str, now: float) -> bool:
         """Start the grace period of a leaf whose registration is removed.
 
+        Parameters
+        ----------
+        leaf_id : str
+            Id of the leaf.
+        now : float
+            Runtime time in seconds from which the removal counts.
+
         Returns
         -------
         bool
@@ -138,7 +158,7 @@
         leaf_ids : collection of str
             Ids of all leafs that are registered.
         now : float
-            Runtime time in seconds.
+            Runtime time in seconds from which the removals count.
         """
         for leaf_id in list(self.records_by_id):
             if leaf_id not in leaf_ids:
--- a/clementinebank/leafs/tests/test_directory.py
+++ b/clementinebank/leafs/tests/test_directory.py
@@ -53,6 +53,13 @@
     assert not directory.records_by_id
 
 
+@pytest.mark.parametrize('drain_s', [0.3, 1.0, 3.0, 10.0])
+def test_notice_and_grace_of_a_removal_end_before_the_drain_limit(drain_s):
+    directory = LeafDirectory(drain_s)
+    sum_s = directory.removal_notice_s + directory.removal_grace_s
+    assert sum_s <= max(drain_s - 0.4, 0.6 * drain_s)
+
+
 def test_restart_under_the_same_id_ends_a_drain():
     directory = LeafDirectory(DRAIN_S)
     directory.register(make_record(is_draining=True, sequence=9))
--- a/clementinebank/relay/__init__.py
+++ b/clementinebank/relay/__init__.py
@@ -15,7 +15,7 @@
     RelayDirectory,
     RelayRecord,
 )
-from clementinebank.relay._log import EntryLog
+from clementinebank.relay._log import EntryLog, RemovalBounds
 from clementinebank.relay._model import (
     CONFLICT,
     HISTORY_LOST,
@@ -49,6 +49,7 @@
     'RelayRegistration',
     'RelayService',
     'RelayedFeed',
+    'RemovalBounds',
     'StoredState',
     'choose_aggregators',
 )
--- a/clementinebank/relay/_client.py
+++ b/clementinebank/relay/_client.py
@@ -155,6 +155,7 @@
         self, address: Address, request: WatchRequest
     ) -> Result[WatchReply, Failure]:
         self.calls += 1
+        sent_at = now()
         channel = await self._get_channel(address)
         deadline = now() + request.wait_s + CALL_TIMEOUT_S
         payload = encode_request(request)
@@ -177,7 +178,7 @@
         if not reply.is_loaded:
             message = 'the relay has not loaded the entries yet'
             return Err(_failure('not_loaded', message, address))
-        return Ok(reply)
+        return Ok(_add_way(reply, now() - sent_at))
 
     async def _get_channel(self, address: Address) -> RpcChannel:
         channel = self._channels.get(address)
@@ -191,5 +192,23 @@
         return channel
 
 
+def _add_way(reply: WatchReply, elapsed_s: float) -> WatchReply:
+    """Return a reply with the time of its way added to its ages.
+
+    Without it two instances that read from each other would take an old state
+    for a younger one with each exchange.
+    """
+    if reply.held_s is None:
+        return reply
+    way_s = max(0, elapsed_s - reply.held_s)
+    entries = tuple(
+        each
+        if each.removed_age_s is None
+        else attrs.evolve(each, removed_age_s=each.removed_age_s + way_s)
+        for each in reply.entries
+    )
+    return attrs.evolve(reply, entries=entries, age_s=reply.age_s + way_s)
+
+
 def _failure(code: str, message: str, address: Address) -> Failure:
     return Failure(code, message, Step.DISTRIBUTE, peer=str(address))
--- a/clementinebank/relay/_codec.py
+++ b/clementinebank/relay/_codec.py
@@ -82,6 +82,9 @@
         Whether another page follows.
     notice : bytes
         Addition of another service; empty if there is none.
+    held_s : float or None
+        Time for which the relay held the request, in seconds; ``None`` if it
+        is of an earlier version.
     """
 
     entries: tuple[Entry, ...] = ()
@@ -91,6 +94,7 @@
     is_history_lost: bool = False
     has_more: bool = False
     notice: bytes = b''
+    held_s: float | None = None
 
 
 def encode_request(request: WatchRequest) -> bytes:
@@ -140,18 +144,14 @@
     """Return the protobuf encoding of a reply."""
     return relay_pb2.WatchReply(
         protocol_version=PROTOCOL_VERSION,
-        entries=[
-            relay_pb2.Entry(
-                key=each.key, value=each.value, revision=each.revision
-            )
-            for each in reply.entries
-        ],
+        entries=map(_encode_entry, reply.entries),
         revision=reply.revision,
         age_ms=_age_ms(reply.age_s),
         is_loaded=reply.is_loaded,
         is_history_lost=reply.is_history_lost,
         has_more=reply.has_more,
         notice=reply.notice,
+        held_ms=None if reply.held_s is None else int(reply.held_s * MS_PER_S),
     ).SerializeToString()
 
 
@@ -166,20 +166,40 @@
     raw = relay_pb2.WatchReply()
     _parse(raw, payload)
     return WatchReply(
-        tuple(
-            Entry(
-                each.key,
-                each.value if each.HasField('value') else None,
-                each.revision,
-            )
-            for each in raw.entries
-        ),
+        tuple(map(_decode_entry, raw.entries)),
         raw.revision,
         raw.age_ms / MS_PER_S,
         raw.is_loaded,
         raw.is_history_lost,
         raw.has_more,
         raw.notice,
+        raw.held_ms / MS_PER_S if raw.HasField('held_ms') else None,
+    )
+
+
+def _encode_entry(entry: Entry) -> relay_pb2.Entry:
+    return relay_pb2.Entry(
+        key=entry.key,
+        value=entry.value,
+        revision=entry.revision,
+        removed_age_ms=(
+            None
+            if entry.removed_age_s is None
+            else _age_ms(entry.removed_age_s)
+        ),
+    )
+
+
+def _decode_entry(raw: relay_pb2.Entry) -> Entry:
+    return Entry(
+        raw.key,
+        raw.value if raw.HasField('value') else None,
+        raw.revision,
+        (
+            raw.removed_age_ms / MS_PER_S
+            if raw.HasField('removed_age_ms')
+            else None
+        ),
     )
 
 
--- a/clementinebank/relay/_log.py
+++ b/clementinebank/relay/_log.py
@@ -37,6 +37,24 @@
     has_more: bool
 
 
+@attrs.frozen
+class RemovalBounds:
+    """How long ago a removal that the store tells of may have happened.
+
+    Parameters
+    ----------
+    notice_s : float
+        Longest time from the last confirmation without a removal until it
+        counts, in seconds.
+    stale_after_s : float
+        Age of the state in seconds from which a store that failed meanwhile
+        is taken to have been away, for all instances.
+    """
+
+    notice_s: float = float('inf')
+    stale_after_s: float = 0
+
+
 @attrs.define(eq=False)
 class EntryLog:
     """Entries in their newest version, and the recent removals.
@@ -58,6 +76,10 @@
         Largest size of the entries in memory, in bytes.
     max_removal_bytes : float
         Largest size of the removals in memory, in bytes.
+    removal_bounds : RemovalBounds
+        When removals count.
+    store_failed_at : float
+        Runtime time in seconds of the last failed call to the store.
     """
 
     entries_by_key: dict[str, Entry] = attrs.Factory(dict)
@@ -65,11 +87,15 @@
     confirmed_at: float = float('-inf')
     max_state_bytes: float = float('inf')
     max_removal_bytes: float = MAX_REMOVAL_BYTES
+    removal_bounds: RemovalBounds = attrs.Factory(RemovalBounds)
+    store_failed_at: float = float('-inf')
     _kept_after_revision: int = 0
     # Last change of each key in the order of the revisions.
     _last_changes_by_key: dict[str, Entry] = attrs.Factory(dict)
     # Those of the last changes that are removals.
     _removals_by_key: dict[str, Entry] = attrs.Factory(dict)
+    # Runtime times in seconds from which the removals count.
+    _removed_at_by_key: dict[str, float] = attrs.Factory(dict)
     _state_bytes: int = 0
     _removal_bytes: int = 0
     _update_event: Any = attrs.Factory(curio.Event)
@@ -100,6 +126,33 @@
         """Return whether a state of these entries is within its size."""
         return sum(map(_memory_of, entries)) <= self.max_state_bytes
 
+    def removal_time(self, at: float, removal: Entry | None = None) -> float:
+        """Return the runtime time from which a removal counts, in seconds.
+
+        To be called before the removal is applied. The word of another
+        instance counts. A removal that the store tells of happened after the
+        last confirmation and counts soon after it, whenever it is read. If the
+        store was away, registrations may have expired in that time, and it
+        counts from now on.
+
+        Parameters
+        ----------
+        at : float
+            Present runtime time in seconds.
+        removal : Entry or None
+            The removal; ``None`` for an entry that a whole state lacks.
+        """
+        if removal is not None and removal.removed_age_s is not None:
+            return at - removal.removed_age_s
+        bounds = self.removal_bounds
+        was_store_away = (
+            self.store_failed_at > self.confirmed_at
+            and self.age_s(at) > bounds.stale_after_s
+        )
+        if was_store_away or not self.is_loaded:
+            return at
+        return min(at, self.confirmed_at + bounds.notice_s)
+
     async def load(self, state: StoredState) -> None:
         """Replace all entries by a whole state.
 
@@ -107,6 +160,7 @@
         who follow this log need no whole state themselves.
         """
         entries_by_key = {each.key: each for each in state.entries}
+        removed_at = self.removal_time(now())
         if self.is_loaded and state.revision >= self.revision:
             missing = self.entries_by_key.keys() - entries_by_key.keys()
             removals = {
@@ -117,6 +171,10 @@
         else:
             removals = {}
             self._kept_after_revision = state.revision
+        self._removed_at_by_key = {
+            key: self._removed_at_by_key.get(key, removed_at)
+            for key in removals
+        }
         self.entries_by_key = entries_by_key
         self._state_bytes = sum(map(_memory_of, entries_by_key.values()))
         self._removals_by_key = removals
@@ -136,8 +194,16 @@
 
         An empty batch only confirms the known entries.
         """
+        applied_at = now()
+        removed_at_by_key = {
+            each.key: self.removal_time(applied_at, each)
+            for each in batch.entries
+            if each.value is None
+        }
         for change in batch.entries:
-            self._apply(change)
+            if self._apply(change) and change.value is None:
+                removed_at = removed_at_by_key[change.key]
+                self._removed_at_by_key[change.key] = removed_at
         self._drop_old_removals()
         self.revision = max(self.revision, batch.revision)
         await self._record_confirmation(batch.age_s)
@@ -152,11 +218,12 @@
         """
         if revision < self._kept_after_revision:
             return None
+        at = now()
         changes: list[Entry] = []
         for change in reversed(self._last_changes_by_key.values()):
             if change.revision <= revision:
                 break
-            changes.append(change)
+            changes.append(self._with_removed_age(change, at))
         return tuple(sorted(changes, key=_revision_of))
 
     def page_after(self, key: str) -> EntryPage:
@@ -187,10 +254,19 @@
         self._update_event = curio.Event()
         await previous.set()
 
-    def _apply(self, change: Entry) -> None:
+    def _with_removed_age(self, change: Entry, at: float) -> Entry:
+        """Return a removal with the time for which it counts already."""
+        if change.value is not None:
+            return change
+        removed_age_s = max(0, at - self._removed_at_by_key[change.key])
+        return attrs.evolve(change, removed_age_s=removed_age_s)
+
+    def _apply(self, change: Entry) -> bool:
+        """Apply a change; return whether it isn't older than what is known."""
         known = self._last_changes_by_key.get(change.key)
         if known is not None and known.revision > change.revision:
-            return
+            return False
+        self._removed_at_by_key.pop(change.key, None)
         self._state_bytes -= _memory_of(
             self.entries_by_key.pop(change.key, None)
         )
@@ -205,6 +281,7 @@
             self._state_bytes += _memory_of(change)
         self._last_changes_by_key.pop(change.key, None)
         self._last_changes_by_key[change.key] = change
+        return True
 
     def _drop_old_removals(self) -> None:
         """Drop the oldest removals until they are within their size."""
@@ -212,6 +289,7 @@
             key = next(iter(self._removals_by_key))
             removal = self._removals_by_key.pop(key)
             self._last_changes_by_key.pop(key)
+            self._removed_at_by_key.pop(key)
             self._removal_bytes -= _memory_of(removal)
             self._kept_after_revision = max(
                 self._kept_after_revision, removal.revision
--- a/clementinebank/relay/_model.py
+++ b/clementinebank/relay/_model.py
@@ -25,11 +25,15 @@
         Value of the key; ``None`` if the key was deleted.
     revision : int
         Revision of the store at which the key last changed.
+    removed_age_s : float or None
+        For a removal that another instance tells of: time in seconds for
+        which it counts already. ``None`` if the store tells of it.
     """
 
     key: str
     value: bytes | None
     revision: int
+    removed_age_s: float | None = attrs.field(default=None, eq=False)
 
 
 @attrs.frozen
--- a/clementinebank/relay/_service.py
+++ b/clementinebank/relay/_service.py
@@ -111,8 +111,15 @@
         """
         request = decode_request(payload)
         self._record_follower(request)
+        received_at = now()
         reply = await self._reply(request)
-        return encode_reply(attrs.evolve(reply, notice=self.create_notice()))
+        return encode_reply(
+            attrs.evolve(
+                reply,
+                notice=self.create_notice(),
+                held_s=now() - received_at,
+            )
+        )
 
     def follower_count(self) -> int:
         """Return the number of instances that read from this one now."""
--- a/clementinebank/relay/_sources.py
+++ b/clementinebank/relay/_sources.py
@@ -348,6 +348,7 @@
         )
 
     def _pause_store(self) -> None:
+        self.log.store_failed_at = now()
         first_s, longest_s = STORE_RETRY_DELAYS_S
         if self.registration.is_active_relay:
             first_s, longest_s = RELAY_STORE_RETRY_DELAYS_S
--- a/clementinebank/relay/tests/simulation.py
+++ b/clementinebank/relay/tests/simulation.py
@@ -31,6 +31,7 @@
     RelayedFeed,
     RelayRegistration,
     RelayService,
+    RemovalBounds,
     StoredState,
 )
 from clementinebank.routes import RouteTable
@@ -297,6 +298,9 @@
             rng,
         )
         self.leafs = LeafDirectory(MAX_CHANGE_DELAY_S)
+        self.log.removal_bounds = RemovalBounds(
+            self.leafs.removal_notice_s, self.feed.bounds.max_age_s
+        )
         self.updater = ControlStateUpdater(
             self.feed,
             decode_entry,
--- a/clementinebank/relay/tests/test_log.py
+++ b/clementinebank/relay/tests/test_log.py
@@ -7,13 +7,20 @@
 import logging
 import random
 
+import attrs
 import curio
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from clementinebank.clock import FakeClockKernel
-from clementinebank.relay import ChangeBatch, Entry, EntryLog, StoredState
+from clementinebank.clock import FakeClockKernel, now
+from clementinebank.relay import (
+    ChangeBatch,
+    Entry,
+    EntryLog,
+    RemovalBounds,
+    StoredState,
+)
 from clementinebank.relay._log import MAX_REMOVAL_BYTES
 
 KEYS = ('a', 'b', 'c', 'd')
@@ -129,6 +136,51 @@
     run_scenario(scenario)
 
 
+REMOVAL = Entry('a', None, 11)
+
+
+@pytest.mark.parametrize(
+    ('silent_s', 'has_store_failed', 'expected_s'),
+    [(0.5, False, 0.5), (1.5, True, 0.8), (2.5, False, 0.8), (2.5, True, 2.5)],
+)
+def test_removal_counts_from_the_last_confirmation(
+    silent_s, has_store_failed, expected_s
+):
+    """Only registrations that a store that was away lost get more time."""
+
+    async def scenario():
+        log = EntryLog(removal_bounds=RemovalBounds(0.8, 1.8))
+        await log.load(StoredState((Entry('a', b'', 9),), 10))
+        loaded_at = now()
+        await curio.sleep(silent_s)
+        if has_store_failed:
+            log.store_failed_at = now()
+        counts_at = log.removal_time(now(), REMOVAL)
+        await log.append(ChangeBatch((REMOVAL,), 11))
+        await curio.sleep(1)
+        [change] = log.changes_since(10)
+        assert change.removed_age_s == pytest.approx(now() - counts_at)
+        return counts_at - loaded_at
+
+    assert run_scenario(scenario) == pytest.approx(expected_s)
+
+
+def test_word_of_another_instance_on_a_removal_counts():
+    """It is passed on unchanged along a chain of any length."""
+
+    async def scenario():
+        told = attrs.evolve(REMOVAL, removed_age_s=1.25)
+        for _ in range(4):
+            log = EntryLog()
+            await log.load(StoredState((Entry('a', b'', 9),), 10))
+            await log.append(ChangeBatch((told,), 11))
+            await curio.sleep(0.25)
+            [told] = log.changes_since(10)
+        return told.removed_age_s
+
+    assert run_scenario(scenario) == pytest.approx(2.25)
+
+
 def test_changes_before_a_load_are_reported_as_missing():
     async def scenario():
         log = EntryLog()
--- a/clementinebank/relay/tests/test_messages.py
+++ b/clementinebank/relay/tests/test_messages.py
@@ -45,6 +45,15 @@
     assert decode_reply(encode_reply(lost)) == lost
 
 
+def test_age_of_a_removal_survives_encoding_and_never_shrinks():
+    removal = Entry('b', None, 4, removed_age_s=0.7001)
+    reply = WatchReply((removal, Entry('c', None, 5)), 5, held_s=1.2)
+    decoded = decode_reply(encode_reply(reply))
+    assert 0.7001 <= decoded.entries[0].removed_age_s < 0.71
+    assert decoded.entries[1].removed_age_s is None
+    assert decoded.held_s == 1.2
+
+
 def test_age_never_shrinks_and_unknown_age_is_huge():
     reply = decode_reply(encode_reply(WatchReply(age_s=1.0001)))
     assert reply.age_s >= 1.0001
