--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -47,6 +47,7 @@
     RelayedFeed,
     RelayRegistration,
     RelayService,
+    RemovalBounds,
 )
 from clementinebank.routes import CallerLimits, Route, RouteTable
 from clementinebank.routing import rendezvous_subset
@@ -129,6 +130,7 @@
         self.leaf_directory = LeafDirectory(bounds.drain_s)
         self._bound_memory()
         self.admission = Admission(self.route_table, self.entry_log, bounds)
+        self._bound_removals()
         self._create_engine()
         self._create_feed()
         self.updater = ControlStateUpdater(
@@ -264,6 +266,7 @@
         self.admission.apply_bounds(bounds)
         self.registration.is_seed = applied.peers in seeds
         self.leaf_directory.drain_limit_s = bounds.drain_s
+        self._bound_removals()
         self.updater.watch_wait_s = bounds.watch_wait_s
         self.feed.bounds = bounds.freshness
         self.engine.set_limits(
@@ -277,6 +280,13 @@
         self.entry_log.max_removal_bytes = resources.removal_bytes
         self.metrics.max_distribution_bytes = resources.distribution_bytes
 
+    def _bound_removals(self) -> None:
+        """Let removals count early enough for the drain limit."""
+        self.entry_log.removal_bounds = RemovalBounds(
+            self.leaf_directory.removal_notice_s,
+            self.settings.bounds.freshness.max_age_s,
+        )
+
     def _create_engine(self) -> None:
         """Create the forwarding of requests, here and by aggregators."""
         settings = self.settings
