Keep the quotas of client accounts over all instances

An account's requests were not counted at all.

The limiter of leafs now also keeps quotas: one coordinator for each account holds its tokens. Instances admit requests without a wait while it has tokens to spare and report what they used; when it runs low each request waits for a token, and all instances are told once the tolerated excess is touched. Without a coordinator an instance keeps to its share. Requests beyond the quota get 429 with Retry-After before they take a slot.

--- a/clementinebank/accounts/_table.py
+++ b/clementinebank/accounts/_table.py
@@ -1,11 +1,12 @@
 """Lookup of client accounts by key, and what a key allows."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 import attrs
 
 from clementinebank.accounts._model import ClientAccount
 from clementinebank.errors import Failure, Step
+from clementinebank.ratelimit import Quota
 
 UNAUTHORIZED = 401
 UNAVAILABLE = 503
@@ -22,6 +23,8 @@
         seconds.
     accounts_by_key : dict of str to ClientAccount
         Account of each key; empty if the deployment has no accounts.
+    quotas_by_account : dict of str to Quota
+        Quota of each account that has one.
     """
 
     max_age_s: float
@@ -29,14 +32,25 @@
         factory=dict, repr=False
     )
 
-    def activate(self, accounts: Iterable[ClientAccount]) -> None:
+    quotas_by_account: dict[str, Quota] = attrs.Factory(dict)
+
+    def activate(self, accounts: Collection[ClientAccount]) -> None:
         """Replace all accounts."""
+        self.quotas_by_account = {
+            account.name: account.quota
+            for account in accounts
+            if account.quota is not None
+        }
         self.accounts_by_key = {
             api_key: account
             for account in accounts
             for api_key in account.api_keys
         }
 
+    def find_quota(self, account: str) -> Quota | None:
+        """Return the quota of an account, ``None`` if it has none."""
+        return self.quotas_by_account.get(account)
+
     def authenticate(
         self, api_key: str, *, is_public: bool, age_s: float
     ) -> ClientAccount | None:
--- a/clementinebank/gateway/_admission.py
+++ b/clementinebank/gateway/_admission.py
@@ -1,5 +1,7 @@
 """Admission of requests by client account."""
 
+from collections.abc import Callable
+
 import attrs
 
 from clementinebank.accounts import AccountTable, ClientAccount, common_regions
@@ -7,8 +9,18 @@
 from clementinebank.errors import Failure, Step
 from clementinebank.forwarding import ForwardRequest
 from clementinebank.gateway._settings import GatewayBounds
+from clementinebank.ratelimit import (
+    LimitClient,
+    LimitService,
+    QuotaClient,
+    QuotaLedger,
+    QuotaTable,
+)
 from clementinebank.relay import EntryLog
 from clementinebank.routes import Route, RouteTable
+from clementinebank.routing import Router
+
+TOO_MANY_REQUESTS = 429
 
 
 @attrs.define(eq=False)
@@ -23,6 +35,8 @@
         Tells the age of what this instance knows.
     bounds : GatewayBounds
         Limits of the platform.
+    quota_client : QuotaClient
+        Keeps the quotas of the accounts.
     accounts : AccountTable
         Client accounts of the configuration in force.
     """
@@ -30,6 +44,7 @@
     route_table: RouteTable
     entry_log: EntryLog
     bounds: GatewayBounds
+    quota_client: QuotaClient = attrs.field(init=False)
     accounts: AccountTable = attrs.field(init=False)
     _version: int = 0
 
@@ -47,7 +62,7 @@
         Failure
             If it must not run.
         """
-        self._update()
+        self.update()
         account = self._authenticate(request, route)
         if account is None:
             return attrs.evolve(
@@ -63,6 +78,7 @@
                 f'no region may run requests of {account.name} on {route.name}',
                 Step.ADMIT,
             )
+        await self._require_quota(account)
         return attrs.evolve(
             request,
             account=account.name,
@@ -73,26 +89,61 @@
             api_key='',
         )
 
-    def _authenticate(
-        self, request: ForwardRequest, route: Route
-    ) -> ClientAccount | None:
-        """Return the account of a request, ``None`` if it needs none."""
-        if not self.accounts.accounts_by_key:
-            return None
-        return self.accounts.authenticate(
-            request.api_key,
-            is_public=route.is_public,
-            age_s=self.entry_log.age_s(now()),
+    def create_limit_service(self, router: Router) -> LimitService:
+        """Return the server of the limits of leafs and of the quotas."""
+        bounds = self.bounds.quota
+        return LimitService(
+            router.limits,
+            router.merge_limits,
+            quotas=QuotaTable(bounds),
+            ledger=QuotaLedger(self.accounts.find_quota, bounds),
+        )
+
+    def use_limits(
+        self, limits: LimitClient, fleet_size: Callable[[], int]
+    ) -> None:
+        """Keep quotas with the coordinators that a client knows."""
+        self.quota_client = QuotaClient(
+            limits, fleet_size, lambda: self.entry_log.age_s(now())
         )
 
     def apply_bounds(self, bounds: GatewayBounds) -> None:
         """Put changed bounds in force."""
         self.bounds = bounds
+        self.quota_client.apply_bounds(bounds.quota)
         self.accounts.max_age_s = bounds.change_s
 
-    def _update(self) -> None:
+    def update(self) -> None:
         """Follow the configuration in force."""
         configuration = self.route_table.configuration
         if configuration is not None and configuration.version != self._version:
             self._version = configuration.version
             self.accounts.activate(configuration.accounts)
+
+    def _authenticate(
+        self, request: ForwardRequest, route: Route
+    ) -> ClientAccount | None:
+        """Return the account of a request, ``None`` if it needs none."""
+        if not self.accounts.accounts_by_key:
+            return None
+        return self.accounts.authenticate(
+            request.api_key,
+            is_public=route.is_public,
+            age_s=self.entry_log.age_s(now()),
+        )
+
+    async def _require_quota(self, account: ClientAccount) -> None:
+        """Raise a failure if an account is beyond its quota."""
+        if account.quota is None:
+            return
+        retry_after_s = await self.quota_client.admit(
+            account.name, account.quota
+        )
+        if retry_after_s is not None:
+            raise Failure(
+                'over_quota',
+                f'the account {account.name} is beyond its quota',
+                Step.ADMIT,
+                status=TOO_MANY_REQUESTS,
+                retry_after_s=retry_after_s,
+            )
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -180,6 +180,7 @@
             self.peer_server.cancel_disconnected,
             self.registration.run,
             self.limit_client.run,
+            self.admission.quota_client.run,
             self.server.serve,
             self.server.cancel_disconnected,
             *self.background,
@@ -303,7 +304,7 @@
         )
 
         router = self.engine.router
-        self.limit_service = LimitService(router.limits, router.merge_limits)
+        self.limit_service = self.admission.create_limit_service(router)
         self.limit_client = LimitClient(
             settings.peers,
             self.limit_service,
@@ -311,6 +312,9 @@
             self._limit_listeners,
             self.entry_log.wake_waiting,
         )
+        self.admission.use_limits(
+            self.limit_client, lambda: self.relays.fleet_size(now())
+        )
 
     def _find_coordinator(self, leaf_id: str) -> Address | None:
         """Return the relay that grants the requests to a limited leaf.
@@ -388,6 +392,7 @@
         """Pass changed limits and leafs on to the server and the engine."""
         configuration = self.route_table.configuration
         if configuration is not None:
+            self.admission.update()
             self.server.state.limits = _http_limits(configuration.limits)
         await self.delegator.update()
         self.aggregation.is_accepting = not self.is_draining
--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -8,6 +8,7 @@
 
 from clementinebank.errors import FieldProblem
 from clementinebank.http import BufferLimit
+from clementinebank.ratelimit import QuotaBounds
 from clementinebank.relay import FreshnessBounds
 from clementinebank.validation import Address, FieldReader, load_yaml
 
@@ -51,6 +52,8 @@
         a caller, over the whole fleet.
     retry_burst : float
         Extra requests to a service beyond the ratio in one window.
+    quota : QuotaBounds
+        How far the requests of client accounts may exceed their quotas.
     """
 
     drain_s: float
@@ -60,6 +63,7 @@
     stable_window_s: float = 4.0
     change_s: float = 3.0
     evacuation_s: float = inf
+    quota: QuotaBounds = QuotaBounds()
 
     @property
     def freshness(self) -> FreshnessBounds:
@@ -209,6 +213,16 @@
             if reader.has('evacuation_ms')
             else inf
         ),
+        quota=_read_quota_bounds(reader),
     )
     reader.report_unknown_fields()
     return bounds
+
+
+def _read_quota_bounds(reader: FieldReader) -> QuotaBounds:
+    defaults = QuotaBounds()
+    return QuotaBounds(
+        reader.number('quota_window_s', defaults.window_s, minimum=0.1),
+        reader.number('quota_excess', defaults.excess),
+        reader.number('quota_slack', defaults.slack),
+    )
--- a/clementinebank/ratelimit/__init__.py
+++ b/clementinebank/ratelimit/__init__.py
@@ -12,6 +12,9 @@
     read_named_limit,
 )
 from clementinebank.ratelimit._quota import Quota, QuotaBounds, account_key
+from clementinebank.ratelimit._quota_client import QuotaClient
+from clementinebank.ratelimit._quota_ledger import QuotaLedger
+from clementinebank.ratelimit._quota_table import QuotaTable
 from clementinebank.ratelimit._service import ACQUIRE_PATH, LimitService
 from clementinebank.ratelimit._table import (
     LimitStatement,
@@ -31,6 +34,9 @@
     'NamedLimit',
     'Quota',
     'QuotaBounds',
+    'QuotaClient',
+    'QuotaLedger',
+    'QuotaTable',
     'TOKEN_LIFETIME_S',
     'TokenBucket',
     'WaitingRequests',
--- a/clementinebank/ratelimit/_client.py
+++ b/clementinebank/ratelimit/_client.py
@@ -87,7 +87,8 @@
             is_busy = table.limited_count or table.has_changes
             await curio.sleep(BUSY_INTERVAL_S if is_busy else IDLE_INTERVAL_S)
             if not is_busy:
-                await self._close_channels()
+                if not self.service.quotas.quotas_by_account:
+                    await self._close_channels()
                 continue
             try:
                 await self.update()
@@ -102,7 +103,7 @@
         wanted_by_coordinator: dict[Address, dict[str, int]] = defaultdict(dict)
         for leaf_id, wanted in table.wanted_by_leaf(now()).items():
             address = self.find_coordinator(leaf_id)
-            if address is None or self._is_paused(address):
+            if address is None or self.is_paused(address):
                 table.use_share(leaf_id, now())
                 continue
             # Also without a demand: the coordinator grants the whole limit,
@@ -125,7 +126,7 @@
         self._next_notice_at = now() + MIN_NOTICE_INTERVAL_S
         leaf_ids = table.pop_changed_leafs()
         for address in self.find_listeners():
-            if address == self.address or self._is_paused(address):
+            if address == self.address or self.is_paused(address):
                 continue
             for batch in _in_batches(leaf_ids):
                 await curio.spawn(self._ask, address, {}, batch, daemon=True)
@@ -150,9 +151,27 @@
         """Send statements and the wanted tokens; apply the reply."""
         service = self.service
         asked_at = now()
-        request = Acquisition(
-            tuple(service.table.statements_of(leaf_ids)), wanted_by_leaf
+        reply = await self.exchange(
+            address,
+            Acquisition(
+                tuple(service.table.statements_of(leaf_ids)), wanted_by_leaf
+            ),
         )
+        if reply is None:
+            for leaf_id in wanted_by_leaf:
+                service.table.use_share(leaf_id, now())
+            return
+        service.on_statements(reply.known, now())
+        self._add_tokens(wanted_by_leaf, reply.tokens_by_leaf, asked_at)
+
+    async def exchange(
+        self, address: Address, request: Acquisition
+    ) -> Acquisition | None:
+        """Return the reply of a coordinator, ``None`` if it failed.
+
+        One that failed isn't to be asked for a while, see ``is_paused``.
+        """
+        asked_at = now()
         channel = self._channels.setdefault(
             address, self.create_channel(address)
         )
@@ -164,10 +183,13 @@
                 lambda payload: decode_reply(payload, now()),
             )
         except CALL_ERRORS as error:
-            self._pause(address, error, wanted_by_leaf)
-            return
-        service.on_statements(reply.known, now())
-        self._add_tokens(wanted_by_leaf, reply.tokens_by_leaf, asked_at)
+            self._pause(address, error, request)
+            return None
+        return reply
+
+    def is_paused(self, address: Address) -> bool:
+        """Return whether a coordinator has failed a short time ago."""
+        return now() < self._paused_until.get(address, 0)
 
     def _add_tokens(
         self,
@@ -182,27 +204,20 @@
                 wanted = wanted_by_leaf.get(leaf_id, 0)
                 limit.on_granted(wanted, granted, asked_at, now())
 
-    def _is_paused(self, address: Address) -> bool:
-        return now() < self._paused_until.get(address, 0)
-
     def _pause(
-        self,
-        address: Address,
-        error: BaseException,
-        leaf_ids: Collection[str],
+        self, address: Address, error: BaseException, request: Acquisition
     ) -> None:
-        """Earn shares of the leafs while their coordinator isn't asked."""
+        """Don't ask a coordinator for a while."""
         failure = failure_from_error(error, Step.DISPATCH, str(address))
         log_message(
             message_type='limit:coordinator_failed',
             coordinator=str(address),
             reason=str(failure),
-            leafs=sorted(leaf_ids),
+            leafs=sorted(request.tokens_by_leaf),
+            accounts=sorted(each.account for each in request.reports),
             seconds=PAUSE_S,
         )
         self._paused_until[address] = now() + PAUSE_S
-        for leaf_id in leaf_ids:
-            self.service.table.use_share(leaf_id, now())
 
     async def _close_channels(self) -> None:
         """Close the connections, which are used only during a limit."""
--- a/clementinebank/ratelimit/_messages.py
+++ b/clementinebank/ratelimit/_messages.py
@@ -12,6 +12,17 @@
 from google.protobuf.message import DecodeError, Message
 
 from clementinebank.ratelimit import ratelimit_pb2
+from clementinebank.ratelimit._quota_messages import (
+    QuotaReport,
+    QuotaVerdict,
+    TightStatement,
+    raw_reports,
+    raw_tight,
+    raw_verdicts,
+    read_reports,
+    read_tight,
+    read_verdicts,
+)
 from clementinebank.ratelimit._table import LimitStatement
 from clementinebank.rpc import RpcProtocolError
 
@@ -38,18 +49,28 @@
         Newest statements that the sender knows.
     tokens_by_leaf : mapping of str to int
         Tokens that the sender wants or grants.
+    reports : tuple of QuotaReport
+        What the sender has used of the quotas of accounts; in requests only.
+    verdicts : tuple of QuotaVerdict
+        What the sender may use of them; in replies only.
+    tight : tuple of TightStatement
+        Quotas that the sender knows to be used up.
     """
 
     known: tuple[LimitStatement, ...] = ()
     tokens_by_leaf: Mapping[str, int] = attrs.Factory(dict)
+    reports: tuple[QuotaReport, ...] = ()
+    verdicts: tuple[QuotaVerdict, ...] = ()
+    tight: tuple[TightStatement, ...] = ()
 
 
 def encode_request(request: Acquisition, now: float) -> bytes:
     """Return the protobuf encoding of a request at a runtime time."""
     return ratelimit_pb2.AcquireRequest(
         protocol_version=PROTOCOL_VERSION,
-        known=_raw_statements(request.known, now),
+        known=_raw_statements(request.known, now, request.tight),
         wanted=_raw_counts(request.tokens_by_leaf),
+        quotas=raw_reports(request.reports),
     ).SerializeToString()
 
 
@@ -67,6 +88,8 @@
     return Acquisition(
         _read_statements(raw.known, now),
         {each.leaf_id: each.count for each in raw.wanted},
+        reports=read_reports(raw.quotas),
+        tight=read_tight(raw.known.tight, now),
     )
 
 
@@ -74,8 +97,9 @@
     """Return the protobuf encoding of a reply at a runtime time."""
     return ratelimit_pb2.AcquireReply(
         protocol_version=PROTOCOL_VERSION,
-        known=_raw_statements(reply.known, now),
+        known=_raw_statements(reply.known, now, reply.tight),
         granted=_raw_counts(reply.tokens_by_leaf),
+        quotas=raw_verdicts(reply.verdicts),
     ).SerializeToString()
 
 
@@ -93,18 +117,22 @@
     return Acquisition(
         _read_statements(raw.known, now),
         {each.leaf_id: each.count for each in raw.granted},
+        verdicts=read_verdicts(raw.quotas),
+        tight=read_tight(raw.known.tight, now),
     )
 
 
 def encode_statements(
-    statements: Iterable[LimitStatement], now: float
+    statements: Iterable[LimitStatement],
+    now: float,
+    tight: Iterable[TightStatement] = (),
 ) -> bytes:
     """Return the encoding of statements that another message carries."""
-    return _raw_statements(statements, now).SerializeToString()
+    return _raw_statements(statements, now, tight).SerializeToString()
 
 
 def decode_statements(payload: bytes, now: float) -> tuple[LimitStatement, ...]:
-    """Return the statements that a payload encodes.
+    """Return the statements on limits of leafs that a payload encodes.
 
     Raises
     ------
@@ -116,8 +144,23 @@
     return _read_statements(raw, now)
 
 
+def decode_tight(payload: bytes, now: float) -> tuple[TightStatement, ...]:
+    """Return the statements on quotas that a payload encodes.
+
+    Raises
+    ------
+    RpcProtocolError
+        If the payload is malformed; the message names the field.
+    """
+    raw = ratelimit_pb2.LimitStatements()
+    _parse(raw, payload)
+    return read_tight(raw.tight, now)
+
+
 def _raw_statements(
-    statements: Iterable[LimitStatement], now: float
+    statements: Iterable[LimitStatement],
+    now: float,
+    tight: Iterable[TightStatement] = (),
 ) -> ratelimit_pb2.LimitStatements:
     """Return the newest statements, as many as a message may have."""
     newest = sorted(statements, key=lambda each: -each.stated_at)
@@ -129,7 +172,8 @@
                 age_ms=_age_ms(now - each.stated_at + PASSING_ALLOWANCE_S),
             )
             for each in newest[:MAX_STATEMENTS]
-        ]
+        ],
+        tight=raw_tight(tight, now),
     )
 
 
--- a/clementinebank/ratelimit/_service.py
+++ b/clementinebank/ratelimit/_service.py
@@ -10,9 +10,13 @@
     Acquisition,
     decode_request,
     decode_statements,
+    decode_tight,
     encode_reply,
     encode_statements,
 )
+from clementinebank.ratelimit._quota_ledger import QuotaLedger
+from clementinebank.ratelimit._quota_messages import QuotaReport, QuotaVerdict
+from clementinebank.ratelimit._quota_table import QuotaTable
 from clementinebank.ratelimit._table import LimitStatement, LimitTable
 
 ACQUIRE_PATH = '/clementinebank.RateLimit/Acquire'
@@ -35,11 +39,17 @@
         Applies statements of other instances, with the runtime time.
     coordinator : LimitCoordinator
         Grants the tokens.
+    quotas : QuotaTable
+        Quotas of accounts that this instance serves.
+    ledger : QuotaLedger
+        Quotas of accounts that it coordinates.
     """
 
     table: LimitTable
     on_statements: OnStatements
     coordinator: LimitCoordinator = attrs.Factory(LimitCoordinator)
+    quotas: QuotaTable = attrs.Factory(QuotaTable)
+    ledger: QuotaLedger = attrs.Factory(QuotaLedger)
 
     async def handle_acquire(self, payload: bytes) -> bytes:
         """Return the encoded reply to one encoded request.
@@ -52,9 +62,13 @@
         at = now()
         request = decode_request(payload, at)
         self.on_statements(request.known, at)
+        self.quotas.merge(request.tight)
+        if request.reports:
+            self.ledger.remote_at = at
         reply = Acquisition(
             tuple(self.table.statements_of(request.tokens_by_leaf)),
             self.acquire(request.tokens_by_leaf, at),
+            verdicts=self.settle(request.reports, at),
         )
         return encode_reply(reply, at)
 
@@ -70,13 +84,24 @@
             if (limit := self.table.limit_of(leaf_id)) is not None
         }
 
+    def settle(
+        self, reports: Iterable[QuotaReport], at: float
+    ) -> tuple[QuotaVerdict, ...]:
+        """Return the verdicts on the accounts whose quota is known."""
+        verdicts = [self.ledger.settle(each, at) for each in reports]
+        return tuple(each for each in verdicts if each is not None)
+
     def encode_notice(self) -> bytes:
         """Return the recent statements, for messages of other services.
 
         Empty if there are none.
         """
-        statements = self.table.recent_statements(now())
-        return encode_statements(statements, now()) if statements else b''
+        at = now()
+        statements = tuple(self.table.recent_statements(at))
+        tight = tuple(self.quotas.recent_statements(at))
+        if not (statements or tight):
+            return b''
+        return encode_statements(statements, at, tight)
 
     def apply_notice(self, notice: bytes) -> None:
         """Apply the limits that another instance knows.
@@ -88,3 +113,4 @@
         """
         if notice:
             self.on_statements(decode_statements(notice, now()), now())
+            self.quotas.merge(decode_tight(notice, now()))
