Carry the bytes of headers unchanged, and notice heads made of two

Change: header texts are the bytes as Latin-1 in both directions; repeated headers are joined (cookies stay apart) and named by HttpResponse.repeated; a status line within a head makes a response invalid; a request that HTTP doesn't allow raises UnsendableRequestError before a byte is sent; an unexpected error ends only its server connection, logged and counted.

--- a/clementinebank/http/__init__.py
+++ b/clementinebank/http/__init__.py
@@ -4,6 +4,7 @@
 from clementinebank.http._client import (
     HttpConnection,
     HttpProtocolError,
+    UnsendableRequestError,
     fetch,
     open_socket,
 )
@@ -36,6 +37,7 @@
     'ReadTurn',
     'ServerConnection',
     'ServerState',
+    'UnsendableRequestError',
     'fetch',
     'is_closed_by_peer',
     'json_request',
--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -11,7 +11,12 @@
 
 from clementinebank.clock import now
 from clementinebank.http._buffers import MAX_REPLY_BYTES, BufferLimit
-from clementinebank.http._messages import HttpRequest, HttpResponse
+from clementinebank.http._messages import (
+    HttpRequest,
+    HttpResponse,
+    decode_headers,
+    encode_headers,
+)
 from clementinebank.http._sockets import READ_SIZE_BYTES, has_input
 from clementinebank.http._turns import ReadTurn
 
@@ -25,6 +30,10 @@
 METHODS_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 LENGTH_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d+)')
+# Within a head, the start of another response: what precedes it is a part of an
+# earlier one. The version is looked for first, because most heads hold none.
+VERSION_PREFIX = b'HTTP/1.'
+STATUS_LINE_PATTERN = re.compile(rb'HTTP/1\.\d \d{3}(?: |$)')
 # A connection is not reused in the last part of the idle time that the server
 # allows: a request sent while the server closes it would be lost.
 IDLE_TIMEOUT_MARGIN_S = 0.75
@@ -47,6 +56,10 @@
     """The server sent invalid HTTP or closed the connection too early."""
 
 
+class UnsendableRequestError(HttpProtocolError):
+    """HTTP doesn't allow the request; no byte of it was sent."""
+
+
 @attrs.define
 class HttpConnection:
     """HTTP/1.1 client connection with at most one unanswered request.
@@ -126,6 +139,13 @@
 
         Its size is added to ``bytes_sent`` before the first byte is sent, so
         a ``bytes_sent`` of zero after a failure proves that nothing left.
+
+        Raises
+        ------
+        UnsendableRequestError
+            If HTTP doesn't allow the request, before a byte is sent.
+        OSError
+            If the transport fails.
         """
         payload = self._encode(message)
         self.bytes_sent += len(payload)
@@ -163,13 +183,19 @@
         return await self.receive()
 
     def _encode(self, message: HttpRequest) -> bytes:
+        try:
+            return self._encode_unchecked(message)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            raise UnsendableRequestError(str(error)) from error
+
+    def _encode_unchecked(self, message: HttpRequest) -> bytes:
         headers = {'host': f'{self.host}:{self.port}', **message.headers}
         if message.body or message.method not in METHODS_WITHOUT_BODY:
             headers['content-length'] = str(len(message.body))
         head = h11.Request(
             method=message.method,
             target=message.target,
-            headers=list(headers.items()),
+            headers=encode_headers(headers),
         )
         payload = self._http.send(head)
         if message.body:
@@ -192,12 +218,9 @@
         self._check_length(head)
         body = await self._read_body(turn)
         self._start_next_cycle()
-        headers = {
-            name.decode('latin-1'): value.decode('latin-1')
-            for name, value in head.headers
-        }
+        headers, repeated = decode_headers(head.headers)
         self._reusable_until = now() + _idle_limit_s(headers)
-        return HttpResponse(head.status_code, headers, body)
+        return HttpResponse(head.status_code, headers, body, repeated)
 
     def abort(self) -> None:
         """Shut the socket down, so that the task that reads from it fails.
@@ -232,6 +255,7 @@
     async def _read_head(self, turn: ReadTurn) -> Any:
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             head = await self._next_event(turn)
+            _check_is_one_head(head)
             if not isinstance(head, h11.InformationalResponse):
                 return head
         raise HttpProtocolError(
@@ -300,6 +324,18 @@
     return sock
 
 
+def _check_is_one_head(head: Any) -> None:
+    """Raise if a head begins with a part of another response.
+
+    A server may send the beginning of an earlier response once more. The status
+    line that is due then ends the reason or a header of that part.
+    """
+    texts = (head.reason, *[text for _, text in head.headers])
+    for text in texts:
+        if VERSION_PREFIX in text and STATUS_LINE_PATTERN.search(text):
+            raise HttpProtocolError('the head holds a part of another response')
+
+
 def _idle_limit_s(headers: dict[str, str]) -> float:
     """Return how long a connection stays reusable while idle, in seconds.
 
--- a/clementinebank/http/_server_connection.py
+++ b/clementinebank/http/_server_connection.py
@@ -14,6 +14,7 @@
 from clementinebank.http._messages import (
     HttpRequest,
     HttpResponse,
+    encode_headers,
     json_response,
 )
 from clementinebank.http._request_reader import RequestReader
@@ -147,6 +148,9 @@
         except OSError:
             # The client is gone, so no response can be sent.
             next_step = NextStep.CLOSE
+        except Exception as error:
+            # Nothing can be sent any more; it is logged and counted.
+            self._error_response(error)
         finally:
             await self.sock.close()
             await self.state.remove(self)
@@ -276,7 +280,7 @@
     async def _send(self, response: HttpResponse, method: str) -> None:
         try:
             payload = self._encode(response, method)
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             # The handler returned a response that HTTP does not allow.
             fallback = self._error_response(error)
             payload = self._encode(fallback, method)
@@ -293,7 +297,7 @@
         if self.state.is_closing:
             headers['connection'] = 'close'
         head = h11.Response(
-            status_code=response.status, headers=list(headers.items())
+            status_code=response.status, headers=encode_headers(headers)
         )
         payload = self.http.send(head) or b''
         if method != 'HEAD':
