Send no request twice on one connection to a leaf; end one call by an error

Two calls with the id that a client repeats at once did the same (KeyError, found by the search). Change: a connection remembers (as hashes, 64 at most) the requests that it answered and that may be sent again; such a request, and one with the id of the last answer, gets a new connection. Responses with two of a deciding header are invalid: logged, counted against the leaf, closed. Weighed: closing after each refusal costs a connection for each; this only where the same connection would get the same request.

--- a/benchmarks/bench_forwarding.py
+++ b/benchmarks/bench_forwarding.py
@@ -39,12 +39,14 @@
     RoutingConfiguration,
     ScatterGather,
 )
+from clementinebank.upstream import repeated_reason
 from clementinebank.validation import Address
 
 HOST = '127.0.0.1'
 US_PER_S = 1_000_000
 RECORDS = b'0123456789abcdef' * 25
 ID_HEADER = 'request-id'
+DECIDING_HEADERS = frozenset((ID_HEADER,))
 DEADLINE_S = 5.0
 
 
@@ -64,6 +66,12 @@
     def requires_close(self, response):
         return False
 
+    def invalid_reason(self, response):
+        return repeated_reason(response, DECIDING_HEADERS)
+
+    def is_conclusive(self, response):
+        return response.status < 500
+
 
 @attrs.frozen
 class BenchCodec:
--- a/clementinebank/dispatch/_run.py
+++ b/clementinebank/dispatch/_run.py
@@ -62,12 +62,13 @@
     async def run(self) -> Result[Any, Failure]:
         """Run the request and return its answer or failure.
 
-        If the task is cancelled, the outstanding calls are cancelled too.
+        If the task is cancelled or fails, the outstanding calls are cancelled
+        too, and what the request holds is given back.
         """
         try:
             return await self._process_events()
-        except curio.CancelledError:
-            # The caller has disconnected, so the leafs need not finish.
+        except BaseException:
+            # The caller has disconnected or gets no answer of the leafs.
             async with curio.disable_cancellation():
                 await self._perform(self.state_machine.abandon(now()))
             raise
--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -5,6 +5,7 @@
 from typing import cast
 
 import attrs
+from eliot import write_traceback
 from result import Err, Result
 
 from clementinebank.clock import now
@@ -381,10 +382,12 @@
 
     state_machine: ForwardStateMachine
     engine: ForwardingEngine
-    _pools_by_attempt: dict[str, LeafPool] = attrs.Factory(dict)
+    _pools_by_attempt: dict[str, LeafPool | None] = attrs.Factory(dict)
 
     async def cancel(self, action: CancelCall) -> None:
-        """Cancel a call; does nothing if the call was never given to a pool."""
+        """Cancel a call, or give its place back if it never came to a pool."""
+        if action.attempt_id not in self._pools_by_attempt:
+            self._release(action)
         pool = self._pools_by_attempt.get(action.attempt_id)
         if pool is not None:
             await pool.cancel(action.attempt_id)
@@ -395,12 +398,12 @@
         if pool is None:
             await self._fail_without_pool(action)
             return
-        self._pools_by_attempt[action.attempt_id] = pool
         request = self.state_machine.request
         finish_at = self.state_machine.dispatcher.finish_at
         remaining_ms = max(1, int((finish_at - now()) * MS_PER_S))
         leaf_id = action.leaf_id.rpartition('@')[0]
         message = self.engine.codec.encode(request, leaf_id, remaining_ms)
+        self._pools_by_attempt[action.attempt_id] = pool
         await pool.submit(
             LeafCall(
                 action.attempt_id,
@@ -423,9 +426,14 @@
             peer=action.leaf_id,
             execution=Execution.NOT_RUN,
         )
-        self.engine.router.on_end(action.leaf_id, now(), 0, CallOutcome.UNSENT)
+        self._pools_by_attempt[action.attempt_id] = None
+        self._release(action)
         await self.replies.put((action.attempt_id, Err(failure)))
 
+    def _release(self, action: SendCall | CancelCall) -> None:
+        """Give back the place at the leaf of a call that no pool gets."""
+        self.engine.router.on_end(action.leaf_id, now(), 0, CallOutcome.UNSENT)
+
     async def _on_reply(self, reply: LeafReply) -> None:
         """Update the routing state and pass the outcome to the request.
 
@@ -441,8 +449,7 @@
             reply.leaf_id, reply.call_id
         )
         is_counted = is_current or ended_overtaken_call
-        outcome = reply.outcome.map(self.engine.codec.decode)
-        self._record_statements(reply, outcome)
+        outcome = self._decode(reply)
         router.on_end(
             reply.leaf_id,
             now(),
@@ -453,6 +460,27 @@
         if is_current and self.result is None:
             await self.replies.put((reply.call_id, outcome))
 
+    def _decode(self, reply: LeafReply) -> Result[LeafResponse, Failure]:
+        """Decode a reply and update the routing state with its statements.
+
+        An unexpected error fails the call, which may have run.
+        """
+        try:
+            outcome = reply.outcome.map(self.engine.codec.decode)
+            self._record_statements(reply, outcome)
+        except Exception as error:
+            write_traceback()
+            return Err(
+                Failure(
+                    'internal_error',
+                    f'unexpected {type(error).__name__}',
+                    Step.READ,
+                    peer=reply.leaf_id,
+                    execution=Execution.UNKNOWN,
+                )
+            )
+        return outcome
+
     def _record_statements(
         self, reply: LeafReply, outcome: Result[LeafResponse, Failure]
     ) -> None:
--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -87,6 +87,10 @@
     'snapshot_unavailable': CallOutcome.UNSENT,
     'expired': CallOutcome.UNSENT,
     'pool_retired': CallOutcome.UNSENT,
+    'unsendable': CallOutcome.UNSENT,
+    # The leaf has no part in these.
+    'task_cancelled': CallOutcome.CANCELLED,
+    'internal_error': CallOutcome.CANCELLED,
 }
 
 
--- a/clementinebank/upstream/__init__.py
+++ b/clementinebank/upstream/__init__.py
@@ -1,8 +1,13 @@
 """Connection pools and status probes of leafs."""
 
-from clementinebank.upstream._pool import LeafCall, LeafPool, LeafReply
+from clementinebank.upstream._call import LeafCall, LeafReply
+from clementinebank.upstream._pool import LeafPool
 from clementinebank.upstream._pools import LeafPools
-from clementinebank.upstream._protocol import LeafProtocol, SearchLeafProtocol
+from clementinebank.upstream._protocol import (
+    LeafProtocol,
+    SearchLeafProtocol,
+    repeated_reason,
+)
 from clementinebank.upstream._status import (
     LeafStatus,
     ServedSnapshot,
@@ -19,4 +24,5 @@
     'SearchLeafProtocol',
     'ServedSnapshot',
     'decode_status',
+    'repeated_reason',
 )
--- a/clementinebank/upstream/_pool.py
+++ b/clementinebank/upstream/_pool.py
@@ -1,22 +1,24 @@
 """Connection pool of one instance to one leaf."""
 
-from collections.abc import Awaitable, Callable
-from typing import Any, cast
+from collections.abc import Callable
+from typing import Any
 
 import attrs
 import curio
+from eliot import write_traceback
 from result import Err, Ok, Result
 
 from clementinebank.clock import now, run_before
-from clementinebank.errors import Execution, Failure, Step
+from clementinebank.errors import Failure, Step
 from clementinebank.http import (
     BufferLimit,
     HttpConnection,
     HttpProtocolError,
-    HttpRequest,
     HttpResponse,
 )
 from clementinebank.leafs import LeafEndpoint
+from clementinebank.upstream._call import LeafCall, LeafReply
+from clementinebank.upstream._connection import LeafConnection
 from clementinebank.upstream._protocol import LeafProtocol, SearchLeafProtocol
 
 # Time after the deadline of a call in which its late reply is still read, so
@@ -25,70 +27,6 @@
 CANCEL_TIMEOUT_S = 0.5
 
 
-@attrs.frozen
-class LeafReply:
-    """Outcome of one call to a leaf.
-
-    Parameters
-    ----------
-    call_id : str
-        Id of the call.
-    leaf_id : str
-        Leaf that was called.
-    outcome : Result
-        The response, or the failure with its step and whether the leaf may
-        have run the request.
-    elapsed_s : float
-        Time since the call was submitted, in seconds.
-    """
-
-    call_id: str
-    leaf_id: str
-    outcome: Result[HttpResponse, Failure]
-    elapsed_s: float
-
-
-OnReply = Callable[[LeafReply], Awaitable[None]]
-
-
-@attrs.define(eq=False)
-class LeafCall:
-    """One request to a leaf.
-
-    Parameters
-    ----------
-    call_id : str
-        Unique id of the call.
-    request : HttpRequest
-        The HTTP request that is sent.
-    deadline : float
-        Runtime time in seconds after which the request is not sent.
-    on_reply : callable
-        Coroutine function that receives the reply exactly once.
-    echoed_id : str
-        Id that the response must echo; the id of the call by default.
-    submitted_at : float
-        Runtime time in seconds at which the pool got the call.
-    is_sent : bool
-        Whether sending of the request has begun.
-    is_cancelled : bool
-        Whether the call was cancelled.
-    """
-
-    call_id: str
-    request: HttpRequest
-    deadline: float
-    on_reply: OnReply
-    submitted_at: float = 0
-    is_sent: bool = False
-    is_cancelled: bool = False
-    echoed_id: str = attrs.field()
-
-    @echoed_id.default
-    def _use_call_id(self) -> str:
-        return self.call_id
-
-
 @attrs.define(eq=False)
 class LeafPool:
     """Connections to one leaf, at most ``max_connections``.
@@ -128,10 +66,9 @@
     connection_count: int = 0
     is_retired: bool = False
     _calls: Any = attrs.field(factory=curio.Queue)
-    _idle_by_id: dict[int, HttpConnection] = attrs.Factory(dict)
+    _idle_by_id: dict[int, LeafConnection] = attrs.Factory(dict)
     _generation: int = 0
     _calls_by_id: dict[str, LeafCall] = attrs.Factory(dict)
-    _connections_by_call: dict[str, HttpConnection] = attrs.Factory(dict)
 
     async def submit(self, call: LeafCall) -> None:
         """Queue a call for the next free connection.
@@ -170,7 +107,8 @@
             return
         message = self.protocol.cancel_request(call_id)
         if message is None:
-            self._connections_by_call[call_id].abort()
+            if call.connection is not None:
+                call.connection.abort()
             return
         await self.submit(
             LeafCall(
@@ -217,14 +155,16 @@
     async def _refuse(self, call: LeafCall) -> None:
         """Fail a call that was submitted after the pool was retired."""
         message = 'the connection pool of the leaf is retired'
-        failure = self._failure('pool_retired', message, Step.DISPATCH, call)
+        failure = call.failure(
+            'pool_retired', message, Step.DISPATCH, self.leaf
+        )
         await call.on_reply(
             LeafReply(call.call_id, self.leaf.leaf_id, Err(failure), 0)
         )
 
     async def _run_connection(self) -> None:
         """Run queued calls over one connection until the pool is retired."""
-        connection = self._new_connection()
+        connection = LeafConnection(self._new_connection(), self.protocol)
         generation = self._generation
         try:
             while True:
@@ -248,7 +188,7 @@
             await connection.close()
 
     async def _close_if_outdated(
-        self, connection: HttpConnection, generation: int
+        self, connection: LeafConnection, generation: int
     ) -> int:
         """Close a connection of an older generation; the next call reopens it.
 
@@ -261,7 +201,7 @@
             await connection.close()
         return self._generation
 
-    async def _next_call(self, connection: HttpConnection) -> LeafCall | None:
+    async def _next_call(self, connection: LeafConnection) -> LeafCall | None:
         """Wait for a call; ``None`` ends the connection of a retired pool."""
         connection_id = id(connection)
         self._idle_by_id[connection_id] = connection
@@ -271,69 +211,75 @@
             self._idle_by_id.pop(connection_id)
 
     async def _run_call(
-        self, connection: HttpConnection, call: LeafCall
+        self, connection: LeafConnection, call: LeafCall
+    ) -> None:
+        """Run a call and deliver its reply, which happens exactly once.
+
+        An unexpected error ends the call only, so that neither the connection
+        nor the place that the caller holds at the leaf is lost.
+        """
+        call.connection = connection
+        try:
+            outcome = await self._exchange(connection, call)
+        except Exception as error:
+            outcome = Err(call.unexpected(error, self.leaf))
+        except BaseException:
+            ended = Err(call.ended(self.leaf))
+            async with curio.disable_cancellation():
+                await self._end_call(connection, call, ended)
+            raise
+        await self._end_call(connection, call, outcome)
+
+    async def _end_call(
+        self,
+        connection: LeafConnection,
+        call: LeafCall,
+        outcome: Result[HttpResponse, Failure],
     ) -> None:
-        """Run a call and deliver its reply, which happens exactly once."""
-        self._connections_by_call[call.call_id] = connection
-        outcome = await self._exchange(connection, call)
         if isinstance(outcome, Err) or self.protocol.requires_close(
             outcome.ok_value
         ):
             await connection.close()
-        self._connections_by_call.pop(call.call_id)
-        self._calls_by_id.pop(call.call_id, None)
-        await call.on_reply(
-            LeafReply(
-                call.call_id,
-                self.leaf.leaf_id,
-                outcome,
-                now() - call.submitted_at,
-            )
+        call.connection = None
+        # Another call may have the same id if a client repeats one.
+        if self._calls_by_id.get(call.call_id) is call:
+            self._calls_by_id.pop(call.call_id)
+        reply = LeafReply(
+            call.call_id,
+            self.leaf.leaf_id,
+            outcome,
+            now() - call.submitted_at,
         )
+        try:
+            await call.on_reply(reply)
+        except Exception:
+            write_traceback()
 
     async def _exchange(
-        self, connection: HttpConnection, call: LeafCall
+        self, connection: LeafConnection, call: LeafCall
     ) -> Result[HttpResponse, Failure]:
         """Send a call and return its response, or why there is none."""
         if call.is_cancelled or now() >= call.deadline:
-            return Err(self._expired(call))
+            return Err(call.expired(self.leaf))
         step = Step.DISPATCH
         try:
             if not await self._send(connection, call):
-                return Err(self._expired(call))
+                return Err(call.expired(self.leaf))
             step = Step.READ
-            response = await self._receive(connection, call)
+            response: HttpResponse = await run_before(
+                call.deadline + LATE_REPLY_LIMIT_S,
+                connection.receive_answer,
+                call.echoed_id,
+                call.request,
+            )
         except curio.TaskTimeout:
             message = 'the call timed out'
-            return Err(self._failure('leaf_timeout', message, step, call))
+            return Err(call.failure('leaf_timeout', message, step, self.leaf))
         except (OSError, HttpProtocolError) as error:
-            return Err(self._failure('leaf_broken', str(error), step, call))
-        if self.protocol.echoed_id(response) != call.echoed_id:
-            message = 'the reply echoes the id of another request'
-            return Err(self._failure('leaf_mismatch', message, step, call))
+            return Err(call.broken(error, step, self.leaf))
         return Ok(response)
 
-    async def _receive(
-        self, connection: HttpConnection, call: LeafCall
-    ) -> HttpResponse:
-        """Return the next response from the connection.
-
-        If the protocol allows late responses, one to an earlier call is
-        skipped.
-        """
-        limit = call.deadline + LATE_REPLY_LIMIT_S
-        response: HttpResponse = await run_before(limit, connection.receive)
-        is_own = self.protocol.echoed_id(response) == call.echoed_id
-        if is_own or not self.protocol.allows_late_responses:
-            return response
-        return cast(
-            HttpResponse,
-            await run_before(
-                limit, connection.receive_after_late_response, call.request
-            ),
-        )
-
-    async def _send(self, connection: HttpConnection, call: LeafCall) -> bool:
+    async def _send(self, connection: LeafConnection, call: LeafCall) -> bool:
         """Send the request, over a new connection if necessary.
 
         Returns
@@ -342,7 +288,7 @@
             Whether the request was sent; false if the call expired or was
             cancelled while the connection was opened.
         """
-        if not connection.is_reusable:
+        if not connection.can_carry(call.echoed_id):
             started = now()
             limit = min(call.deadline, started + self.connect_timeout_s)
             await run_before(limit, connection.connect)
@@ -355,24 +301,6 @@
         await run_before(call.deadline, connection.send, call.request)
         return True
 
-    def _expired(self, call: LeafCall) -> Failure:
-        message = 'the call was cancelled or expired before it was sent'
-        return self._failure('expired', message, Step.DISPATCH, call)
-
-    def _failure(
-        self, code: str, message: str, step: Step, call: LeafCall
-    ) -> Failure:
-        """Return a failure of a call; not run if nothing of it was sent."""
-        return Failure(
-            code,
-            message,
-            step,
-            peer=f'{self.leaf.leaf_id} ({self.leaf.address})',
-            execution=(
-                Execution.UNKNOWN if call.is_sent else Execution.NOT_RUN
-            ),
-        )
-
     def _new_connection(self) -> HttpConnection:
         address = self.leaf.address
         return HttpConnection(
--- a/clementinebank/upstream/_pools.py
+++ b/clementinebank/upstream/_pools.py
@@ -11,7 +11,12 @@
 from clementinebank.clock import get_before, now
 from clementinebank.http import HttpRequest
 from clementinebank.leafs import LeafEndpoint
-from clementinebank.upstream._pool import LeafCall, LeafPool, LeafReply
+from clementinebank.upstream._call import (
+    TASK_CANCELLED_CODE,
+    LeafCall,
+    LeafReply,
+)
+from clementinebank.upstream._pool import LeafPool
 from clementinebank.upstream._status import LeafStatus, decode_status
 
 STATUS_PATH = '/v1/status'
@@ -132,9 +137,13 @@
 
         If the leaf is draining, its connections are closed.
         """
-        if reply is None or isinstance(reply.outcome, Err):
+        if reply is None:
             self.on_probe_failed(pool.leaf.leaf_id)
             return
+        if isinstance(reply.outcome, Err):
+            if reply.outcome.err_value.code != TASK_CANCELLED_CODE:
+                self.on_probe_failed(pool.leaf.leaf_id)
+            return
         status = decode_status(reply.outcome.ok_value.body)
         if isinstance(status, Err):
             log_message(
