--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -24,6 +24,7 @@
 )
 from clementinebank.gateway._admission import Admission
 from clementinebank.gateway._changes import DecodeEntry
+from clementinebank.gateway._limit_peers import LimitPeers
 from clementinebank.gateway._refusal_log import RefusalLog
 from clementinebank.gateway._request_log import RequestLog
 from clementinebank.gateway._settings import GatewaySettings
@@ -50,9 +51,7 @@
     RemovalBounds,
 )
 from clementinebank.routes import CallerLimits, Route, RouteTable
-from clementinebank.routing import rendezvous_subset
 from clementinebank.rpc import RpcServer
-from clementinebank.validation import Address
 
 NOT_FOUND = 404
 UNAVAILABLE = 503
@@ -324,42 +323,23 @@
 
         router = self.engine.router
         self.limit_service = self.admission.create_limit_service(router)
+        limit_peers = LimitPeers(
+            settings.data_centre,
+            settings.peers,
+            self.relays,
+            self.leaf_directory,
+        )
         self.limit_client = LimitClient(
             settings.peers,
             self.limit_service,
-            self._find_coordinator,
-            self._limit_listeners,
+            limit_peers.find_coordinator,
+            limit_peers.listeners,
             self.entry_log.wake_waiting,
         )
         self.admission.use_limits(
             self.limit_client, lambda: self.relays.fleet_size(now())
         )
 
-    def _find_coordinator(self, leaf_id: str) -> Address | None:
-        """Return the relay that grants the requests to a limited leaf.
-
-        It is the relay of the leaf's data centre, or another one if there is
-        none; ``None`` while no relay is known.
-        """
-        relays = self.relays.records_by_data_centre
-        data_centre = self.leaf_directory.data_centre_of(leaf_id)
-        if data_centre not in relays:
-            for chosen in rendezvous_subset(leaf_id, relays, 1):
-                data_centre = chosen
-        record = relays.get(data_centre)
-        return record.address if record else None
-
-    def _limit_listeners(self) -> set[Address]:
-        """Return the relays that this instance tells of new limits.
-
-        An instance tells its relay, and that one all other relays.
-        """
-        relays = self.relays.records_by_data_centre
-        own_relay = relays.get(self.settings.data_centre)
-        if own_relay is None or own_relay.address == self.settings.peers:
-            return {record.address for record in relays.values()}
-        return {own_relay.address}
-
     def _has_leafs(self, service: str) -> bool:
         return service in self.engine.router.service.groups_by_id
 
