--- a/clementinebank/aggregation/_client.py
+++ b/clementinebank/aggregation/_client.py
@@ -62,11 +62,12 @@
             The answer; or a failure, which states that nothing ran if the
             aggregator refused the request or didn't accept it in time.
         """
+        payload = encode_request(request)
         idle = self._idle_by_address.setdefault(address, [])
         channel = idle.pop() if idle else self.create_channel(address)
         try:
             outcome: GatherOutcome = await channel.call_when_accepted(
-                deadlines, GATHER_PATH, encode_request(request), decode_outcome
+                deadlines, GATHER_PATH, payload, decode_outcome
             )
         except CALL_ERRORS as error:
             failure = failure_from_error(error, Step.DISPATCH, str(address))
--- a/clementinebank/aggregation/_delegator.py
+++ b/clementinebank/aggregation/_delegator.py
@@ -1,7 +1,6 @@
 """Forwards requests of callers, by aggregators or by this instance."""
 
 import attrs
-import curio
 from eliot import log_message
 from result import Err, Result
 
@@ -106,7 +105,7 @@
         run = _DelegatedRun(self, request, route)
         try:
             outcome = await run.ask_all(candidates)
-        except curio.CancelledError:
+        except BaseException:
             run.trace_event('abandoned')
             run.report_end()
             raise
--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -21,6 +21,8 @@
 MAX_RESERVE_SHARE = 0.1
 # Error code of a leaf that refused a request because it has no free slot.
 SHED_CODE = 'shed'
+# Error code of a request that HTTP doesn't allow, whichever leaf it is for.
+UNSENDABLE_CODE = 'unsendable'
 # Missing reason of a shard whose request no leaf accepted in time.
 OVERLOADED_REASON = 'overloaded'
 # Missing reason of a shard whose leafs all name a rate limit that is used up.
@@ -199,7 +201,8 @@
         shard.missing_reason = failure.code
         self.record_execution(shard, failure)
         may_have_run = failure.execution is not Execution.NOT_RUN
-        if may_have_run and not self.policy.is_repeatable:
+        is_unsendable = failure.code == UNSENDABLE_CODE
+        if is_unsendable or (may_have_run and not self.policy.is_repeatable):
             return self.end_shard(shard, now)
         if failure.code == SHED_CODE and not shard.attempts_by_id:
             wait_s = self.router.refusal_wait_s(
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -34,7 +34,7 @@
 )
 from clementinebank.leafs import LeafDirectory
 from clementinebank.metrics import Metrics, create_sample, format_metrics, names
-from clementinebank.process import SignalWaiter
+from clementinebank.process import SignalWaiter, supervise
 from clementinebank.ratelimit import ACQUIRE_PATH, LimitClient, LimitService
 from clementinebank.relay import (
     WATCH_PATH,
@@ -179,7 +179,9 @@
             self.server.cancel_disconnected,
             *self.background,
         ):
-            await curio.spawn(corofunc, daemon=True)
+            await curio.spawn(
+                supervise, corofunc, self._count_task_failure, daemon=True
+            )
         await self.stop_signal.wait()
         return await self._drain()
 
@@ -422,6 +424,9 @@
     def _count_refusal(self, failure: Failure) -> None:
         self.metrics.add(names.REFUSALS, listener='callers', code=failure.code)
 
+    def _count_task_failure(self, name: str) -> None:
+        self.metrics.add(names.TASK_FAILURES, task=name)
+
     def _on_server_failure(self, failure: Failure) -> None:
         self._count_refusal(failure)
         log_message(message_type='caller:failure', reason=str(failure))
--- a/clementinebank/gateway/_updater.py
+++ b/clementinebank/gateway/_updater.py
@@ -205,7 +205,12 @@
             await curio.sleep(EXPIRY_CHECK_INTERVAL_S)
             if now() >= self.leaf_directory.next_expiry_at():
                 self.leaf_directory.expire(now())
-                await self.on_changes_applied()
+                try:
+                    await self.on_changes_applied()
+                except Exception:
+                    # Reading everything again applies the change, too.
+                    write_traceback()
+                    self._must_reload = True
 
 
 def _is_relay_registration(entry: Entry) -> bool:
--- a/clementinebank/http/_sockets.py
+++ b/clementinebank/http/_sockets.py
@@ -21,7 +21,9 @@
 
 
 def is_closed_by_peer(sock: Any) -> bool:
-    """Return whether the other side closed or reset the connection."""
+    """Return whether either side closed or reset the connection."""
+    if sock.fileno() < 0:
+        return True
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLRDHUP)
     return bool(poll.poll(0))
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -139,6 +139,12 @@
     'counter',
     'Jumps of the clock of the loop above 2 s.',
 )
+TASK_FAILURES = _register(
+    'clementinebank_task_failures_total',
+    'counter',
+    'Unexpected errors of long-lived tasks, which were started again.',
+    'task',
+)
 LOG_LOSSES = _register(
     'clementinebank_log_lines_lost_total',
     'counter',
--- a/clementinebank/ratelimit/_client.py
+++ b/clementinebank/ratelimit/_client.py
@@ -86,11 +86,11 @@
             table = self.service.table
             is_busy = table.limited_count or table.has_changes
             await curio.sleep(BUSY_INTERVAL_S if is_busy else IDLE_INTERVAL_S)
-            if not is_busy:
-                await self._close_channels()
-                continue
             try:
-                await self.update()
+                if is_busy:
+                    await self.update()
+                else:
+                    await self._close_channels()
             except Exception:
                 # Without this task the limits of all leafs would be kept by
                 # shares only, until the process ends.
@@ -147,28 +147,43 @@
         wanted_by_leaf: dict[str, int],
         leaf_ids: Collection[str],
     ) -> None:
-        """Send statements and the wanted tokens; apply the reply."""
-        service = self.service
+        """Send statements and the wanted tokens; apply the reply.
+
+        Any error counts as a failure of the coordinator.
+        """
         asked_at = now()
-        request = Acquisition(
-            tuple(service.table.statements_of(leaf_ids)), wanted_by_leaf
-        )
-        channel = self._channels.setdefault(
-            address, self.create_channel(address)
-        )
         try:
-            reply: Acquisition = await channel.call_before(
-                asked_at + CALL_TIMEOUT_S,
-                ACQUIRE_PATH,
-                encode_request(request, asked_at),
-                lambda payload: decode_reply(payload, now()),
-            )
+            reply = await self._call(address, wanted_by_leaf, leaf_ids)
         except CALL_ERRORS as error:
             self._pause(address, error, wanted_by_leaf)
             return
-        service.on_statements(reply.known, now())
+        except Exception as error:
+            write_traceback()
+            self._pause(address, error, wanted_by_leaf)
+            return
+        self.service.on_statements(reply.known, now())
         self._add_tokens(wanted_by_leaf, reply.tokens_by_leaf, asked_at)
 
+    async def _call(
+        self,
+        address: Address,
+        wanted_by_leaf: dict[str, int],
+        leaf_ids: Collection[str],
+    ) -> Acquisition:
+        asked_at = now()
+        request = Acquisition(
+            tuple(self.service.table.statements_of(leaf_ids)), wanted_by_leaf
+        )
+        channel = self._channels.setdefault(
+            address, self.create_channel(address)
+        )
+        return await channel.call_before(
+            asked_at + CALL_TIMEOUT_S,
+            ACQUIRE_PATH,
+            encode_request(request, asked_at),
+            lambda payload: decode_reply(payload, now()),
+        )
+
     def _add_tokens(
         self,
         wanted_by_leaf: Mapping[str, int],
--- a/clementinebank/rpc/_server.py
+++ b/clementinebank/rpc/_server.py
@@ -6,7 +6,7 @@
 
 import attrs
 import curio
-from eliot import log_message
+from eliot import log_message, write_traceback
 from h2.exceptions import ProtocolError
 
 from clementinebank.clock import now, run_before
@@ -30,6 +30,7 @@
 # instance may hold it while it drains.
 BIND_TIMEOUT_S = 60.0
 BIND_RETRY_S = 0.1
+ACCEPT_RETRY_S = 0.1
 # Work for a caller that has left must end within half a second.
 DISCONNECT_CHECK_INTERVAL_S = 0.1
 STATUS_UNIMPLEMENTED = '12'
@@ -37,6 +38,30 @@
 RpcHandler = Callable[[bytes], Awaitable[bytes]]
 
 
+@attrs.frozen
+class _Listener:
+    """Listening socket that outlasts a lack of file descriptors."""
+
+    sock: Any
+
+    async def accept(self) -> Any:
+        """Return the next connection and its peer."""
+        while True:
+            try:
+                return await self.sock.accept()
+            except OSError as error:
+                log_message(
+                    message_type='peer:accept_failed', reason=str(error)
+                )
+            await curio.sleep(ACCEPT_RETRY_S)
+
+    async def __aenter__(self) -> Any:
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self.sock.close()
+
+
 @attrs.define(eq=False)
 class RpcServer:
     """Server that calls the handler of the method for each message.
@@ -60,6 +85,8 @@
         Methods whose calls are accepted before their callers end them; only
         then the handler runs. It is cancelled when the caller has closed the
         connection.
+    failed_connection_count : int
+        Connections closed so far because of an unexpected error.
     """
 
     host: str
@@ -69,6 +96,7 @@
     message_count: int = 0
     refused_connection_count: int = 0
     accepting_paths: Collection[str] = ()
+    failed_connection_count: int = 0
     _tasks_by_connection: dict[RpcConnection, Any] = attrs.Factory(dict)
 
     async def serve(self) -> None:
@@ -83,13 +111,17 @@
         end = now() + BIND_TIMEOUT_S
         while True:
             try:
-                return await curio.tcp_server(
-                    self.host, self.port, self.serve_connection, backlog=BACKLOG
+                listener = curio.tcp_server_socket(
+                    self.host, self.port, backlog=BACKLOG
                 )
             except OSError as error:
                 if error.errno != errno.EADDRINUSE or now() >= end:
                     raise
-            await curio.sleep(BIND_RETRY_S)
+                await curio.sleep(BIND_RETRY_S)
+            else:
+                return await curio.network.run_server(
+                    _Listener(listener), self.serve_connection
+                )
 
     async def cancel_disconnected(self) -> None:
         """Cancel the handlers of closed connections; runs until cancelled."""
@@ -103,7 +135,8 @@
     async def serve_connection(self, sock: Any, peer: Any) -> None:
         """Serve one connection until it ends, then close it.
 
-        An error of the peer or the transport closes only this connection.
+        An error of the peer, the transport or a handler closes only this
+        connection.
         """
         connection = RpcConnection(
             sock, is_client=False, accepting_paths=self.accepting_paths
@@ -118,6 +151,14 @@
             # The peer has closed or is silent; it connects again when it has
             # another call.
             return
+        except Exception as error:
+            self.failed_connection_count += 1
+            write_traceback()
+            log_message(
+                message_type='peer:call_failed',
+                peer=str(peer),
+                reason=repr(error),
+            )
         finally:
             await connection.close()
 
--- a/clementinebank/upstream/_pools.py
+++ b/clementinebank/upstream/_pools.py
@@ -5,7 +5,7 @@
 
 import attrs
 import curio
-from eliot import log_message
+from eliot import log_message, write_traceback
 from result import Err
 
 from clementinebank.clock import get_before, now
@@ -124,7 +124,11 @@
             reply = await get_before(requested_at + PROBE_TIMEOUT_S, replies)
             is_outdated = requested_at <= self._invalidated_at
             if not pool.is_retired and not is_outdated:
-                await self._handle_probe_reply(pool, reply, requested_at)
+                try:
+                    await self._handle_probe_reply(pool, reply, requested_at)
+                except Exception:
+                    # The next probe may tell the state of the leaf.
+                    write_traceback()
             number += 1
             wait_s = requested_at + PROBE_INTERVAL_S - now()
             if wait_s > 0:
