--- a/clementinebank/gateway/tests/test_task_edges.py
+++ b/clementinebank/gateway/tests/test_task_edges.py
@@ -25,12 +25,22 @@
     LinkDelays,
 )
 from clementinebank.forwarding.tests.simulation import make_route
+from clementinebank.gateway import ControlStateUpdater
+from clementinebank.gateway.tests.test_follower import (
+    FakeFeed,
+    change_batch,
+    configuration_change,
+    decode_entry,
+    stored_state,
+)
 from clementinebank.http import HttpRequest, HttpResponse, ServerConnection
 from clementinebank.http import _client as client_module
 from clementinebank.http.tests.wire import SEARCH, open_wire, parse_replies
 from clementinebank.leafs import LeafDirectory, LeafRecord
 from clementinebank.process import supervise
-from clementinebank.relay import EntryLog, RelayService
+from clementinebank.ratelimit import LimitClient, NamedLimit
+from clementinebank.ratelimit.tests.simulation import Fleet
+from clementinebank.relay import EntryLog, RelayDirectory, RelayService
 from clementinebank.relay._codec import WatchRequest, encode_request
 from clementinebank.routes import RouteTable, RoutingConfiguration
 from clementinebank.rpc import CallDeadlines, RpcServer
@@ -302,6 +312,48 @@
     assert len(failures) == injection.is_done
 
 
+async def _do_nothing():
+    return None
+
+
+@_check('reader of the control state')
+async def check_updater(injection, monkeypatch):
+    newest = stored_state(configuration_change(8), revision=6)
+    feed = FakeFeed(
+        [stored_state(configuration_change(7)), newest, newest],
+        [change_batch(configuration_change(8))],
+    )
+    updater = ControlStateUpdater(
+        feed,
+        decode_entry,
+        RouteTable(),
+        LeafDirectory(3.0),
+        RelayDirectory(),
+        EntryLog(),
+        _do_nothing,
+    )
+    run = injection.wrap(updater.run)
+    await curio.spawn(supervise, run, lambda name: None, daemon=True)
+    await curio.sleep(3)
+    assert updater.route_table.version == 8
+    assert now() - updater.confirmed_at < 6
+
+
+@_check('request to a coordinator')
+async def check_limit_client(injection, monkeypatch):
+    monkeypatch.setattr(LimitClient, '_ask', injection.wrap(LimitClient._ask))
+    fleet = Fleet(size=2, demands_per_s=(), per_s=5.0)
+    await fleet.start()
+    table = fleet.instances[1].table
+    table.on_named('leaf', NamedLimit(5.0), now(), now())
+    table.use_coordinator('leaf')
+    # An error pauses the coordinator for a second.
+    for _ in range(30):
+        table.on_missed('leaf', now(), is_waiting=False)
+        await curio.sleep(0.1)
+    assert 'leaf' in fleet.instances[0].service.coordinator.buckets_by_leaf
+
+
 def run_check(name, error, monkeypatch_factory):
     """Run a check for each wait in turn; return the number of waits."""
     for at in range(1, MAX_WAITS):
@@ -317,3 +369,8 @@
 @pytest.mark.parametrize('error', [UnexpectedError(), OSError()])
 def test_error_at_any_wait_is_contained(name, error):
     assert run_check(name, error, pytest.MonkeyPatch.context)
+
+
+def test_cancelled_connection_to_a_leaf_gives_its_place_back():
+    name = 'connection to a leaf'
+    assert run_check(name, curio.CancelledError(), pytest.MonkeyPatch.context)
