--- a/clementinebank/rpc/_connection.py
+++ b/clementinebank/rpc/_connection.py
@@ -239,7 +239,7 @@
     def _parse(self, received: bytes) -> None:
         try:
             self._events.extend(self._http.receive_data(received))
-        except ProtocolError as error:
+        except (ProtocolError, UnicodeDecodeError) as error:
             raise RpcProtocolError(f'invalid HTTP/2: {error!r}') from error
 
     async def _send_body(self, stream_id: int, body: bytes) -> None:
--- a/clementinebank/search/_engine.py
+++ b/clementinebank/search/_engine.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import attrs
+from eliot import write_traceback
 from result import Err, Ok, Result
 
 from clementinebank.clock import now
@@ -227,16 +228,7 @@
         is_current = (
             reply.call_id in self.state_machine.dispatcher.shards_by_attempt
         )
-        outcome = reply.outcome.and_then(
-            lambda response: _decode_response(response, reply.call_id)
-        )
-        if isinstance(reply.outcome, Ok):
-            self.engine.router.on_named_limit(
-                reply.leaf_id,
-                named_limit_of(reply.outcome.ok_value, _execution_of(outcome)),
-                now(),
-                reply.elapsed_s,
-            )
+        outcome = self._decode(reply)
         self.engine.router.on_end(
             reply.leaf_id,
             now(),
@@ -246,6 +238,40 @@
         if is_current and self.result is None:
             await self.replies.put((reply.call_id, outcome))
 
+    def _decode(self, reply: LeafReply) -> Result[ShardReply, Failure]:
+        """Decode a reply and record the rate limit that it names.
+
+        An unexpected error fails the call, which may have run.
+        """
+        try:
+            outcome = reply.outcome.and_then(
+                lambda response: _decode_response(response, reply.call_id)
+            )
+            self._record_limit(reply, outcome)
+        except Exception as error:
+            write_traceback()
+            message = f'unexpected {type(error).__name__}'
+            return Err(
+                Failure(
+                    'internal_error',
+                    message,
+                    Step.READ,
+                    execution=Execution.UNKNOWN,
+                )
+            )
+        return outcome
+
+    def _record_limit(
+        self, reply: LeafReply, outcome: Result[ShardReply, Failure]
+    ) -> None:
+        if isinstance(reply.outcome, Ok):
+            self.engine.router.on_named_limit(
+                reply.leaf_id,
+                named_limit_of(reply.outcome.ok_value, _execution_of(outcome)),
+                now(),
+                reply.elapsed_s,
+            )
+
     def on_outcome(
         self, call_id: str, outcome: Result[ShardReply, Failure]
     ) -> list[Action]:
--- a/clementinebank/search/_messages.py
+++ b/clementinebank/search/_messages.py
@@ -92,7 +92,7 @@
     """
     try:
         reader = FieldReader(json.loads(body))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err([FieldProblem('body', f'invalid JSON: {error}')])
     query = reader.text('query')
     if len(query) > MAX_QUERY_CHARACTERS:
