--- a/clementinebank/aggregation/tests/test_messages.py
+++ b/clementinebank/aggregation/tests/test_messages.py
@@ -66,6 +66,14 @@
     assert decode_request(encode_request(request)) == request
 
 
+def test_request_keeps_every_byte_of_its_headers():
+    # Header texts hold one character for each byte.
+    texts = bytes(range(0x80, 0x100)).decode('latin-1')
+    message = HttpRequest('GET', '/', {'x': texts})
+    request = attrs.evolve(REQUEST, http_request=message)
+    assert decode_request(encode_request(request)) == request
+
+
 def test_messages_survive_encoding():
     assert decode_request(encode_request(REQUEST)) == REQUEST
     answer = Ok(MergedAnswer(('sig-a', 'sig-b'), 1, b'records'))
