--- a/clementinebank/ratelimit/_client.py
+++ b/clementinebank/ratelimit/_client.py
@@ -86,12 +86,11 @@
             table = self.service.table
             is_busy = table.limited_count or table.has_changes
             await curio.sleep(BUSY_INTERVAL_S if is_busy else IDLE_INTERVAL_S)
-            if not is_busy:
-                if not self.service.quotas.quotas_by_account:
-                    await self._close_channels()
-                continue
             try:
-                await self.update()
+                if is_busy:
+                    await self.update()
+                elif not self.service.quotas.quotas_by_account:
+                    await self._close_channels()
             except Exception:
                 # Without this task the limits of all leafs would be kept by
                 # shares only, until the process ends.
@@ -169,7 +168,7 @@
     ) -> Acquisition | None:
         """Return the reply of a coordinator, ``None`` if it failed.
 
-        One that failed isn't to be asked for a while, see ``is_paused``.
+        Any error counts as a failure of the coordinator. One that failed isn't to be asked for a while, see ``is_paused``.
         """
         asked_at = now()
         channel = self._channels.setdefault(
@@ -185,6 +184,10 @@
         except CALL_ERRORS as error:
             self._pause(address, error, request)
             return None
+        except Exception as error:
+            write_traceback()
+            self._pause(address, error, request)
+            return None
         return reply
 
     def is_paused(self, address: Address) -> bool:
