Forget splits, pauses and log lines that pile up

The splits follow the configuration in force, the pauses the instances that exist, the queue 2 % of the memory.

--- a/clementinebank/aggregation/_selector.py
+++ b/clementinebank/aggregation/_selector.py
@@ -82,6 +82,13 @@
             for data_centre, members in members_by_data_centre.items()
             if data_centre not in evacuated_data_centres
         }
+        known = {
+            member.address
+            for members in members_by_data_centre.values()
+            for member in members
+        }
+        for address in self._pauses_by_address.keys() - known:
+            self._pauses_by_address.pop(address)
         self._services_by_region = {}
         for record in records:
             is_evacuated = record.data_centre in evacuated_data_centres
--- a/clementinebank/aggregation/tests/test_selector.py
+++ b/clementinebank/aggregation/tests/test_selector.py
@@ -173,3 +173,11 @@
     ]
     selector.update(MEMBERS, records, {'dc-1'})
     assert set(ports(selector)) <= {1, 2, 21}
+
+
+def test_pauses_of_instances_that_are_gone_are_forgotten():
+    selector = make_selector()
+    for number in range(50):
+        selector.on_failure(Address('127.0.0.1', 5000 + number), NOW)
+    selector.update({}, ())
+    assert not selector._pauses_by_address
--- a/clementinebank/gateway/_main.py
+++ b/clementinebank/gateway/_main.py
@@ -42,7 +42,10 @@
         for problem in loaded.err_value:
             sys.stderr.write(f'{path}: {problem}\n')
         return EXIT_INVALID_SETTINGS
-    sink = LogSink(io.FileIO(sys.stdout.fileno(), 'a', closefd=False))
+    sink = LogSink(
+        io.FileIO(sys.stdout.fileno(), 'a', closefd=False),
+        max_queued_bytes=loaded.ok_value.resources.log_bytes,
+    )
     eliot.add_destinations(sink)
     gateway = create(loaded.ok_value)
     watcher = SettingsWatcher(path, loaded.ok_value, gateway.apply_settings)
--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -25,12 +25,13 @@
 # Share of the memory for the bodies of responses of leafs that are being read.
 BUFFERED_MEMORY_SHARE = 0.2
 # Shares of the memory for the entries of the store as bytes, for what is kept
-# of removed ones, for the followers of a relay, and for the distributions of
-# the metrics.
+# of removed ones, for the followers of a relay, for the distributions of the
+# metrics, and for log lines that aren't written yet.
 STATE_MEMORY_SHARE = 0.25
 REMOVALS_MEMORY_SHARE = 0.01
 FOLLOWERS_MEMORY_SHARE = 0.02
 METRICS_MEMORY_SHARE = 0.05
+LOG_MEMORY_SHARE = 0.02
 # Bodies of the largest accepted size that fit into the buffers at once.
 MAX_BODIES_IN_BUFFERS = 16
 
@@ -131,6 +132,11 @@
         """Return the largest size of the distributions of the metrics."""
         return self._share_bytes(METRICS_MEMORY_SHARE)
 
+    @property
+    def log_bytes(self) -> float:
+        """Return the largest size of log lines that aren't written yet."""
+        return self._share_bytes(LOG_MEMORY_SHARE)
+
     @property
     def cores(self) -> float:
         """Return the processor of the instance in cores."""
--- a/clementinebank/process/tests/test_log_sink.py
+++ b/clementinebank/process/tests/test_log_sink.py
@@ -115,3 +115,15 @@
 def test_tree_check_catches_a_shared_context():
     """Negative control: curio's plain tasks share one context."""
     assert sorted(_numbers_by_tree(curio.run), key=len) != [{1}, {2}]
+
+
+def test_stuck_stream_holds_a_bounded_size_of_lines():
+    """Texts of others make lines of any length."""
+    stream = _Stream()
+    sink = LogSink(stream, max_queued_bytes=10_000)
+    for _ in range(100):
+        sink({'reason': 'x' * 2000})
+    assert sink.dropped_lines >= 95
+    stream.gate.set()
+    sink.close(CLOSE_TIMEOUT_S)
+    assert sink.dropped_lines + len(stream.lines) == 100
--- a/clementinebank/ratelimit/_client.py
+++ b/clementinebank/ratelimit/_client.py
@@ -136,6 +136,7 @@
     ) -> None:
         if now() < self._next_ask_at.get(address, 0):
             return
+        _drop_past(self._next_ask_at)
         self._next_ask_at[address] = now() + MIN_ASK_INTERVAL_S
         for leaf_ids in _in_batches(wanted_by_leaf):
             wanted = {leaf_id: wanted_by_leaf[leaf_id] for leaf_id in leaf_ids}
@@ -200,6 +201,7 @@
             leafs=sorted(leaf_ids),
             seconds=PAUSE_S,
         )
+        _drop_past(self._paused_until)
         self._paused_until[address] = now() + PAUSE_S
         for leaf_id in leaf_ids:
             self.service.table.use_share(leaf_id, now())
@@ -211,6 +213,13 @@
             await channel.close()
 
 
+def _drop_past(times_by_address: dict[Address, float]) -> None:
+    """Drop the times that have passed, also of instances that are gone."""
+    past = [each for each, at in times_by_address.items() if at <= now()]
+    for address in past:
+        times_by_address.pop(address)
+
+
 def _in_batches(leaf_ids: Iterable[str]) -> Iterator[tuple[str, ...]]:
     """Yield the leafs in batches whose statements fit into one message."""
     remaining = iter(leaf_ids)
--- a/clementinebank/routes/_split.py
+++ b/clementinebank/routes/_split.py
@@ -1,9 +1,13 @@
 """Distribution of the requests of a route among services by weight."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from clementinebank.routes._model import Route, WeightedService
 
+SplitKey = tuple[str, tuple[WeightedService, ...]]
+
 
 @attrs.define(eq=False)
 class SplitBalancer:
@@ -14,17 +18,20 @@
     are right after a few requests.
     """
 
-    _credits_by_services: dict[
-        tuple[str, tuple[WeightedService, ...]], list[float]
-    ] = attrs.Factory(dict)
+    _credits_by_services: dict[SplitKey, list[float]] = attrs.Factory(dict)
+
+    def retain(self, routes: Iterable[Route]) -> None:
+        """Forget the counts of all other routes and weights."""
+        keys = {_key_of(route) for route in routes}
+        for key in self._credits_by_services.keys() - keys:
+            self._credits_by_services.pop(key)
 
     def choose(self, route: Route) -> str:
         """Return the service that gets the next request of a route."""
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service
-        key = (route.name, route.weighted_services)
         credits = self._credits_by_services.setdefault(
-            key, [0 for _ in route.weighted_services]
+            _key_of(route), [0 for _ in route.weighted_services]
         )
         total = sum(
             weighted_service.weight
@@ -35,3 +42,7 @@
         chosen_index = max(range(len(credits)), key=credits.__getitem__)
         credits[chosen_index] -= 1
         return route.weighted_services[chosen_index].service
+
+
+def _key_of(route: Route) -> SplitKey:
+    return route.name, route.weighted_services
--- a/clementinebank/routes/_table.py
+++ b/clementinebank/routes/_table.py
@@ -71,6 +71,7 @@
         for route in configuration.routes:
             routes_by_host.setdefault(route.host, {})[route.prefix] = route
         self._routes_by_host = routes_by_host
+        self.balancer.retain(configuration.routes)
         return True
 
     def find(self, host: str, path: str) -> Route | None:
--- a/clementinebank/routes/tests/test_table.py
+++ b/clementinebank/routes/tests/test_table.py
@@ -103,6 +103,16 @@
     _check_shares(weights, count)
 
 
+def test_counts_of_a_split_end_with_its_configuration():
+    """Each weight that a route ever had would be kept otherwise."""
+    table = RouteTable()
+    for version in range(1, 30):
+        route = make_route(services=('s1', 's2'), weights=(version, 1))
+        table.activate(RoutingConfiguration(version, (route,), {}))
+        table.choose_services(route)
+    assert len(table.balancer._credits_by_services) == 1
+
+
 def test_split_that_ignores_weights_is_caught():
     ignore_weights = mock.patch.object(
         SplitBalancer,
