--- a/clementinebank/accounts/_table.py
+++ b/clementinebank/accounts/_table.py
@@ -25,6 +25,8 @@
         Account of each key; empty if the deployment has no accounts.
     quotas_by_account : dict of str to Quota
         Quota of each account that has one.
+    account_count : int
+        Number of accounts.
     """
 
     max_age_s: float
@@ -33,9 +35,11 @@
     )
 
     quotas_by_account: dict[str, Quota] = attrs.Factory(dict)
+    account_count: int = 0
 
     def activate(self, accounts: Collection[ClientAccount]) -> None:
         """Replace all accounts."""
+        self.account_count = len(accounts)
         self.quotas_by_account = {
             account.name: account.quota
             for account in accounts
--- a/clementinebank/gateway/_admission.py
+++ b/clementinebank/gateway/_admission.py
@@ -9,6 +9,7 @@
 from clementinebank.errors import Failure, Step
 from clementinebank.forwarding import ForwardRequest
 from clementinebank.gateway._settings import GatewayBounds
+from clementinebank.metrics import Sample, create_sample, names
 from clementinebank.ratelimit import (
     LimitClient,
     LimitService,
@@ -113,6 +114,21 @@
         self.quota_client.apply_bounds(bounds.quota)
         self.accounts.max_age_s = bounds.change_s
 
+    def metric_samples(self) -> list[Sample]:
+        """Return the counts of accounts and of quotas."""
+        service = self.quota_client.limits.service
+        return [
+            create_sample(names.CLIENT_ACCOUNTS, self.accounts.account_count),
+            create_sample(
+                names.SERVED_QUOTAS, len(service.quotas.quotas_by_account)
+            ),
+            create_sample(names.USED_UP_QUOTAS, service.ledger.tight_count),
+            *(
+                create_sample(names.QUOTA_DECISIONS, count, decision=decision)
+                for decision, count in self.quota_client.decisions.items()
+            ),
+        ]
+
     def update(self) -> None:
         """Follow the configuration in force."""
         configuration = self.route_table.configuration
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -149,6 +149,7 @@
             BIND_TIMEOUT_S,
         )
         self.metrics.add_source(self._metric_samples)
+        self.metrics.add_source(self.admission.metric_samples)
 
     @property
     def is_ready(self) -> bool:
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -111,6 +111,27 @@
     'gauge',
     'Data centres whose leafs get no requests by order of the operators.',
 )
+QUOTA_DECISIONS = _register(
+    'clementinebank_quota_decisions_total',
+    'counter',
+    'Requests of accounts with a quota, by how it was decided.',
+    'decision',
+)
+CLIENT_ACCOUNTS = _register(
+    'clementinebank_client_accounts',
+    'gauge',
+    'Client accounts of the configuration in force.',
+)
+SERVED_QUOTAS = _register(
+    'clementinebank_quotas_served',
+    'gauge',
+    'Client accounts with a quota that this instance has served lately.',
+)
+USED_UP_QUOTAS = _register(
+    'clementinebank_quotas_used_up',
+    'gauge',
+    'Quotas that this instance coordinates and that are used up.',
+)
 VIOLATIONS = _register(
     'clementinebank_invariant_violations_total',
     'counter',
--- a/clementinebank/ratelimit/_quota_client.py
+++ b/clementinebank/ratelimit/_quota_client.py
@@ -1,6 +1,6 @@
 """Client that keeps the quotas of accounts over all instances."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -52,11 +52,16 @@
     silence_s : callable
         Returns the time since the store last confirmed what this instance
         knows, in seconds.
+    decisions : Counter of str
+        Requests since the start by how they were decided: ``free`` or with a
+        ``token``, ``alone`` without a coordinator, or refused as ``over`` the
+        quota or ``over_alone``.
     """
 
     limits: LimitClient
     fleet_size: Callable[[], int]
     silence_s: Callable[[], float]
+    decisions: Counter[str] = attrs.Factory(Counter)
     _on_changed: Callable[[], Awaitable[None]] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -107,20 +112,21 @@
             which it may come again.
         """
         table = self.table
-        for _ in range(MAX_QUESTIONS):
+        questions = 0
+        while True:
             address = self._coordinator_of(account)
             if address is None:
                 return self._admit_alone(account, quota)
             decision = table.decide(account, now())
-            if decision is Decision.ADMIT:
-                return None
-            if decision is Decision.REFUSE:
+            if decision is not Decision.ASK or questions == MAX_QUESTIONS:
                 break
+            questions += 1
             if not await self._ask(address, account):
                 return self._admit_alone(account, quota)
-        # The token of the last question.
-        if table.decide(account, now()) is Decision.ADMIT:
+        if decision is Decision.ADMIT:
+            self.decisions['token' if questions else 'free'] += 1
             return None
+        self.decisions['over'] += 1
         return max(MIN_RETRY_S, table.retry_after_s(account, now()))
 
     def apply_bounds(self, bounds: QuotaBounds) -> None:
@@ -148,7 +154,9 @@
         share = 1 / max(1, self.fleet_size())
         decision = table.decide_alone(account, quota, share, now())
         if decision is Decision.ADMIT:
+            self.decisions['alone'] += 1
             return None
+        self.decisions['over_alone'] += 1
         return max(MIN_RETRY_S, table.retry_after_s(account, now()))
 
     async def _settle(
--- a/clementinebank/ratelimit/_quota_table.py
+++ b/clementinebank/ratelimit/_quota_table.py
@@ -28,9 +28,13 @@
 STATEMENT_TIME_S = 30.0
 # Time for which the end of a shortage is passed on, in seconds.
 END_NOTICE_TIME_S = 5.0
-# Part of the tolerated excess that the instances may use when their
-# coordinators are lost. What ran before has used some of it.
+# Parts of the tolerated excess that the instances may use when their
+# coordinators are lost: at once, and in each window. What ran before has used
+# some of it.
 ALONE_PART = 0.5
+ALONE_INCOME_PART = 0.2
+# Least tokens that an instance without a coordinator saves.
+MIN_CAPACITY_ALONE = 2
 # Retry-After of requests that are refused without a coordinator, in seconds.
 MAX_RETRY_ALONE_S = 1.0
 
@@ -187,7 +191,11 @@
             Runtime time in seconds.
         """
         local = self._local(account, now)
-        spare = ALONE_PART * self.bounds.spare(quota) * share
+        spare = self.bounds.spare(quota) * share
+        income_per_s = (
+            quota.rate_per_s * share
+            + ALONE_INCOME_PART * spare / self.bounds.window_s
+        )
         if local.alone_tokens is None:
             local.alone_at = now
             local.granted = 0
@@ -198,7 +206,7 @@
                 0 if is_used_up else spare
             )
         decision = local.decide_alone(
-            quota.rate_per_s * share, max(1, quota.burst * share + spare), now
+            income_per_s, max(MIN_CAPACITY_ALONE, quota.burst * share), now
         )
         if local.unreported:
             self._used_since.setdefault(account, now)
