--- a/clementinebank/gateway/_admission.py
+++ b/clementinebank/gateway/_admission.py
@@ -13,13 +13,14 @@
 from clementinebank.ratelimit import (
     LimitClient,
     LimitService,
+    LimitTable,
+    OnStatements,
     QuotaClient,
     QuotaLedger,
     QuotaTable,
 )
 from clementinebank.relay import EntryLog
 from clementinebank.routes import Route, RouteTable
-from clementinebank.routing import Router
 
 TOO_MANY_REQUESTS = 429
 
@@ -90,12 +91,14 @@
             api_key='',
         )
 
-    def create_limit_service(self, router: Router) -> LimitService:
+    def create_limit_service(
+        self, table: LimitTable, on_statements: OnStatements
+    ) -> LimitService:
         """Return the server of the limits of leafs and of the quotas."""
         bounds = self.bounds.quota
         return LimitService(
-            router.limits,
-            router.merge_limits,
+            table,
+            on_statements,
             quotas=QuotaTable(bounds),
             ledger=QuotaLedger(self.accounts.find_quota, bounds),
         )
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -305,7 +305,9 @@
         )
 
         router = self.engine.router
-        self.limit_service = self.admission.create_limit_service(router)
+        self.limit_service = self.admission.create_limit_service(
+            router.limits, router.merge_limits
+        )
         self.limit_client = LimitClient(
             settings.peers,
             self.limit_service,
--- a/clementinebank/ratelimit/__init__.py
+++ b/clementinebank/ratelimit/__init__.py
@@ -15,7 +15,11 @@
 from clementinebank.ratelimit._quota_client import QuotaClient
 from clementinebank.ratelimit._quota_ledger import QuotaLedger
 from clementinebank.ratelimit._quota_table import QuotaTable
-from clementinebank.ratelimit._service import ACQUIRE_PATH, LimitService
+from clementinebank.ratelimit._service import (
+    ACQUIRE_PATH,
+    LimitService,
+    OnStatements,
+)
 from clementinebank.ratelimit._table import (
     LimitStatement,
     LimitTable,
@@ -32,6 +36,7 @@
     'LimitStatement',
     'LimitTable',
     'NamedLimit',
+    'OnStatements',
     'Quota',
     'QuotaBounds',
     'QuotaClient',
--- a/clementinebank/ratelimit/tests/quota_simulation.py
+++ b/clementinebank/ratelimit/tests/quota_simulation.py
@@ -180,10 +180,13 @@
         rng = random.Random(f'{self.seed}-{now()}')
         targets = targets or self.instances
         end = now() + duration_s
+        tasks = []
         while now() < end:
             await curio.sleep(rng.expovariate(per_s))
             self.sent.append(now())
-            await curio.spawn(rng.choice(targets).request, daemon=True)
+            tasks.append(await curio.spawn(rng.choice(targets).request))
+        for task in tasks:
+            await task.join()
 
     def greatest_excess(self, quota=None):
         """Return by how many requests the fullest window exceeds its bound."""
