--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -151,6 +151,7 @@
             BIND_TIMEOUT_S,
         )
         self.metrics.add_source(self._metric_samples)
+        self.metrics.add_source(self.admission.metric_samples)
 
     @property
     def is_ready(self) -> bool:
@@ -324,7 +325,9 @@
         )
 
         router = self.engine.router
-        self.limit_service = self.admission.create_limit_service(router)
+        self.limit_service = self.admission.create_limit_service(
+            router.limits, router.merge_limits
+        )
         limit_peers = LimitPeers(
             settings.data_centre,
             settings.peers,
