Send no new requests to a leaf that has said that it leaves

Cause: a leaf that leaves says so in all its answers; only the store was asked, which may be stale or down.

Change: one answer of any kind drains the incarnation at once (Departures in the LeafDirectory, which precede every later entry of the store). The relay is told by a call, the other relays by it, followers by the notices.

--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -26,6 +26,7 @@
     MergedAnswer,
 )
 from clementinebank.forwarding._shares import FleetShares
+from clementinebank.forwarding._statements import StatementRecorder
 from clementinebank.forwarding._topology import LeafTopology, create_topology
 from clementinebank.http import BufferLimit
 from clementinebank.leafs import LeafDirectory, LeafEndpoint, LeafRecord
@@ -112,6 +113,8 @@
         Source of randomness for the choice of leafs.
     router : Router
         Routing state; its groups are the services.
+    statements : StatementRecorder
+        Applies what leafs state about themselves.
     """
 
     codec: LeafCodec
@@ -125,6 +128,7 @@
     on_gathering_end: OnRequestEnd | None = None
     rng: random.Random = attrs.Factory(random.Random)
     router: Router = attrs.field(init=False)
+    statements: StatementRecorder = attrs.field(init=False)
     _pools_by_service: dict[str, LeafPools] = attrs.Factory(dict)
     _aggregated_services: set[str] = attrs.Factory(set)
 
@@ -136,6 +140,7 @@
             policy=FORWARDING_ROUTING_POLICY,
             limits=LimitTable(self._limit_share, rng=self.rng),
         )
+        self.statements = StatementRecorder(self.router, self.directory)
 
     def set_fleet(
         self, size: int, aggregator_count: int, *, is_aggregator: bool
@@ -442,7 +447,10 @@
         )
         is_counted = is_current or ended_overtaken_call
         outcome = reply.outcome.map(self.engine.codec.decode)
-        self._record_statements(reply, outcome)
+        if not isinstance(outcome, Err):
+            self.engine.statements.record(
+                reply.leaf_id, outcome.ok_value, reply.elapsed_s
+            )
         router.on_end(
             reply.leaf_id,
             now(),
@@ -453,21 +461,6 @@
         if is_current and self.result is None:
             await self.replies.put((reply.call_id, outcome))
 
-    def _record_statements(
-        self, reply: LeafReply, outcome: Result[LeafResponse, Failure]
-    ) -> None:
-        """Update the routing state with the load and limit in a response."""
-        router = self.engine.router
-        leaf = router.leafs_by_id.get(reply.leaf_id)
-        if leaf is None or isinstance(outcome, Err):
-            return
-        load = outcome.ok_value.load
-        if load is not None:
-            leaf.on_load(load.running, load.waiting)
-        router.on_named_limit(
-            reply.leaf_id, outcome.ok_value.named_limit, now(), reply.elapsed_s
-        )
-
     def on_outcome(
         self, call_id: str, outcome: Result[LeafResponse, Failure]
     ) -> list[Action]:
--- a/clementinebank/forwarding/_messages.py
+++ b/clementinebank/forwarding/_messages.py
@@ -46,10 +46,14 @@
     ----------
     running, waiting : int
         Requests that the leaf serves, and requests in its queue.
+    slowness : float or None
+        Time that work takes on the machine of the leaf at this moment, as a
+        multiple of the usual; ``None`` if it isn't stated.
     """
 
     running: int
     waiting: int
+    slowness: float | None = None
 
 
 @attrs.frozen
@@ -70,6 +74,16 @@
         Load that the leaf reported, ``None`` if it reported none.
     named_limit : NamedLimit or None
         What it states about the rate limit of the leaf, ``None`` if nothing.
+    is_leaving : bool
+        Whether the leaf says that it leaves and wants no new requests.
+    retry_after_s : float or None
+        Time in seconds for which the leaf wants nothing from this instance,
+        ``None`` if it doesn't turn requests away.
+    cold_s : float or None
+        Time in seconds for which the leaf is still cold, ``None`` if it
+        doesn't state that.
+    malformed : tuple of str
+        Names of statements of the leaf that can't be read.
     """
 
     response: HttpResponse
@@ -78,6 +92,10 @@
     is_success: bool = False
     load: LeafLoad | None = None
     named_limit: NamedLimit | None = None
+    is_leaving: bool = False
+    retry_after_s: float | None = None
+    cold_s: float | None = None
+    malformed: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- /dev/null
+++ b/clementinebank/forwarding/_statements.py
@@ -0,0 +1,79 @@
+"""Effect of what leafs state about themselves in their responses."""
+
+from collections import Counter
+
+import attrs
+
+from clementinebank.clock import now
+from clementinebank.forwarding._messages import LeafResponse
+from clementinebank.leafs import LeafDirectory
+from clementinebank.routing import Router
+
+
+@attrs.define(eq=False)
+class StatementRecorder:
+    """Recorder of the statements of leafs in the state of this instance.
+
+    Parameters
+    ----------
+    router : Router
+        State of the leafs.
+    directory : LeafDirectory
+        Registered leafs, and those that have said that they leave.
+    malformed_by_name : Counter of str
+        Statements that couldn't be read and were ignored, by their name.
+    """
+
+    router: Router
+    directory: LeafDirectory
+    malformed_by_name: Counter[str] = attrs.Factory(Counter)
+
+    def record(
+        self, incarnation_id: str, leaf_response: LeafResponse, elapsed_s: float
+    ) -> None:
+        """Apply what a response states about its leaf.
+
+        Parameters
+        ----------
+        incarnation_id : str
+            Leaf that responded; an unknown one is ignored.
+        leaf_response : LeafResponse
+            Its response.
+        elapsed_s : float
+            Time since the request was sent, in seconds.
+        """
+        self.malformed_by_name.update(leaf_response.malformed)
+        leaf = self.router.leafs_by_id.get(incarnation_id)
+        if leaf is None:
+            return
+        if leaf_response.is_leaving:
+            self.on_leaving(incarnation_id, is_told_on=True)
+        load = leaf_response.load
+        if load is not None:
+            leaf.on_load(load.running, load.waiting)
+        self.router.on_named_limit(
+            incarnation_id, leaf_response.named_limit, now(), elapsed_s
+        )
+
+    def on_leaving(self, incarnation_id: str, is_told_on: bool) -> bool:
+        """Send no new requests to an incarnation that leaves.
+
+        Parameters
+        ----------
+        incarnation_id : str
+            Incarnation that leaves; it may be unknown here.
+        is_told_on : bool
+            Whether this instance has to tell others.
+
+        Returns
+        -------
+        bool
+            Whether that was not known before.
+        """
+        is_news = self.directory.on_leaving(
+            incarnation_id, now(), is_told_on=is_told_on
+        )
+        leaf = self.router.leafs_by_id.get(incarnation_id)
+        if is_news and leaf is not None:
+            leaf.start_drain(now())
+        return is_news
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -14,6 +14,7 @@
     Delegator,
 )
 from clementinebank.clock import now
+from clementinebank.departures import TELL_PATH, DepartureAnnouncer
 from clementinebank.errors import Failure, Step
 from clementinebank.forwarding import (
     CallerCodec,
@@ -114,6 +115,7 @@
     aggregation: AggregationService = attrs.field(init=False)
     limit_service: LimitService = attrs.field(init=False)
     limit_client: LimitClient = attrs.field(init=False)
+    departures: DepartureAnnouncer = attrs.field(init=False)
     updater: ControlStateUpdater = attrs.field(init=False)
     peer_server: RpcServer = attrs.field(init=False)
     server: HttpServer = attrs.field(init=False)
@@ -175,6 +177,7 @@
             self.peer_server.cancel_disconnected,
             self.registration.run,
             self.limit_client.run,
+            self.departures.run,
             self.server.serve,
             self.server.cancel_disconnected,
             *self.background,
@@ -296,6 +299,13 @@
             self._limit_listeners,
             self.entry_log.wake_waiting,
         )
+        self.departures = DepartureAnnouncer(
+            settings.peers,
+            self.leaf_directory,
+            self._limit_listeners,
+            self.engine.statements.on_leaving,
+            self.entry_log.wake_waiting,
+        )
 
     def _find_coordinator(self, leaf_id: str) -> Address | None:
         """Return the relay that grants the requests to a limited leaf.
@@ -322,13 +332,26 @@
             return {record.address for record in relays.values()}
         return {own_relay.address}
 
+    def _encode_notice(self) -> bytes:
+        """Return what the followers of this relay have to know of leafs.
+
+        The encodings of two protobuf messages without a common field number
+        can be appended to each other.
+        """
+        limits = self.limit_service.encode_notice()
+        return limits + self.departures.encode_notice()
+
+    def _apply_notice(self, notice: bytes) -> None:
+        self.limit_service.apply_notice(notice)
+        self.departures.apply_notice(notice)
+
     def _has_leafs(self, service: str) -> bool:
         return service in self.engine.router.service.groups_by_id
 
     def _create_feed(self) -> None:
         """Create the feed of control entries and the relay of this instance."""
         settings = self.settings
-        service = RelayService(self.entry_log, self.limit_service.encode_notice)
+        service = RelayService(self.entry_log, self._encode_notice)
         cores = settings.resources.cores
         self.peer_server = RpcServer(
             settings.peers.host,
@@ -337,6 +360,7 @@
                 WATCH_PATH: service.handle_watch,
                 GATHER_PATH: self.aggregation.handle_gather,
                 ACQUIRE_PATH: self.limit_service.handle_acquire,
+                TELL_PATH: self.departures.handle_tell,
             },
             accepting_paths=(GATHER_PATH,),
         )
@@ -359,7 +383,7 @@
                 self.entry_log,
                 data_centre=settings.data_centre,
                 cores=cores,
-                on_notice=self.limit_service.apply_notice,
+                on_notice=self._apply_notice,
             ),
             self.relays,
             self.registration,
@@ -436,6 +460,11 @@
             create_sample(
                 names.LIMITED_LEAFS, self.engine.router.limits.limited_count
             ),
+            create_sample(
+                names.LEAVING_LEAFS,
+                len(self.leaf_directory.registered_departures()),
+            ),
+            *self._malformed_samples(),
             create_sample(
                 names.CONNECTIONS,
                 self.server.open_connections,
@@ -446,6 +475,13 @@
             ),
         ]
 
+    def _malformed_samples(self) -> list[Any]:
+        counts = self.engine.statements.malformed_by_name
+        return [
+            create_sample(names.MALFORMED_STATEMENTS, count, statement=name)
+            for name, count in counts.items()
+        ]
+
 
 def _http_limits(limits: CallerLimits) -> HttpLimits:
     return HttpLimits(
--- a/clementinebank/leafs/_directory.py
+++ b/clementinebank/leafs/_directory.py
@@ -5,6 +5,7 @@
 import attrs
 from eliot import log_message
 
+from clementinebank.leafs._departures import Departures
 from clementinebank.leafs._record import LeafRecord
 
 # Longest time for which a leaf without registration still gets requests. A
@@ -35,12 +36,15 @@
         leafs in their grace period.
     evacuated_data_centres : frozenset of str
         Data centres whose leafs get no requests, by order of the operators.
+    departures : Departures
+        Incarnations that have said that they leave.
     """
 
     drain_limit_s: float
     records_by_id: dict[str, LeafRecord] = attrs.Factory(dict)
     removed_at_by_id: dict[str, float] = attrs.Factory(dict)
     evacuated_data_centres: frozenset[str] = frozenset()
+    departures: Departures = attrs.Factory(Departures)
 
     @property
     def removal_grace_s(self) -> float:
@@ -68,6 +72,59 @@
             log_message(message_type='evacuation:ended', data_centre=ended)
         self.evacuated_data_centres = evacuated
 
+    def on_leaving(
+        self, incarnation_id: str, now: float, *, is_told_on: bool
+    ) -> bool:
+        """Record that an incarnation has said that it leaves.
+
+        Its registration may not be known yet, and may still say otherwise.
+
+        Parameters
+        ----------
+        incarnation_id : str
+            Incarnation that leaves.
+        now : float
+            Runtime time in seconds.
+        is_told_on : bool
+            Whether this instance has to tell others.
+
+        Returns
+        -------
+        bool
+            Whether that was not known before.
+        """
+        is_news = self.departures.add(
+            incarnation_id, now, is_told_on=is_told_on
+        )
+        if not is_news:
+            return False
+        log_message(
+            message_type='leaf:leaving',
+            leaf=incarnation_id,
+            is_told_on=is_told_on,
+        )
+        leaf_id = incarnation_id.rpartition('@')[0]
+        known = self.records_by_id.get(leaf_id)
+        if known is not None and known.incarnation_id == incarnation_id:
+            self.records_by_id[leaf_id] = attrs.evolve(known, is_draining=True)
+        return True
+
+    def registered_departures(self) -> list[str]:
+        """Return the registered incarnations that have said that they leave.
+
+        Others must hear of them as long as the registry doesn't tell.
+        """
+        return [
+            incarnation_id
+            for incarnation_id in self.departures.heard_at_by_incarnation
+            if self._is_registered(incarnation_id)
+        ]
+
+    def _is_registered(self, incarnation_id: str) -> bool:
+        leaf_id = incarnation_id.rpartition('@')[0]
+        record = self.records_by_id.get(leaf_id)
+        return record is not None and record.incarnation_id == incarnation_id
+
     def data_centre_of(self, incarnation_id: str) -> str:
         """Return the data centre of a leaf, empty if it isn't known."""
         leaf_id = incarnation_id.rpartition('@')[0]
@@ -96,11 +153,12 @@
                 known_sequence=known.sequence,
             )
             return False
-        if (
+        was_draining = (
             known is not None
             and known.incarnation_id == record.incarnation_id
             and known.is_draining
-        ):
+        )
+        if was_draining or record.incarnation_id in self.departures:
             record = attrs.evolve(record, is_draining=True)
         self.records_by_id[record.leaf_id] = record
         if known == record and previously_removed_at is None:
@@ -160,6 +218,7 @@
         ]
         for leaf_id in expired:
             self.removed_at_by_id.pop(leaf_id)
-            self.records_by_id.pop(leaf_id)
+            record = self.records_by_id.pop(leaf_id)
+            self.departures.forget_unknown_start(record.incarnation_id)
             log_message(message_type='leaf:gone', leaf=leaf_id)
         return bool(expired)
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -111,6 +111,17 @@
     'gauge',
     'Data centres whose leafs get no requests by order of the operators.',
 )
+LEAVING_LEAFS = _register(
+    'clementinebank_leaving_leafs',
+    'gauge',
+    'Registered leafs that have said in an answer that they leave.',
+)
+MALFORMED_STATEMENTS = _register(
+    'clementinebank_malformed_statements_total',
+    'counter',
+    'Statements in answers of leafs that can not be read and were ignored.',
+    'statement',
+)
 VIOLATIONS = _register(
     'clementinebank_invariant_violations_total',
     'counter',
