Send nothing to a leaf for the time that it has named with a 503

Change: the router closes the leaf for this instance until the time is over and begins with one request then; requests that no leaf wants are refused at once with the time from the state, shards are left out.

--- a/clementinebank/dispatch/__init__.py
+++ b/clementinebank/dispatch/__init__.py
@@ -10,6 +10,7 @@
 )
 from clementinebank.dispatch._dispatcher import (
     RATE_LIMITED_REASON,
+    TURNED_AWAY_REASON,
     Dispatcher,
     EndedAttempt,
 )
@@ -20,6 +21,7 @@
 __all__ = (
     'Action',
     'RATE_LIMITED_REASON',
+    'TURNED_AWAY_REASON',
     'Attempt',
     'CancelCall',
     'DispatchPolicy',
--- a/clementinebank/dispatch/_dispatcher.py
+++ b/clementinebank/dispatch/_dispatcher.py
@@ -25,6 +25,8 @@
 OVERLOADED_REASON = 'overloaded'
 # Missing reason of a shard whose leafs all name a rate limit that is used up.
 RATE_LIMITED_REASON = 'rate_limited'
+# Missing reason of a shard whose leafs all want nothing for a time.
+TURNED_AWAY_REASON = 'turned_away'
 MAX_TRACE_EVENTS = 1000
 MS_PER_S = 1000
 
@@ -101,7 +103,7 @@
         Calls of which is known that no leaf ran them.
     token_wait_s : float
         Time in seconds that the last shard which began to wait was expected to
-        wait for leafs that name a rate limit.
+        wait for leafs that name a rate limit or want nothing for a time.
     """
 
     request: DispatchedRequest
@@ -203,7 +205,7 @@
             return self.end_shard(shard, now)
         if failure.code == SHED_CODE and not shard.attempts_by_id:
             wait_s = self.router.refusal_wait_s(
-                shard.group_id, leaf_id, self._excluded_leafs(shard)
+                shard.group_id, leaf_id, self._excluded_leafs(shard), now
             )
             if wait_s is not None:
                 self._set_waiting(shard, is_waiting=True)
@@ -302,12 +304,7 @@
 
         If it is true, the missing reason of the shard may be updated.
         """
-        # A service without extra load never gets a token for a retry, so
-        # waiting for one would only delay the answer.
-        has_retries = self.router.budget_of(shard.group_id).ratio > 0
-        if shard.sent_count and not has_retries:
-            return True
-        if not self._has_attempt_left(shard):
+        if self._may_not_be_resent(shard) or self._is_turned_away(shard, now):
             return True
         was_never_run = shard.sent_count == shard.not_run_count
         accept_before = self.started_at + self.policy.max_unaccepted_s
@@ -333,6 +330,31 @@
             shard.missing_reason = 'no_leaf'
         return True
 
+    def _may_not_be_resent(self, shard: Shard) -> bool:
+        """Return whether no further call of the shard is permitted."""
+        # A service without extra load never gets a token for a retry, so
+        # waiting for one would only delay the answer.
+        has_retries = self.router.budget_of(shard.group_id).ratio > 0
+        if shard.sent_count and not has_retries:
+            return True
+        return not self._has_attempt_left(shard)
+
+    def _is_turned_away(self, shard: Shard, now: float) -> bool:
+        """Return whether all leafs of the shard want nothing for too long.
+
+        If so, the missing reason and the expected wait are updated.
+        """
+        wait_s = self.router.turned_away_s(
+            shard.group_id,
+            now,
+            shard.unsuitable_leafs | self._leafs_outside(shard),
+        )
+        if wait_s <= self.policy.max_turned_away_s:
+            return False
+        self.token_wait_s = wait_s
+        shard.missing_reason = TURNED_AWAY_REASON
+        return True
+
     def _leafs_outside(self, shard: Shard) -> set[str]:
         """Return the leafs of the shard in regions that may not run it."""
         return self.router.leafs_outside(shard.group_id, self.policy.regions)
--- a/clementinebank/dispatch/_policy.py
+++ b/clementinebank/dispatch/_policy.py
@@ -47,6 +47,9 @@
         the latencies of the group set it.
     expected_s : float
         Usual service time in seconds of a kind that has had few calls.
+    max_turned_away_s : float
+        Longest time in seconds for which a shard waits until the first of its
+        leafs wants requests again; for a longer one it is given up at once.
     regions : frozenset of str or None
         Regions whose leafs may run the request; ``None`` allows all.
     """
@@ -61,4 +64,5 @@
     waits_for_budget: bool = True
     profile: str = ''
     expected_s: float = DEFAULT_EXPECTED_SERVICE_S
+    max_turned_away_s: float = 0
     regions: frozenset[str] | None = None
--- a/clementinebank/forwarding/_forward.py
+++ b/clementinebank/forwarding/_forward.py
@@ -7,6 +7,7 @@
 
 from clementinebank.dispatch import (
     RATE_LIMITED_REASON,
+    TURNED_AWAY_REASON,
     Action,
     Dispatcher,
     DispatchPolicy,
@@ -107,6 +108,7 @@
             max_unaccepted_s=self._max_unaccepted_s(),
             profile=route.name,
             expected_s=EXPECTED_LATENCY_SHARE * route.objective_s,
+            max_turned_away_s=MAX_UNACCEPTED_SHARE * route.objective_s,
             regions=self.request.regions,
         )
         self.dispatcher = Dispatcher(
@@ -221,16 +223,19 @@
     def _is_beyond_limits(
         self, scatter_gather: ScatterGather, now: float
     ) -> bool:
-        """Return whether the rate limits leave too few shards for an answer.
+        """Return whether too few shards take requests for an answer.
+
+        The leafs of the others are at their rate limits or want nothing for a
+        time.
 
         Such a request would use up tokens of the other shards for nothing. The
         demand of the shards without a token is recorded, so that they have one
         for a later request.
         """
-        if not self.router.limits.limited_count:
+        if not self.router.has_closed_leafs:
             return False
         waits_s_by_service = {
-            service: self.router.next_token_s(service, now)
+            service: self.router.next_opening_s(service, now)
             for service in self.services
         }
         wait_s = next(
@@ -246,8 +251,14 @@
         for service, service_wait_s in waits_s_by_service.items():
             if service_wait_s:
                 self.router.record_missed(service, now)
+                is_turned_away = self.router.turned_away_s(service, now) > 0
                 self._shards_by_service[service] = ServiceShard(
-                    service, missing_reason=RATE_LIMITED_REASON
+                    service,
+                    missing_reason=(
+                        TURNED_AWAY_REASON
+                        if is_turned_away
+                        else RATE_LIMITED_REASON
+                    ),
                 )
         return True
 
@@ -400,8 +411,8 @@
         return [Refuse(failure)]
 
     def _retry_after_s(self, reasons: Collection[str]) -> float | None:
-        """Return when a leaf that names a rate limit may take a request."""
-        if RATE_LIMITED_REASON not in reasons:
+        """Return when a leaf that takes nothing now may take a request."""
+        if {RATE_LIMITED_REASON, TURNED_AWAY_REASON}.isdisjoint(reasons):
             return None
         return min(MAX_RETRY_AFTER_S, self.dispatcher.token_wait_s)
 
--- a/clementinebank/forwarding/_statements.py
+++ b/clementinebank/forwarding/_statements.py
@@ -51,6 +51,10 @@
         load = leaf_response.load
         if load is not None:
             leaf.on_load(load.running, load.waiting)
+        if leaf_response.retry_after_s is not None:
+            self.router.on_turned_away(
+                incarnation_id, leaf_response.retry_after_s, now()
+            )
         self.router.on_named_limit(
             incarnation_id, leaf_response.named_limit, now(), elapsed_s
         )
--- a/clementinebank/routing/__init__.py
+++ b/clementinebank/routing/__init__.py
@@ -1,7 +1,8 @@
 """Choice of the replicas that get the requests, and the extra-load budget."""
 
+from clementinebank.routing._availability import SLOW_START_S
 from clementinebank.routing._budget import ExtraLoadBudget
-from clementinebank.routing._leaf_state import SLOW_START_S, LeafState
+from clementinebank.routing._leaf_state import LeafState
 from clementinebank.routing._outcomes import OUTCOMES_BY_CODE, CallOutcome
 from clementinebank.routing._policy import (
     FORWARDING_ROUTING_POLICY,
--- a/clementinebank/routing/_calls.py
+++ b/clementinebank/routing/_calls.py
@@ -12,6 +12,9 @@
 # other leaf of the group does, with the link delays of both included.
 OUTLIER_FACTOR = 3.0
 SLOW_REPLY_MARGIN_S = 0.005
+# Greatest random part that is added to a time for which a leaf wants nothing,
+# as a share of that time.
+TURNED_AWAY_SPREAD = 0.1
 
 
 @invariant('no-new-work-for-draining-leaf', 'R6')
@@ -111,6 +114,30 @@
         leaf.on_cancel(now, elapsed_s, was_overtaken=was_overtaken)
         return False
 
+    def on_turned_away(
+        self, leaf_id: str, retry_after_s: float, now: float
+    ) -> None:
+        """Record that a leaf wants nothing from this instance for a time.
+
+        Parameters
+        ----------
+        leaf_id : str
+            Leaf that responded; an unknown one is ignored.
+        retry_after_s : float
+            Time in seconds that it has named. A random part is added, because
+            the leaf may have named the same time to many instances.
+        now : float
+            Runtime time in seconds.
+        """
+        leaf = self.leafs_by_id.get(leaf_id)
+        if leaf is None or retry_after_s <= 0:
+            return
+        spread = 1 + TURNED_AWAY_SPREAD * self.rng.random()
+        leaf.turn_away(now, retry_after_s * spread)
+        self._turned_away_until = max(
+            self._turned_away_until, leaf.turned_away_until
+        )
+
     def on_overdue(self, leaf_id: str, now: float, attempt_id: str) -> None:
         """Record that a call has outlasted its hedge delay.
 
--- a/clementinebank/routing/_choice.py
+++ b/clementinebank/routing/_choice.py
@@ -65,6 +65,7 @@
             leaf
             for leaf in self._usable_leafs(group_id, remaining_s)
             if leaf.leaf_id not in excluded
+            and not leaf.is_turned_away(now)
             and not (is_extra and self.limits.limit_of(leaf.leaf_id))
         ]
         eligible = [leaf for leaf in usable if self._may_get_request(leaf, now)]
@@ -93,7 +94,11 @@
         return chosen.leaf_id
 
     def refusal_wait_s(
-        self, group_id: str, leaf_id: str, excluded: Collection[str]
+        self,
+        group_id: str,
+        leaf_id: str,
+        excluded: Collection[str],
+        now: float,
     ) -> float | None:
         """Return how long to wait before a leaf that refused is tried again.
 
@@ -109,22 +114,25 @@
             Leaf that refused.
         excluded : collection of str
             Leafs that may not be chosen instead.
+        now : float
+            Runtime time in seconds.
 
         Returns
         -------
         float or None
             Seconds to wait; ``None`` if another replica is expected to answer
-            sooner or the leaf refused repeatedly.
+            sooner, or the leaf refused repeatedly or wants nothing for a time.
         """
         refusing = self.leafs_by_id.get(leaf_id)
         wait_s = refusing.refusal_wait_s() if refusing else None
-        if refusing is None or wait_s is None:
+        if refusing is None or wait_s is None or refusing.is_turned_away(now):
             return None
         alternatives_s = [
             leaf.average_reply_s
             for leaf in self._usable_leafs(group_id, inf)
             if not leaf.is_ejected
             and leaf is not refusing
+            and not leaf.is_turned_away(now)
             and leaf.leaf_id not in excluded
         ]
         expected_s = refusing.average_reply_s + wait_s
@@ -138,6 +146,8 @@
             return None
         for leaf in self._usable_leafs(group_id, inf):
             is_free = leaf.in_flight == 0 and leaf.is_probe_due(now)
+            if leaf.is_turned_away(now):
+                continue
             if is_free and not self.limits.limit_of(leaf.leaf_id):
                 return leaf.leaf_id
         return None
@@ -162,6 +172,35 @@
             if leaf.leaf_id not in excluded
         )
 
+    def turned_away_s(
+        self, group_id: str, now: float, excluded: Collection[str] = ()
+    ) -> float:
+        """Return how long all leafs of a group turn requests away.
+
+        Parameters
+        ----------
+        group_id : str
+            Group of the shard.
+        now : float
+            Runtime time in seconds.
+        excluded : collection of str
+            Leafs that may not be chosen.
+
+        Returns
+        -------
+        float
+            Seconds until the first of them wants requests again; 0 if one does
+            now, or there is none.
+        """
+        if now >= self._turned_away_until:
+            return 0
+        ends = [
+            leaf.turned_away_until
+            for leaf in self._usable_leafs(group_id, inf)
+            if leaf.leaf_id not in excluded
+        ]
+        return max(0, min(ends, default=now) - now)
+
     def expected_wait_s(self, group_id: str, now: float) -> float:
         """Return how long a new request will wait for a free leaf, in seconds.
 
--- a/clementinebank/routing/_leaf_state.py
+++ b/clementinebank/routing/_leaf_state.py
@@ -5,7 +5,7 @@
 import attrs
 from eliot import log_message
 
-from clementinebank.routing._leaf_costs import LeafCosts
+from clementinebank.routing._availability import LeafAvailability
 from clementinebank.routing._outcomes import CallOutcome
 from clementinebank.routing._policy import EjectionPolicy
 from clementinebank.upstream import LeafStatus
@@ -16,9 +16,6 @@
 # The shortest service time is raised by this factor at each reply that is not
 # faster, so that it adapts to a leaf whose requests take longer than before.
 MIN_SERVICE_RISE_FACTOR = 1.01
-# A cold leaf gets a share of its requests that rises to 1 during this time.
-SLOW_START_S = 10.0
-MIN_SLOW_START_SHARE = 0.1
 # Factors of the limit of requests in flight after a refusal and after a reply
 # that waited in the queue of the leaf.
 REFUSAL_LIMIT_FACTOR = 0.5
@@ -40,31 +37,22 @@
 
 
 @attrs.define
-class LeafState(LeafCosts):
-    """Limits and ejection of one leaf, besides its measurements.
+class LeafState(LeafAvailability):
+    """Limits and ejection of one leaf, besides its costs and availability.
 
     Parameters
     ----------
-    cold_since : float or None
-        Runtime time at which the slow start began, ``None`` for a warm leaf.
     overtaken_since : float or None
         Runtime time at which a call to the leaf was overtaken that has not
         ended yet, ``None`` without such a call.
     ejection_policy : EjectionPolicy
         When the leaf is ejected and readmitted.
-    draining_since : float or None
-        Runtime time of the first sign of a drain, ``None`` without a drain.
-    is_evacuated : bool
-        Whether the operators have evacuated the data centre of the leaf.
     ejected_since : float or None
         Runtime time of the last ejection, ``None`` for a leaf in use.
     """
 
-    cold_since: float | None = None
     overtaken_since: float | None = None
     ejection_policy: EjectionPolicy = EjectionPolicy()
-    draining_since: float | None = None
-    is_evacuated: bool = False
     ejected_since: float | None = None
     _consecutive_failures: int = 0
     _consecutive_refusals: int = 0
@@ -76,11 +64,6 @@
     _ejected_until: float = float('-inf')
     _last_refused_at: float = float('-inf')
 
-    @property
-    def is_draining(self) -> bool:
-        """Return whether the leaf may get no new work."""
-        return self.draining_since is not None
-
     @property
     def is_ejected(self) -> bool:
         """Return whether the leaf is ejected.
@@ -142,19 +125,6 @@
             return None
         return max(REFUSAL_PAUSE_S, self.service_s)
 
-    def slow_start_share(self, now: float) -> float:
-        """Return the share of requests that the leaf gets, 0 to 1.
-
-        It rises linearly during the slow start, after which the leaf is warm
-        and the share is 1.
-        """
-        if self.cold_since is None:
-            return 1
-        share = (now - self.cold_since) / SLOW_START_S
-        if share >= 1:
-            self.cold_since = None
-        return min(1, max(MIN_SLOW_START_SHARE, share))
-
     def may_send_trial(self, now: float) -> bool:
         """Return whether an ordinary request may be sent as a trial now.
 
@@ -300,22 +270,6 @@
         self.overtaken_since = None
         return True
 
-    def start_drain(self, now: float) -> None:
-        """Send no new work until the leaf reports that it serves again."""
-        if self.draining_since is None:
-            self.draining_since = now
-            log_message(message_type='leaf:draining', leaf=self.leaf_id)
-
-    def set_evacuated(self, now: float, *, is_evacuated: bool) -> None:
-        """Stop or resume the use of the leaf; it resumes with a slow start.
-
-        All instances learn of the end of an evacuation at about the same time,
-        and the leaf has served nothing meanwhile.
-        """
-        if self.is_evacuated and not is_evacuated:
-            self.cold_since = now
-        self.is_evacuated = is_evacuated
-
     def on_status(
         self, now: float, requested_at: float, status: LeafStatus
     ) -> None:
--- a/clementinebank/routing/_rate_limits.py
+++ b/clementinebank/routing/_rate_limits.py
@@ -4,10 +4,10 @@
 from math import inf
 
 from clementinebank.ratelimit import LimitStatement, NamedLimit
-from clementinebank.routing._replicas import Replicas
+from clementinebank.routing._choice import ReplicaChoice
 
 
-class RateLimitQueries(Replicas):
+class RateLimitQueries(ReplicaChoice):
     """Tokens and waits of groups whose leafs name rate limits."""
 
     __slots__ = ()
@@ -45,6 +45,21 @@
             return 0
         return self.token_wait_s(group_id, now)
 
+    def next_opening_s(self, group_id: str, now: float) -> float:
+        """Return the seconds until a leaf of the group takes a request.
+
+        Both the rate limits and the times for which leafs want nothing count;
+        it is 0 if a leaf takes one now.
+        """
+        return max(
+            self.next_token_s(group_id, now), self.turned_away_s(group_id, now)
+        )
+
+    @property
+    def has_closed_leafs(self) -> bool:
+        """Return whether leafs name limits or have turned requests away."""
+        return bool(self.limits.limited_count) or self._turned_away_until > -inf
+
     def record_missed(self, group_id: str, now: float) -> None:
         """Record a request that was refused because the group has no token."""
         leafs = self._usable_leafs(group_id, inf)
--- a/clementinebank/routing/_replicas.py
+++ b/clementinebank/routing/_replicas.py
@@ -62,6 +62,8 @@
     regions_by_leaf: Mapping[str, str] = attrs.Factory(dict)
     latencies: Latencies = attrs.Factory(Latencies)
     limits: LimitTable = attrs.field()
+    # Runtime time until which any leaf turns requests away.
+    _turned_away_until: float = -inf
     _group_id_by_leaf: dict[str, str] = attrs.Factory(dict)
 
     @limits.default
--- a/clementinebank/routing/_router.py
+++ b/clementinebank/routing/_router.py
@@ -1,11 +1,10 @@
 """Router: the choice of replicas and the record of what became of it."""
 
 from clementinebank.routing._calls import CallRecords
-from clementinebank.routing._choice import ReplicaChoice
 from clementinebank.routing._rate_limits import RateLimitQueries
 
 
-class Router(ReplicaChoice, RateLimitQueries, CallRecords):
+class Router(RateLimitQueries, CallRecords):
     """Selector of the replicas that get the requests of one service.
 
     The router keeps the state of every leaf, the latencies of the calls and
