Correct the tests of leafs that turn away

As strict: the leaf is now the only one of its service under that load.

Measured: test_refusing_leafs (16) and the loopback tests (6) pass.

--- a/clementinebank/forwarding/tests/test_refusing_leafs.py
+++ b/clementinebank/forwarding/tests/test_refusing_leafs.py
@@ -5,6 +5,8 @@
 be refused at once with the time after which one does.
 """
 
+from collections import deque
+
 import pytest
 
 from clementinebank.dispatch import Dispatcher, Finish, Refuse
@@ -23,6 +25,7 @@
 # Requests that may reach the leaf before it wants some again.
 ALLOWED = 2
 LOAD_PER_S = 100
+SERVICE_S = 0.02
 # Long enough for the pause after a single refusal to be over.
 REFUSED_AT = START_S - 0.1
 
@@ -41,22 +44,22 @@
 def sends_under_load(router, until_s):
     """Return the times of the sends to each leaf from the refusal on."""
     sent_at_by_leaf = {leaf_id: [] for leaf_id in router.leafs_by_id}
+    running = deque()
     for number in range(int(until_s * LOAD_PER_S)):
         now = START_S + number / LOAD_PER_S
+        while running and running[0][0] <= now - SERVICE_S:
+            _, ended = running.popleft()
+            router.on_end(ended, now, SERVICE_S, CallOutcome.GOOD)
         leaf_id = router.choose('s0', now)
         if leaf_id is not None:
             sent_at_by_leaf[leaf_id].append(now)
             router.on_sent(leaf_id, now)
-            router.on_end(leaf_id, now + 0.01, 0.01, CallOutcome.GOOD)
+            running.append((now, leaf_id))
     return sent_at_by_leaf
 
 
 def check_leaf_gets_nothing_until_the_end_of_its_time():
-    router = make_simulation().router
-    for leaf_id in router.service.groups_by_id['s0'].leafs_by_id:
-        for _ in range(50):
-            router.on_sent(leaf_id, REFUSED_AT)
-            router.on_end(leaf_id, REFUSED_AT, 0.01, CallOutcome.GOOD)
+    router = make_simulation(replicas=1).router
     turn_away(router, 's0-0@1')
     # A later answer with a shorter time doesn't open the leaf again.
     turn_away(router, 's0-0@1', START_S + 0.1, 0.2)
@@ -139,17 +142,21 @@
 
 def check_refused_request_tries_another_leaf_only():
     for seed in range(20):
-        simulation = make_simulation(replicas=2, seed=seed).start()
+        route = make_route(services=SERVICES)
+        simulation = make_simulation(route, replicas=2, seed=seed).start()
         first = simulation.sent[0]
         simulation.router.on_turned_away(
             first.leaf_id, RETRY_AFTER_S, simulation.now
         )
-        while simulation.outstanding:
-            simulation.answer(simulation.first_outstanding(), make_refusal())
+        while not simulation.endings:
+            for attempt_id in list(simulation.outstanding):
+                simulation.answer(attempt_id, make_refusal())
             simulation.advance(0.01)
         later = {each.leaf_id for each in simulation.sent[1:]}
         assert later
         assert first.leaf_id not in later
+        router = simulation.router
+        assert router.choose('s0', simulation.now, later) is None
 
 
 CHECKS = [each for name, each in globals().items() if name.startswith('check_')]
