--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -27,6 +27,7 @@
     MergedAnswer,
 )
 from clementinebank.forwarding._shares import FleetShares
+from clementinebank.forwarding._statements import StatementRecorder
 from clementinebank.forwarding._topology import LeafTopology, create_topology
 from clementinebank.forwarding._worth import values_of_services
 from clementinebank.http import BufferLimit
@@ -117,6 +118,8 @@
         What the operators pay for work that leaves its data centre.
     router : Router
         Routing state; its groups are the services.
+    statements : StatementRecorder
+        Applies what leafs state about themselves.
     """
 
     codec: LeafCodec
@@ -131,6 +134,7 @@
     rng: random.Random = attrs.Factory(random.Random)
     placement: PlacementSettings = PlacementSettings()
     router: Router = attrs.field(init=False)
+    statements: StatementRecorder = attrs.field(init=False)
     _pools_by_service: dict[str, LeafPools] = attrs.Factory(dict)
     _aggregated_services: set[str] = attrs.Factory(set)
 
@@ -143,6 +147,7 @@
             placement=create_placement(self.placement),
             limits=LimitTable(self._limit_share, rng=self.rng),
         )
+        self.statements = StatementRecorder(self.router, self.directory)
 
     def set_fleet(
         self, size: int, aggregator_count: int, *, is_aggregator: bool
@@ -492,7 +497,10 @@
         """
         try:
             outcome = reply.outcome.map(self.engine.codec.decode)
-            self._record_statements(reply, outcome)
+            if not isinstance(outcome, Err):
+                self.engine.statements.record(
+                    reply.leaf_id, outcome.ok_value, reply.elapsed_s
+                )
         except Exception as error:
             write_traceback()
             return Err(
@@ -506,21 +514,6 @@
             )
         return outcome
 
-    def _record_statements(
-        self, reply: LeafReply, outcome: Result[LeafResponse, Failure]
-    ) -> None:
-        """Update the routing state with the load and limit in a response."""
-        router = self.engine.router
-        leaf = router.leafs_by_id.get(reply.leaf_id)
-        if leaf is None or isinstance(outcome, Err):
-            return
-        load = outcome.ok_value.load
-        if load is not None:
-            leaf.on_load(load.running, load.waiting)
-        router.on_named_limit(
-            reply.leaf_id, outcome.ok_value.named_limit, now(), reply.elapsed_s
-        )
-
     def on_outcome(
         self, call_id: str, outcome: Result[LeafResponse, Failure]
     ) -> list[Action]:
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -14,6 +14,7 @@
     Delegator,
 )
 from clementinebank.clock import now
+from clementinebank.departures import TELL_PATH, DepartureAnnouncer
 from clementinebank.errors import Failure, Step
 from clementinebank.forwarding import (
     CallerCodec,
@@ -118,6 +119,7 @@
     limit_client: LimitClient = attrs.field(init=False)
     admission: Admission = attrs.field(init=False)
     refusal_log: RefusalLog = attrs.Factory(RefusalLog)
+    departures: DepartureAnnouncer = attrs.field(init=False)
     updater: ControlStateUpdater = attrs.field(init=False)
     peer_server: RpcServer = attrs.field(init=False)
     server: HttpServer = attrs.field(init=False)
@@ -184,6 +186,7 @@
             self.registration.run,
             self.limit_client.run,
             self.admission.quota_client.run,
+            self.departures.run,
             self.server.serve,
             self.server.cancel_disconnected,
             *self.background,
@@ -344,6 +347,26 @@
         self.admission.use_limits(
             self.limit_client, lambda: self.relays.fleet_size(now())
         )
+        self.departures = DepartureAnnouncer(
+            settings.peers,
+            self.leaf_directory,
+            limit_peers.listeners,
+            self.engine.statements.on_leaving,
+            self.entry_log.wake_waiting,
+        )
+
+    def _encode_notice(self) -> bytes:
+        """Return what the followers of this relay have to know of leafs.
+
+        The encodings of two protobuf messages without a common field number
+        can be appended to each other.
+        """
+        limits = self.limit_service.encode_notice()
+        return limits + self.departures.encode_notice()
+
+    def _apply_notice(self, notice: bytes) -> None:
+        self.limit_service.apply_notice(notice)
+        self.departures.apply_notice(notice)
 
     def _has_leafs(self, service: str) -> bool:
         return service in self.engine.router.service.groups_by_id
@@ -353,7 +376,7 @@
         settings = self.settings
         service = RelayService(
             self.entry_log,
-            self.limit_service.encode_notice,
+            self._encode_notice,
             settings.resources.follower_bytes,
         )
         cores = settings.resources.cores
@@ -364,6 +387,7 @@
                 WATCH_PATH: service.handle_watch,
                 GATHER_PATH: self.aggregation.handle_gather,
                 ACQUIRE_PATH: self.limit_service.handle_acquire,
+                TELL_PATH: self.departures.handle_tell,
             },
             accepting_paths=(GATHER_PATH,),
         )
@@ -386,7 +410,7 @@
                 self.entry_log,
                 data_centre=settings.data_centre,
                 cores=cores,
-                on_notice=self.limit_service.apply_notice,
+                on_notice=self._apply_notice,
             ),
             self.relays,
             self.registration,
@@ -482,6 +506,11 @@
             create_sample(
                 names.LIMITED_LEAFS, self.engine.router.limits.limited_count
             ),
+            create_sample(
+                names.LEAVING_LEAFS,
+                len(self.leaf_directory.registered_departures()),
+            ),
+            *self._malformed_samples(),
             create_sample(
                 names.CONNECTIONS,
                 self.server.open_connections,
@@ -492,6 +521,13 @@
             ),
         ]
 
+    def _malformed_samples(self) -> list[Any]:
+        counts = self.engine.statements.malformed_by_name
+        return [
+            create_sample(names.MALFORMED_STATEMENTS, count, statement=name)
+            for name, count in counts.items()
+        ]
+
 
 def _http_limits(limits: CallerLimits) -> HttpLimits:
     return HttpLimits(
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -138,6 +138,17 @@
     'gauge',
     'Quotas that this instance coordinates and that are used up.',
 )
+LEAVING_LEAFS = _register(
+    'clementinebank_leaving_leafs',
+    'gauge',
+    'Registered leafs that have said in an answer that they leave.',
+)
+MALFORMED_STATEMENTS = _register(
+    'clementinebank_malformed_statements_total',
+    'counter',
+    'Statements in answers of leafs that can not be read and were ignored.',
+    'statement',
+)
 VIOLATIONS = _register(
     'clementinebank_invariant_violations_total',
     'counter',
--- a/clementinebank/routing/_replicas.py
+++ b/clementinebank/routing/_replicas.py
@@ -70,6 +70,8 @@
     prices_by_leaf: Mapping[str, float] = attrs.Factory(dict)
     latencies: Latencies = attrs.Factory(Latencies)
     limits: LimitTable = attrs.field()
+    # Runtime time until which any leaf turns requests away.
+    _turned_away_until: float = -inf
     _group_id_by_leaf: dict[str, str] = attrs.Factory(dict)
 
     @limits.default
