Bound memory, turns and connections of crowds by budgets

Cause: every body within the limits was read and kept, each reader had its own turn, and accept took every descriptor; a failed accept ended the listener for peers. One budget of an instance's memory, with reserved parts, now holds bodies, answers and messages of peers; over it stalled connections are shed and new bodies refused before they are read. Readers with much work go on one after the other in a lane. At the limit of connections the one that has waited longest without a request is closed.

--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -24,13 +24,14 @@
 )
 from clementinebank.gateway._changes import DecodeEntry
 from clementinebank.gateway._request_log import RequestLog
-from clementinebank.gateway._settings import GatewaySettings
+from clementinebank.gateway._settings import GatewaySettings, ResourceLimits
 from clementinebank.gateway._updater import ControlStateUpdater
 from clementinebank.http import (
     HttpLimits,
     HttpRequest,
     HttpResponse,
     HttpServer,
+    ServerResources,
 )
 from clementinebank.leafs import LeafDirectory
 from clementinebank.metrics import Metrics, create_sample, format_metrics, names
@@ -72,6 +73,8 @@
 # Limits of the listener for callers.
 MAX_CALLER_CONNECTIONS = 2048
 MAX_REQUESTS_IN_FLIGHT = 1024
+# Connections of each listener for the platform.
+MAX_PLATFORM_CONNECTIONS = 32
 
 
 @attrs.define(eq=False)
@@ -106,6 +109,7 @@
     background: list[Any] = attrs.Factory(list)
     entry_log: EntryLog = attrs.Factory(EntryLog)
     relays: RelayDirectory = attrs.Factory(RelayDirectory)
+    server_resources: ServerResources = attrs.field(init=False)
     leaf_directory: LeafDirectory = attrs.field(init=False)
     engine: ForwardingEngine = attrs.field(init=False)
     registration: RelayRegistration = attrs.field(init=False)
@@ -122,6 +126,9 @@
         """Create the parts of the instance; nothing is started."""
         settings = self.settings
         bounds = settings.bounds
+        self.server_resources = ServerResources(
+            settings.resources.memory_budget
+        )
         self.leaf_directory = LeafDirectory(bounds.drain_s)
         self._create_engine()
         self._create_feed()
@@ -139,9 +146,10 @@
             settings.callers.host,
             settings.callers.port,
             self.handle,
-            _http_limits(CallerLimits()),
+            _http_limits(CallerLimits(), settings.resources),
             self._on_server_failure,
             BIND_TIMEOUT_S,
+            self.server_resources,
         )
         self.metrics.add_source(self._metric_samples)
 
@@ -339,6 +347,8 @@
                 ACQUIRE_PATH: self.limit_service.handle_acquire,
             },
             accepting_paths=(GATHER_PATH,),
+            resources=self.server_resources,
+            max_connections=settings.resources.max_peer_connections,
         )
         self.registration = RelayRegistration(
             settings.instance_id,
@@ -373,7 +383,9 @@
         """Pass changed limits and leafs on to the server and the engine."""
         configuration = self.route_table.configuration
         if configuration is not None:
-            self.server.state.limits = _http_limits(configuration.limits)
+            self.server.state.limits = _http_limits(
+                configuration.limits, self.settings.resources
+            )
         await self.delegator.update()
         self.aggregation.is_accepting = not self.is_draining
 
@@ -415,7 +427,7 @@
             address.host,
             address.port,
             handler,
-            HttpLimits(),
+            HttpLimits(max_connections=MAX_PLATFORM_CONNECTIONS),
             bind_timeout_s=BIND_TIMEOUT_S,
         )
 
@@ -447,13 +459,15 @@
         ]
 
 
-def _http_limits(limits: CallerLimits) -> HttpLimits:
+def _http_limits(limits: CallerLimits, resources: ResourceLimits) -> HttpLimits:
     return HttpLimits(
         max_header_bytes=limits.max_header_bytes,
         max_body_bytes=limits.max_body_bytes,
         header_timeout_s=limits.header_timeout_s,
         idle_timeout_s=limits.idle_timeout_s,
-        max_connections=MAX_CALLER_CONNECTIONS,
+        max_connections=min(
+            MAX_CALLER_CONNECTIONS, resources.max_caller_connections
+        ),
         max_in_flight=MAX_REQUESTS_IN_FLIGHT,
         responds_before_idle_close=False,
     )
--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -1,5 +1,6 @@
 """Settings of a gateway instance."""
 
+import resource
 from math import inf
 from pathlib import Path
 
@@ -7,7 +8,7 @@
 from result import Result
 
 from clementinebank.errors import FieldProblem
-from clementinebank.http import BufferLimit
+from clementinebank.http import BufferLimit, MemoryBudget
 from clementinebank.relay import FreshnessBounds
 from clementinebank.validation import Address, FieldReader, load_yaml
 
@@ -24,6 +25,18 @@
 BYTES_PER_MB = 1_000_000
 # Share of the memory for the bodies of responses of leafs that are being read.
 BUFFERED_MEMORY_SHARE = 0.2
+# Share of the memory for bodies of callers, answers to them and messages of
+# other instances. With the share above, what is left is for the program, its
+# connections and the entries of the control store.
+CALLER_MEMORY_SHARE = 0.25
+# Descriptors that are kept for files.
+FILE_DESCRIPTORS = 200
+# Shares of the other descriptors for connections of callers and of other
+# instances; what is left is for connections to leafs and the store.
+CALLER_DESCRIPTOR_SHARE = 0.5
+PEER_DESCRIPTOR_SHARE = 0.3
+MIN_CONNECTIONS = 16
+MIN_DESCRIPTORS = 300
 # Bodies of the largest accepted size that fit into the buffers at once.
 MAX_BODIES_IN_BUFFERS = 16
 
@@ -80,6 +93,12 @@
         return max(MIN_WATCH_WAIT_S, wait_s)
 
 
+def _descriptor_limit() -> int:
+    """Return the limit of the system for this process."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return soft_limit
+
+
 @attrs.frozen
 class ResourceLimits:
     """Resources of the machine of an instance.
@@ -92,11 +111,29 @@
         Speed of the processor, as a multiple of a core.
     memory_mb : float
         Memory at which the process is killed, in megabytes.
+    max_descriptors : int
+        Largest number of open descriptors of the process.
     """
 
     processor_share: float
     processor_speed: float
     memory_mb: float
+    max_descriptors: int = attrs.field(factory=_descriptor_limit)
+
+    @property
+    def memory_budget(self) -> MemoryBudget:
+        """Return the budget of what callers make the instance hold."""
+        return MemoryBudget(CALLER_MEMORY_SHARE * self.memory_mb * BYTES_PER_MB)
+
+    @property
+    def max_caller_connections(self) -> int:
+        """Return the largest number of connections of callers."""
+        return self._connections(CALLER_DESCRIPTOR_SHARE)
+
+    @property
+    def max_peer_connections(self) -> int:
+        """Return the largest number of connections of other instances."""
+        return self._connections(PEER_DESCRIPTOR_SHARE)
 
     @property
     def buffer_limit(self) -> BufferLimit:
@@ -109,6 +146,10 @@
         """Return the processor of the instance in cores."""
         return round(self.processor_share * self.processor_speed, 3)
 
+    def _connections(self, share: float) -> int:
+        sockets = self.max_descriptors - FILE_DESCRIPTORS
+        return max(MIN_CONNECTIONS, int(share * sockets))
+
 
 @attrs.frozen
 class GatewaySettings:
@@ -191,6 +232,9 @@
         reader.number('processor_share', minimum=MIN_PROCESSOR),
         reader.number('processor_speed', minimum=MIN_PROCESSOR),
         reader.number('memory_mb', minimum=MIN_MEMORY_MB),
+        reader.integer(
+            'max_descriptors', _descriptor_limit(), minimum=MIN_DESCRIPTORS
+        ),
     )
     reader.report_unknown_fields()
     return resources
--- a/clementinebank/http/__init__.py
+++ b/clementinebank/http/__init__.py
@@ -8,37 +8,45 @@
     open_socket,
 )
 from clementinebank.http._limits import HttpLimits
+from clementinebank.http._memory import Holding, MemoryBudget, MemoryPart
 from clementinebank.http._messages import (
     HttpRequest,
     HttpResponse,
     json_request,
     json_response,
 )
+from clementinebank.http._resources import ServerResources
 from clementinebank.http._server import HttpServer
 from clementinebank.http._server_connection import (
     Handler,
     ServerConnection,
     ServerState,
 )
-from clementinebank.http._sockets import is_closed_by_peer
-from clementinebank.http._turns import MAX_TURN_S, ReadTurn
+from clementinebank.http._sockets import is_closed_by_peer, shut_down_socket
+from clementinebank.http._turns import MAX_TURN_S, HeavyLane, ReadTurn
 
 __all__ = (
     'MAX_TURN_S',
     'BufferLimit',
     'Handler',
+    'HeavyLane',
+    'Holding',
     'HttpConnection',
     'HttpLimits',
     'HttpProtocolError',
     'HttpRequest',
     'HttpResponse',
     'HttpServer',
+    'MemoryBudget',
+    'MemoryPart',
     'ReadTurn',
     'ServerConnection',
+    'ServerResources',
     'ServerState',
     'fetch',
     'is_closed_by_peer',
     'json_request',
     'json_response',
     'open_socket',
+    'shut_down_socket',
 )
--- a/clementinebank/http/_request_reader.py
+++ b/clementinebank/http/_request_reader.py
@@ -1,13 +1,16 @@
 """Read one HTTP request within the limits of a server."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 import curio
 import h11
 
+from clementinebank.clock import now
 from clementinebank.errors import Failure, Step
 from clementinebank.http._limits import HttpLimits
+from clementinebank.http._memory import Holding, MemoryPart
 from clementinebank.http._messages import HttpRequest
 from clementinebank.http._sockets import READ_SIZE_BYTES
 from clementinebank.http._turns import ReadTurn
@@ -16,6 +19,14 @@
 REQUEST_TIMEOUT_STATUS = 408
 CONTENT_TOO_LARGE_STATUS = 413
 HEADERS_TOO_LARGE_STATUS = 431
+UNAVAILABLE_STATUS = 503
+# Retry-After of a body for which there is no memory; short, because the next
+# attempt reaches another instance.
+RETRY_AFTER_S = 0.1
+# Largest body that has its own part of the memory.
+MAX_SMALL_BODY_BYTES = 8192
+# A body, and its copy on the way to an upstream.
+COPIES = 2
 # A request with one of these headers twice is ambiguous and refused.
 UNREPEATABLE_HEADERS = frozenset(
     ('request-id', 'deadline-ms', 'idempotency-key')
@@ -34,20 +45,33 @@
         Protocol state of the connection.
     limits : HttpLimits
         Largest sizes and longest times that are accepted.
+    holding : Holding
+        Memory of the body, which the caller of ``read`` gives back.
+    turn : ReadTurn
+        Turn of the task of the connection.
     """
 
     sock: Any
     http: Any
     limits: HttpLimits
-    _turn: ReadTurn = attrs.Factory(ReadTurn)
+    holding: Holding
+    turn: ReadTurn
 
-    async def read(self) -> HttpRequest | None:
+    async def read(
+        self, on_head: Callable[[], None] | None = None
+    ) -> HttpRequest | None:
         """Return the request, or ``None`` if the client closed before it.
 
+        Parameters
+        ----------
+        on_head : callable or None
+            Called when the headers are complete.
+
         Raises
         ------
         Failure
-            If the request is malformed, too large or too slow.
+            If the request is malformed, too large or too slow, or if there
+            is no memory for its body.
         """
         try:
             head = await self._read_in_time(
@@ -55,6 +79,8 @@
             )
             if head is None:
                 return None
+            if on_head is not None:
+                on_head()
             headers = _decode_headers(head)
             body = await self._read_in_time(
                 self._read_body, self.limits.body_timeout_s, 'body'
@@ -87,14 +113,18 @@
         for name, length in head.headers:
             if name == b'content-length':
                 self._check_body_size(int(length))
+                self._hold(int(length))
         return head
 
     async def _read_body(self) -> bytes:
         body = bytearray()
         event = await self._next_event()
         while isinstance(event, h11.Data):
+            size = len(body) + len(event.data)
+            self._check_body_size(size)
+            self._hold(size)
+            self.holding.note_progress(len(event.data))
             body += event.data
-            self._check_body_size(len(body))
             event = await self._next_event()
         return bytes(body)
 
@@ -106,13 +136,38 @@
                 'body_too_large', message, 'body', CONTENT_TOO_LARGE_STATUS
             )
 
+    def _hold(self, length: int) -> None:
+        """Hold the memory of a body; raise if there is none.
+
+        A body with a stated length is refused before it is read.
+        """
+        if length > MAX_SMALL_BODY_BYTES and (
+            self.holding.part is MemoryPart.SMALL_REQUESTS
+        ):
+            self.holding.move_to(MemoryPart.REQUESTS)
+        if self.holding.is_shed or not self.holding.grow_to(COPIES * length):
+            raise Failure(
+                'memory_full',
+                'the instance has no memory left for the body',
+                Step.ACCEPT,
+                field='body',
+                status=UNAVAILABLE_STATUS,
+                retry_after_s=RETRY_AFTER_S,
+            )
+
     async def _next_event(self) -> Any:
-        await self._turn.yield_if_due()
-        event = self.http.next_event()
+        await self.turn.yield_if_due()
+        event = self._parse()
         while event is h11.NEED_DATA:
             await self._receive_bytes()
-            await self._turn.yield_if_due()
-            event = self.http.next_event()
+            await self.turn.yield_if_due()
+            event = self._parse()
+        return event
+
+    def _parse(self) -> Any:
+        started_at = now()
+        event = self.http.next_event()
+        self.turn.add_work(now() - started_at)
         return event
 
     async def _receive_bytes(self) -> None:
--- a/clementinebank/http/_server.py
+++ b/clementinebank/http/_server.py
@@ -7,8 +7,10 @@
 import curio
 from eliot import log_message
 
+from clementinebank.clock import now
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http._limits import HttpLimits
+from clementinebank.http._resources import ServerResources
 from clementinebank.http._server_connection import (
     Handler,
     ServerConnection,
@@ -25,6 +27,9 @@
 # Connections over the limit that may be sent a 503 response at the same time;
 # any further one is closed without a response.
 MAX_CONCURRENT_REFUSALS = 64
+# Time for which a connection without a request isn't closed for another one;
+# a client sends its request right after it has connected.
+MIN_WAIT_S = 0.1
 
 
 @attrs.define(eq=False)
@@ -47,8 +52,12 @@
     bind_timeout_s : float
         Time for which binding is retried while another process, such as a
         draining predecessor, still listens on the address, in seconds.
+    resources : ServerResources
+        Shared with the other servers of the process.
     is_listening : bool
         Whether the server accepts connections.
+    shed_connections : int
+        Connections without a request that were closed to accept others.
 
     Attributes
     ----------
@@ -62,14 +71,18 @@
     limits: HttpLimits = HttpLimits()
     on_failure: Any = None
     bind_timeout_s: float = 0
+    resources: ServerResources = attrs.Factory(ServerResources)
     is_listening: bool = False
+    shed_connections: int = 0
     state: ServerState = attrs.field(init=False)
     _accept_task: Any = None
     _refusals_in_progress: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Create the state shared by the connections."""
-        self.state = ServerState(self.handler, self.limits, self.on_failure)
+        self.state = ServerState(
+            self.handler, self.limits, self.on_failure, self.resources
+        )
 
     @property
     def in_flight(self) -> int:
@@ -183,7 +196,9 @@
 
     async def _start_connection(self, sock: Any) -> None:
         connection = ServerConnection(sock, self.state)
-        if self.open_connections < self.limits.max_connections:
+        if self.open_connections >= self.state.limits.max_connections:
+            await self._shed_oldest_waiting()
+        if self.open_connections < self.state.limits.max_connections:
             self.state.add(connection)
             connection.task = await curio.spawn(connection.run, daemon=True)
         elif self._refusals_in_progress < MAX_CONCURRENT_REFUSALS:
@@ -192,8 +207,27 @@
         else:
             await sock.close()
 
+    async def _shed_oldest_waiting(self) -> None:
+        """Close the connection that has waited longest without a request.
+
+        Load pattern that it answers: idle connections, or headers without
+        end, by the thousand.
+        """
+        waiting = [
+            each
+            for each in self.state.connections
+            if each.waiting_since is not None
+            and now() - each.waiting_since >= MIN_WAIT_S
+        ]
+        if not waiting:
+            return
+        oldest = min(waiting, key=lambda each: each.waiting_since or 0)
+        oldest.shed()
+        await self.state.remove(oldest)
+        self.shed_connections += 1
+
     async def _refuse(self, connection: ServerConnection) -> None:
-        limit = self.limits.max_connections
+        limit = self.state.limits.max_connections
         failure = Failure(
             'too_many_connections',
             f'the limit of {limit} connections is reached',
--- a/clementinebank/http/_server_connection.py
+++ b/clementinebank/http/_server_connection.py
@@ -9,25 +9,31 @@
 import h11
 from eliot import write_traceback
 
+from clementinebank.clock import now
 from clementinebank.errors import Execution, Failure, Step
 from clementinebank.http._limits import HttpLimits
+from clementinebank.http._memory import Holding, MemoryPart
 from clementinebank.http._messages import (
     HttpRequest,
     HttpResponse,
     json_response,
 )
 from clementinebank.http._request_reader import RequestReader
+from clementinebank.http._resources import ServerResources
 from clementinebank.http._sockets import (
     WaitInterrupt,
     has_input,
     is_closed_by_peer,
     linger,
+    shut_down_socket,
     wait_for_input,
 )
 from clementinebank.http._turns import ReadTurn
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 REQUEST_TIMEOUT_STATUS = 408
+# Bytes of a response that are passed to the socket at once.
+SEND_SIZE_BYTES = 65_536
 
 
 class NextStep(enum.Enum):
@@ -55,6 +61,8 @@
     on_failure : callable or None
         Called with each failure that the server answers in place of the
         handler.
+    resources : ServerResources
+        Shared with the other servers of the process.
     in_flight : int
         Requests in the handler.
     is_closing : bool
@@ -68,6 +76,7 @@
     handler: Handler
     limits: HttpLimits
     on_failure: Callable[[Failure], None] | None = None
+    resources: ServerResources = attrs.Factory(ServerResources)
     in_flight: int = 0
     is_closing: bool = False
     is_draining: bool = False
@@ -110,6 +119,11 @@
         Task that runs ``run``.
     is_idle : bool
         Whether the connection waits for the first byte of a request.
+    waiting_since : float or None
+        Time since which it waits for a request or the rest of its headers;
+        ``None`` while a request is read further or served.
+    is_shed : bool
+        Whether it was closed to make room for another one.
     is_responding : bool
         Whether a request was read whose response is not sent completely.
 
@@ -125,6 +139,9 @@
     task: Any = None
     is_idle: bool = False
     is_responding: bool = False
+    waiting_since: float | None = None
+    is_shed: bool = False
+    _turn: ReadTurn = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the protocol state."""
@@ -132,16 +149,16 @@
             h11.SERVER,
             max_incomplete_event_size=self.state.limits.max_header_bytes,
         )
+        self._turn = ReadTurn(self.state.resources.lane)
 
     async def run(self) -> None:
         """Serve requests one after the other, then close the connection."""
         next_step = NextStep.REUSE
-        turn = ReadTurn()
         try:
             while next_step is NextStep.REUSE:
                 next_step = await self._serve_next()
                 # A client may send its next request before each response.
-                await turn.yield_if_due()
+                await self._turn.yield_if_due()
             if next_step is NextStep.LINGER:
                 await linger(self.sock, self.state.limits.linger_s)
         except OSError:
@@ -151,6 +168,11 @@
             await self.sock.close()
             await self.state.remove(self)
 
+    def shed(self) -> None:
+        """Close the connection at once, to make room for another one."""
+        self.is_shed = True
+        shut_down_socket(self.sock)
+
     async def interrupt(self) -> None:
         """Stop waiting for the next request if the connection is idle."""
         if self.is_idle:
@@ -173,21 +195,44 @@
 
     async def _serve_next(self) -> NextStep:
         """Serve one request and return what to do with the connection."""
-        if (
-            not self.http.trailing_data[0]
-            and not await self._wait_for_request()
-        ):
-            return await self._close_idle()
-        reader = RequestReader(self.sock, self.http, self.state.limits)
+        self.waiting_since = now()
+        if not self.http.trailing_data[0]:
+            if not await self._wait_for_request():
+                return await self._close_idle()
+            self._turn.restart()
+        holding = Holding(
+            self.state.resources.memory,
+            MemoryPart.SMALL_REQUESTS,
+            self.shed,
+        )
+        try:
+            return await self._serve_held(holding)
+        finally:
+            holding.release()
+
+    async def _serve_held(self, holding: Holding) -> NextStep:
+        """Serve one request with the memory that its body holds."""
+        reader = RequestReader(
+            self.sock, self.http, self.state.limits, holding, self._turn
+        )
         try:
-            request = await reader.read()
+            request = await reader.read(self._on_head)
         except Failure as failure:
+            if self.is_shed:
+                return NextStep.CLOSE
             await self._send_failure(failure)
             return NextStep.LINGER
-        if request is None:
+        # A connection that was shed can't carry an answer any more, so that
+        # its request isn't begun.
+        if request is None or self.is_shed:
             return NextStep.CLOSE
+        holding.shed = None
         self.is_responding = True
-        await self._send(await self._respond(request), request.method)
+        method = request.method
+        response = await self._respond(request)
+        del request, reader
+        holding.release()
+        await self._send(response, method)
         self.is_responding = False
         states = {self.http.our_state, self.http.their_state}
         if states != {h11.DONE}:
@@ -195,6 +240,9 @@
         self.http.start_next_cycle()
         return NextStep.REUSE
 
+    def _on_head(self) -> None:
+        self.waiting_since = None
+
     async def _wait_for_request(self) -> bool:
         """Return whether a request, or the end of the stream, has arrived.
 
@@ -265,7 +313,12 @@
 
     def _failure_response(self, failure: Failure) -> HttpResponse:
         self.state.report_failure(failure)
-        return json_response(failure.status, failure.as_json())
+        headers = (
+            {}
+            if failure.retry_after_s is None
+            else {'retry-after': f'{failure.retry_after_s:g}'}
+        )
+        return json_response(failure.status, failure.as_json(), headers)
 
     async def _send_failure(self, failure: Failure) -> None:
         response = self._failure_response(failure)
@@ -280,9 +333,35 @@
             # The handler returned a response that HTTP does not allow.
             fallback = self._error_response(error)
             payload = self._encode(fallback, method)
+        del response
+        holding = Holding(
+            self.state.resources.memory, MemoryPart.ANSWERS, self.shed
+        )
+        try:
+            await self._send_held(payload, holding)
+        finally:
+            holding.release()
+
+    async def _send_held(self, payload: bytes, holding: Holding) -> None:
+        """Send bytes to a client that takes some of them all the time.
+
+        Raises
+        ------
+        OSError
+            If the client is gone or takes none for the send timeout, or if
+            there is no memory for the bytes.
+        """
+        if not holding.grow_to(len(payload)):
+            raise OSError('the instance has no memory left for the response')
         limit_s = self.state.limits.send_timeout_s
+        rest = memoryview(payload)
         try:
-            await curio.timeout_after(limit_s, self.sock.sendall, payload)
+            while rest:
+                sent = await curio.timeout_after(
+                    limit_s, self.sock.send, rest[:SEND_SIZE_BYTES]
+                )
+                holding.note_progress(sent)
+                rest = rest[sent:]
         except curio.TaskTimeout:
             message = 'the client did not read its response in time'
             raise TimeoutError(message) from None
--- a/clementinebank/http/_sockets.py
+++ b/clementinebank/http/_sockets.py
@@ -1,5 +1,6 @@
 """Wait for input on sockets without losing bytes that have arrived."""
 
+import contextlib
 import select
 import socket
 from typing import Any
@@ -79,3 +80,9 @@
     # curio cancels a task only once unless this flag is reset.
     task = await curio.current_task()
     task.cancelled = False
+
+
+def shut_down_socket(sock: Any) -> None:
+    """Shut a curio socket down; the task that uses it fails and closes it."""
+    with contextlib.suppress(OSError):
+        sock._socket.shutdown(socket.SHUT_RDWR)
--- a/clementinebank/rpc/_connection.py
+++ b/clementinebank/rpc/_connection.py
@@ -12,7 +12,15 @@
 from h2.exceptions import ProtocolError
 from h2.settings import SettingCodes
 
-from clementinebank.http import ReadTurn, is_closed_by_peer
+from clementinebank.clock import now
+from clementinebank.http import (
+    Holding,
+    MemoryPart,
+    ReadTurn,
+    ServerResources,
+    is_closed_by_peer,
+    shut_down_socket,
+)
 
 READ_SIZE_BYTES = 65_536
 # Bytes that are parsed without letting other tasks run. The smallest frames
@@ -24,6 +32,8 @@
 # Flow control window. It is larger than any message, so that a sender never
 # waits for window updates of the receiver within a message.
 WINDOW_BYTES = 2_000_000
+# A message, and its copy while it is decoded.
+COPIES = 2
 CONTENT_TYPE = 'application/grpc+proto'
 REPLY_HEADERS = ((':status', '200'), ('content-type', CONTENT_TYPE))
 # Flag of compression and length of the payload, before each gRPC message.
@@ -89,6 +99,9 @@
     accepting_paths : collection of str
         Methods whose reply headers a server sends as soon as the headers of a
         call have arrived, so that the caller knows that the call is accepted.
+    resources : ServerResources
+        Memory of the received messages, and the lane of those that take much
+        work; shared by the connections of a server.
     """
 
     sock: Any
@@ -96,6 +109,10 @@
     bytes_sent: int = 0
     bytes_received: int = 0
     accepting_paths: Collection[str] = ()
+    resources: ServerResources = attrs.Factory(ServerResources)
+    _turn: ReadTurn = attrs.field(init=False)
+    _holding: Holding = attrs.field(init=False)
+    _unparsed: memoryview = memoryview(b'')
     _http: Any = attrs.field(init=False)
     _events: deque[Any] = attrs.Factory(deque)
     _headers: dict[str, str] = attrs.Factory(dict)
@@ -103,6 +120,12 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the HTTP/2 protocol state."""
+        self._turn = ReadTurn(self.resources.lane)
+        self._holding = Holding(
+            self.resources.memory,
+            MemoryPart.PEERS,
+            self.shed if not self.is_client else None,
+        )
         self._http = H2Connection(
             H2Configuration(client_side=self.is_client, header_encoding='utf-8')
         )
@@ -200,10 +223,9 @@
             If the other side breaks the protocol, closes within a message or
             sends one that is larger than ``MAX_MESSAGE_BYTES``.
         """
-        turn = ReadTurn()
         message = self._next_message()
         while message is None:
-            await turn.yield_if_due()
+            await self._turn.yield_if_due()
             # Received data may have queued window updates for the other side.
             await self.flush()
             if not await self._receive_events():
@@ -211,8 +233,20 @@
                     raise RpcProtocolError('the peer closed within a message')
                 return None
             message = self._next_message()
+        # The message is handled now, which a shed connection would undo.
+        self._holding.shed = None
         return message
 
+    def end_message(self) -> None:
+        """Give the memory of the last message back."""
+        self._turn.restart()
+        self._holding.release()
+        self._holding.shed = self.shed
+
+    def shed(self) -> None:
+        """Close the connection at once, to make room for others."""
+        shut_down_socket(self.sock)
+
     async def flush(self) -> None:
         """Write the bytes that the protocol state has queued."""
         pending = self._http.data_to_send()
@@ -222,17 +256,23 @@
 
     async def close(self) -> None:
         """Close the socket."""
+        self._holding.release()
         await self.sock.close()
 
     async def _receive_events(self) -> bool:
-        chunk = await self.sock.recv(READ_SIZE_BYTES)
-        if not chunk:
-            return False
-        self.bytes_received += len(chunk)
-        turn = ReadTurn()
-        for start in range(0, len(chunk), PARSED_SIZE_BYTES):
-            self._parse(chunk[start : start + PARSED_SIZE_BYTES])
-            await turn.yield_if_due()
+        if not self._unparsed:
+            chunk = await self.sock.recv(READ_SIZE_BYTES)
+            if not chunk:
+                return False
+            self.bytes_received += len(chunk)
+            self._unparsed = memoryview(chunk)
+        # The rest waits, so that its events take no memory.
+        parsed = bytes(self._unparsed[:PARSED_SIZE_BYTES])
+        self._unparsed = self._unparsed[PARSED_SIZE_BYTES:]
+        started_at = now()
+        self._parse(parsed)
+        self._turn.add_work(now() - started_at)
+        await self._turn.yield_if_due()
         await self.flush()
         return True
 
@@ -285,11 +325,15 @@
             self._http.send_headers(event.stream_id, REPLY_HEADERS)
 
     def _append_data(self, event: Any) -> None:
-        self._body += event.data
-        if len(self._body) > MAX_MESSAGE_BYTES + MESSAGE_PREFIX.size:
+        size = len(self._body) + len(event.data)
+        if size > MAX_MESSAGE_BYTES + MESSAGE_PREFIX.size:
             raise RpcProtocolError(
                 f'the message is larger than {MAX_MESSAGE_BYTES} bytes'
             )
+        if not self._holding.grow_to(COPIES * size):
+            raise RpcProtocolError('there is no memory left for the message')
+        self._holding.note_progress(len(event.data))
+        self._body += event.data
         self._http.acknowledge_received_data(
             event.flow_controlled_length, event.stream_id
         )
--- a/clementinebank/rpc/_server.py
+++ b/clementinebank/rpc/_server.py
@@ -11,6 +11,7 @@
 
 from clementinebank.clock import now, run_before
 from clementinebank.errors import Step
+from clementinebank.http import ServerResources
 from clementinebank.rpc._channel import failure_from_error
 from clementinebank.rpc._connection import (
     REPLY_HEADERS,
@@ -30,6 +31,9 @@
 # instance may hold it while it drains.
 BIND_TIMEOUT_S = 60.0
 BIND_RETRY_S = 0.1
+ACCEPT_RETRY_S = 0.1
+# Default of the largest number of connections.
+MAX_CONNECTIONS = 2048
 # Work for a caller that has left must end within half a second.
 DISCONNECT_CHECK_INTERVAL_S = 0.1
 STATUS_UNIMPLEMENTED = '12'
@@ -60,6 +64,13 @@
         Methods whose calls are accepted before their callers end them; only
         then the handler runs. It is cancelled when the caller has closed the
         connection.
+    resources : ServerResources
+        Shared with the other servers of the process.
+    max_connections : int
+        Largest number of open connections. For another one, the one that has
+        waited longest for a message is closed.
+    shed_connections : int
+        Connections that were closed for another one so far.
     """
 
     host: str
@@ -69,6 +80,11 @@
     message_count: int = 0
     refused_connection_count: int = 0
     accepting_paths: Collection[str] = ()
+    resources: ServerResources = attrs.Factory(ServerResources)
+    max_connections: int = MAX_CONNECTIONS
+    shed_connections: int = 0
+    _connection_count: int = 0
+    _waiting_since: dict[RpcConnection, float] = attrs.Factory(dict)
     _tasks_by_connection: dict[RpcConnection, Any] = attrs.Factory(dict)
 
     async def serve(self) -> None:
@@ -83,12 +99,14 @@
         end = now() + BIND_TIMEOUT_S
         while True:
             try:
-                return await curio.tcp_server(
-                    self.host, self.port, self.serve_connection, backlog=BACKLOG
+                listening = curio.tcp_server_socket(
+                    self.host, self.port, backlog=BACKLOG
                 )
             except OSError as error:
                 if error.errno != errno.EADDRINUSE or now() >= end:
                     raise
+            else:
+                await self._accept_all(listening)
             await curio.sleep(BIND_RETRY_S)
 
     async def cancel_disconnected(self) -> None:
@@ -106,8 +124,12 @@
         An error of the peer or the transport closes only this connection.
         """
         connection = RpcConnection(
-            sock, is_client=False, accepting_paths=self.accepting_paths
+            sock,
+            is_client=False,
+            accepting_paths=self.accepting_paths,
+            resources=self.resources,
         )
+        self._connection_count += 1
         try:
             await self._serve_messages(connection)
         except (RpcProtocolError, ProtocolError) as error:
@@ -119,20 +141,64 @@
             # another call.
             return
         finally:
+            self._connection_count -= 1
+            self._waiting_since.pop(connection, None)
             await connection.close()
 
+    async def _accept_all(self, listening: Any) -> None:
+        async with listening, curio.TaskGroup() as group:
+            await group.spawn(self._accept, listening, group)
+            async for task in group:
+                task.joined = True
+
+    async def _accept(self, listening: Any, group: Any) -> None:
+        while True:
+            try:
+                sock, peer = await listening.accept()
+            except OSError as error:
+                # Without a free file descriptor, accept fails until one is
+                # closed.
+                log_message(
+                    message_type='peer:accept_failed', reason=str(error)
+                )
+                await curio.sleep(ACCEPT_RETRY_S)
+                continue
+            if self._has_room():
+                await group.spawn(self.serve_connection, sock, peer)
+                # The connection is counted when its task begins.
+                await curio.sleep(0)
+            else:
+                await sock.close()
+
+    def _has_room(self) -> bool:
+        """Return whether there is room for a connection; make it if not."""
+        if self._connection_count < self.max_connections:
+            return True
+        if not self._waiting_since:
+            return False
+        # A connection that begins to wait is put last.
+        oldest = next(iter(self._waiting_since))
+        self._waiting_since.pop(oldest)
+        oldest.shed()
+        self.shed_connections += 1
+        return True
+
     async def _serve_messages(self, connection: RpcConnection) -> None:
         await connection.start()
         while True:
+            self._waiting_since[connection] = now()
             message = await run_before(
                 now() + IDLE_TIMEOUT_S, connection.receive
             )
+            self._waiting_since.pop(connection, None)
             if message is None:
                 return
             deadline = now() + self.call_timeout_s
             await run_before(
                 deadline, self._handle_message, connection, message
             )
+            del message
+            connection.end_message()
 
     async def _handle_message(
         self, connection: RpcConnection, message: ReceivedMessage
