--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -32,6 +32,7 @@
     HttpResponse,
     HttpServer,
     ServerResources,
+    read_resource_samples,
 )
 from clementinebank.leafs import LeafDirectory
 from clementinebank.metrics import Metrics, create_sample, format_metrics, names
@@ -456,6 +457,13 @@
             create_sample(
                 names.IN_FLIGHT, self.server.in_flight, listener='callers'
             ),
+            create_sample(
+                names.CLIENT_MEMORY,
+                self.engine.buffers.used_bytes,
+                part='leaf_answers',
+                kind='held',
+            ),
+            *read_resource_samples(self.server_resources),
         ]
 
 
@@ -464,7 +472,10 @@
         max_header_bytes=limits.max_header_bytes,
         max_body_bytes=limits.max_body_bytes,
         header_timeout_s=limits.header_timeout_s,
+        # The pages state no time for a body or an answer.
+        body_timeout_s=limits.idle_timeout_s,
         idle_timeout_s=limits.idle_timeout_s,
+        send_timeout_s=limits.idle_timeout_s,
         max_connections=min(
             MAX_CALLER_CONNECTIONS, resources.max_caller_connections
         ),
--- a/clementinebank/http/__init__.py
+++ b/clementinebank/http/__init__.py
@@ -16,6 +16,7 @@
     json_response,
 )
 from clementinebank.http._resources import ServerResources
+from clementinebank.http._samples import read_resource_samples
 from clementinebank.http._server import HttpServer
 from clementinebank.http._server_connection import (
     Handler,
@@ -48,5 +49,6 @@
     'json_request',
     'json_response',
     'open_socket',
+    'read_resource_samples',
     'shut_down_socket',
 )
--- a/clementinebank/http/_limits.py
+++ b/clementinebank/http/_limits.py
@@ -21,7 +21,8 @@
     idle_timeout_s : float
         Longest time without a request on an open connection, in seconds.
     send_timeout_s : float
-        Longest time for sending a response, in seconds.
+        Longest time in which a client takes no byte of its response, in
+        seconds.
     linger_s : float
         Longest time for which a connection that the server closes still
         reads and discards input, in seconds.
--- a/clementinebank/http/_memory.py
+++ b/clementinebank/http/_memory.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable, Mapping
 
 import attrs
-from eliot import log_message
 
 from clementinebank.clock import now
+from clementinebank.http._sheds import ShedLog
 
 # Time without progress after which a holding may be shed for another. A
 # client that a lost packet holds up makes progress again within it.
@@ -52,13 +52,15 @@
         Largest sum of all holdings, in bytes.
     used_by_part : dict of MemoryPart to int
         Bytes held now.
-    shed_by_part : dict of MemoryPart to int
+    sheds : ShedLog
         Connections closed so far to make room.
+    holdings : set of Holding
+        What holds any bytes now.
     """
 
     max_bytes: float = float('inf')
     used_by_part: dict[MemoryPart, int] = attrs.Factory(_zero_by_part)
-    shed_by_part: dict[MemoryPart, int] = attrs.Factory(_zero_by_part)
+    sheds: ShedLog = attrs.Factory(ShedLog)
     holdings: set['Holding'] = attrs.Factory(set)
 
     def fits(self, part: MemoryPart, size: int) -> bool:
@@ -96,9 +98,12 @@
             default=None,
         )
 
+    def reserved_bytes(self, part: MemoryPart) -> float:
+        """Return the bytes that only this part may use."""
+        return self.max_bytes * RESERVED_SHARES[part]
+
     def _beyond_reserve(self, part: MemoryPart, growth: int) -> float:
-        reserved = self.max_bytes * RESERVED_SHARES[part]
-        return self.used_by_part[part] + growth - reserved
+        return self.used_by_part[part] + growth - self.reserved_bytes(part)
 
 
 @attrs.define(eq=False)
@@ -169,13 +174,11 @@
 
     def end(self) -> None:
         """Shed the connection, which makes its bytes free."""
-        log_message(
-            message_type='http:shed',
-            part=self.part.value,
+        self.budget.sheds.record(
+            self.part.value,
             bytes=self.size,
             stalled_s=round(now() - self.progress_at, 3),
         )
-        self.budget.shed_by_part[self.part] += 1
         self.is_shed = True
         self.release()
         if self.shed is not None:
--- a/clementinebank/http/_request_reader.py
+++ b/clementinebank/http/_request_reader.py
@@ -49,6 +49,8 @@
         Memory of the body, which the caller of ``read`` gives back.
     turn : ReadTurn
         Turn of the task of the connection.
+    on_head : callable
+        Called when the headers are complete.
     """
 
     sock: Any
@@ -56,17 +58,11 @@
     limits: HttpLimits
     holding: Holding
     turn: ReadTurn
+    on_head: Callable[[], None]
 
-    async def read(
-        self, on_head: Callable[[], None] | None = None
-    ) -> HttpRequest | None:
+    async def read(self) -> HttpRequest | None:
         """Return the request, or ``None`` if the client closed before it.
 
-        Parameters
-        ----------
-        on_head : callable or None
-            Called when the headers are complete.
-
         Raises
         ------
         Failure
@@ -79,8 +75,6 @@
             )
             if head is None:
                 return None
-            if on_head is not None:
-                on_head()
             headers = _decode_headers(head)
             body = await self._read_in_time(
                 self._read_body, self.limits.body_timeout_s, 'body'
@@ -110,6 +104,7 @@
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
+        self.on_head()
         for name, length in head.headers:
             if name == b'content-length':
                 self._check_body_size(int(length))
--- a/clementinebank/http/_server.py
+++ b/clementinebank/http/_server.py
@@ -56,8 +56,6 @@
         Shared with the other servers of the process.
     is_listening : bool
         Whether the server accepts connections.
-    shed_connections : int
-        Connections without a request that were closed to accept others.
 
     Attributes
     ----------
@@ -73,7 +71,6 @@
     bind_timeout_s: float = 0
     resources: ServerResources = attrs.Factory(ServerResources)
     is_listening: bool = False
-    shed_connections: int = 0
     state: ServerState = attrs.field(init=False)
     _accept_task: Any = None
     _refusals_in_progress: int = 0
@@ -224,7 +221,11 @@
         oldest = min(waiting, key=lambda each: each.waiting_since or 0)
         oldest.shed()
         await self.state.remove(oldest)
-        self.shed_connections += 1
+        self.resources.memory.sheds.record(
+            'connections',
+            port=self.port,
+            waited_s=round(now() - (oldest.waiting_since or 0), 3),
+        )
 
     async def _refuse(self, connection: ServerConnection) -> None:
         limit = self.state.limits.max_connections
--- a/clementinebank/http/_server_connection.py
+++ b/clementinebank/http/_server_connection.py
@@ -213,10 +213,15 @@
     async def _serve_held(self, holding: Holding) -> NextStep:
         """Serve one request with the memory that its body holds."""
         reader = RequestReader(
-            self.sock, self.http, self.state.limits, holding, self._turn
+            self.sock,
+            self.http,
+            self.state.limits,
+            holding,
+            self._turn,
+            self._on_head,
         )
         try:
-            request = await reader.read(self._on_head)
+            request = await reader.read()
         except Failure as failure:
             if self.is_shed:
                 return NextStep.CLOSE
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -134,6 +134,19 @@
     'Requests in the handler by listener.',
     'listener',
 )
+CLIENT_MEMORY = _register(
+    'clementinebank_client_memory_bytes',
+    'gauge',
+    'Memory for what clients make the instance hold, by part.',
+    'part',
+    'kind',
+)
+SHED_CONNECTIONS = _register(
+    'clementinebank_shed_connections_total',
+    'counter',
+    'Connections closed to make room for others, by what there was none for.',
+    'reason',
+)
 PAUSES = _register(
     'clementinebank_process_pauses_total',
     'counter',
--- a/clementinebank/rpc/_server.py
+++ b/clementinebank/rpc/_server.py
@@ -69,8 +69,6 @@
     max_connections : int
         Largest number of open connections. For another one, the one that has
         waited longest for a message is closed.
-    shed_connections : int
-        Connections that were closed for another one so far.
     """
 
     host: str
@@ -82,7 +80,6 @@
     accepting_paths: Collection[str] = ()
     resources: ServerResources = attrs.Factory(ServerResources)
     max_connections: int = MAX_CONNECTIONS
-    shed_connections: int = 0
     _connection_count: int = 0
     _waiting_since: dict[RpcConnection, float] = attrs.Factory(dict)
     _tasks_by_connection: dict[RpcConnection, Any] = attrs.Factory(dict)
@@ -178,9 +175,11 @@
             return False
         # A connection that begins to wait is put last.
         oldest = next(iter(self._waiting_since))
-        self._waiting_since.pop(oldest)
+        waited_s = now() - self._waiting_since.pop(oldest)
         oldest.shed()
-        self.shed_connections += 1
+        self.resources.memory.sheds.record(
+            'connections', port=self.port, waited_s=round(waited_s, 3)
+        )
         return True
 
     async def _serve_messages(self, connection: RpcConnection) -> None:
--- a/clementinebank/server/_listeners.py
+++ b/clementinebank/server/_listeners.py
@@ -14,6 +14,8 @@
     HttpRequest,
     HttpResponse,
     HttpServer,
+    MemoryBudget,
+    ServerResources,
 )
 from clementinebank.metrics import names
 from clementinebank.server._observer import read_error
@@ -28,6 +30,7 @@
 # Longest wait for an address: a previous process that listens on it frees it
 # only at the end of its drain.
 BIND_TIMEOUT_S = 60.0
+BYTES_PER_MB = 1_000_000
 # Lowest HTTP status of a refusal or an error.
 MIN_CLIENT_ERROR_STATUS = 400
 REQUEST_ID = 'request-id'
@@ -47,6 +50,9 @@
         max_connections=settings.max_caller_connections,
         max_in_flight=settings.max_requests_in_flight,
     )
+    resources = ServerResources(
+        MemoryBudget(settings.max_client_memory_mb * BYTES_PER_MB)
+    )
     addresses = {
         Listener.CALLERS: (settings.callers, caller_limits),
         Listener.OPERATORS: (settings.operators, HttpLimits()),
@@ -59,6 +65,7 @@
             limits,
             _create_failure_counter(instance, listener),
             BIND_TIMEOUT_S,
+            resources,
         )
         for listener, (address, limits) in addresses.items()
     }
--- a/clementinebank/server/_telemetry.py
+++ b/clementinebank/server/_telemetry.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+from clementinebank.http import read_resource_samples
 from clementinebank.invariants import VIOLATIONS_BY_NAME
 from clementinebank.metrics import Metrics, Sample, create_sample, names
 from clementinebank.process import LogSink
@@ -26,7 +27,8 @@
     """Register the source of the metrics that are read from an instance.
 
     These are violated invariants, calls of the key-value service, process
-    pauses, open connections, requests in flight and extra load on shards.
+    pauses, open connections, requests in flight, the memory that clients
+    hold, and extra load on shards.
     """
 
     def read_samples() -> Iterator[Sample]:
@@ -46,6 +48,8 @@
             yield create_sample(
                 names.IN_FLIGHT, server.in_flight, listener=listener_name
             )
+        for server in list(instance.listeners.values())[:1]:
+            yield from read_resource_samples(server.resources)
         for service, engine in instance.engines_by_service.items():
             yield from _extra_load_samples(service, engine)
 
--- a/clementinebank/settings/_instance.py
+++ b/clementinebank/settings/_instance.py
@@ -10,6 +10,9 @@
 
 # Largest value of the settings that limit connections and requests.
 MAX_CONCURRENCY_LIMIT = 100_000
+DEFAULT_CLIENT_MEMORY_MB = 160
+# Room for a few bodies of the largest size.
+MIN_CLIENT_MEMORY_MB = 32
 # Least time between the end of the drain delay and the shutdown limit. The
 # shutdown needs it to finish the requests in flight and to exit.
 MIN_SHUTDOWN_AFTER_DRAIN_MS = 2000
@@ -44,6 +47,9 @@
         Largest number of open connections of callers.
     max_requests_in_flight : int
         Largest number of requests of callers handled at the same time.
+    max_client_memory_mb : int
+        Memory for bodies that are read or wait and responses that are sent,
+        of callers and operators together, in megabytes.
     """
 
     instance_id: str
@@ -58,6 +64,7 @@
     shutdown_limit_ms: int = 15_000
     max_caller_connections: int = 2048
     max_requests_in_flight: int = 512
+    max_client_memory_mb: int = DEFAULT_CLIENT_MEMORY_MB
 
 
 def load_settings(path: Path) -> Result[InstanceSettings, list[FieldProblem]]:
@@ -103,6 +110,11 @@
             minimum=1,
             maximum=MAX_CONCURRENCY_LIMIT,
         ),
+        max_client_memory_mb=reader.integer(
+            'max_client_memory_mb',
+            DEFAULT_CLIENT_MEMORY_MB,
+            minimum=MIN_CLIENT_MEMORY_MB,
+        ),
     )
     if (
         settings.shutdown_limit_ms
