Hold memory for the unread input of readers in the lane

Bytes that a slow reader leaves in the buffers of the system count toward the memory of a machine, so that the number of such readers is bounded too.

--- a/clementinebank/http/_request_reader.py
+++ b/clementinebank/http/_request_reader.py
@@ -27,6 +27,9 @@
 MAX_SMALL_BODY_BYTES = 8192
 # A body, and its copy on the way to an upstream.
 COPIES = 2
+# Input of a reader in the lane, which waits in the buffers of the system and
+# of the protocol state.
+UNREAD_BYTES = 2 * READ_SIZE_BYTES
 # A request with one of these headers twice is ambiguous and refused.
 UNREPEATABLE_HEADERS = frozenset(
     ('request-id', 'deadline-ms', 'idempotency-key')
@@ -59,6 +62,8 @@
     holding: Holding
     turn: ReadTurn
     on_head: Callable[[], None]
+    _body_bytes: int = 0
+    _unread_bytes: int = 0
 
     async def read(self) -> HttpRequest | None:
         """Return the request, or ``None`` if the client closed before it.
@@ -136,11 +141,14 @@
 
         A body with a stated length is refused before it is read.
         """
-        if length > MAX_SMALL_BODY_BYTES and (
-            self.holding.part is MemoryPart.SMALL_REQUESTS
+        self._body_bytes = max(self._body_bytes, length)
+        size = COPIES * self._body_bytes + self._unread_bytes
+        holding = self.holding
+        if size > COPIES * MAX_SMALL_BODY_BYTES and (
+            holding.part is MemoryPart.SMALL_REQUESTS
         ):
-            self.holding.move_to(MemoryPart.REQUESTS)
-        if self.holding.is_shed or not self.holding.grow_to(COPIES * length):
+            holding.move_to(MemoryPart.REQUESTS)
+        if holding.is_shed or not holding.grow_to(size):
             raise Failure(
                 'memory_full',
                 'the instance has no memory left for the body',
@@ -151,14 +159,20 @@
             )
 
     async def _next_event(self) -> Any:
-        await self.turn.yield_if_due()
+        await self._end_turn()
         event = self._parse()
         while event is h11.NEED_DATA:
             await self._receive_bytes()
-            await self.turn.yield_if_due()
+            await self._end_turn()
             event = self._parse()
         return event
 
+    async def _end_turn(self) -> None:
+        if self.turn.is_heavy and not self._unread_bytes:
+            self._unread_bytes = UNREAD_BYTES
+            self._hold(self._body_bytes)
+        await self.turn.yield_if_due()
+
     def _parse(self) -> Any:
         started_at = now()
         event = self.http.next_event()
--- a/clementinebank/http/_turns.py
+++ b/clementinebank/http/_turns.py
@@ -48,6 +48,11 @@
     _started_at: float = attrs.Factory(now)
     _work_s: float = 0
 
+    @property
+    def is_heavy(self) -> bool:
+        """Return whether the task goes on in the lane."""
+        return self.lane is not None and self._work_s >= MAX_LIGHT_WORK_S
+
     def add_work(self, seconds: float) -> None:
         """Add processor time that the input has taken."""
         self._work_s += seconds
@@ -59,7 +64,7 @@
 
     async def yield_if_due(self) -> None:
         """Let other tasks run, and pending timeouts fire, if it is time."""
-        if self.lane is not None and self._work_s >= MAX_LIGHT_WORK_S:
+        if self.lane is not None and self.is_heavy:
             await self.lane.wait()
             self.restart()
         elif now() - self._started_at >= MAX_TURN_S:
