--- a/clementinebank/gateway/_admission.py
+++ b/clementinebank/gateway/_admission.py
@@ -9,6 +9,7 @@
 from clementinebank.errors import Failure, Step
 from clementinebank.forwarding import ForwardRequest
 from clementinebank.gateway._settings import GatewayBounds
+from clementinebank.http import HttpRequest
 from clementinebank.metrics import Sample, create_sample, names
 from clementinebank.ratelimit import (
     LimitClient,
@@ -22,6 +23,7 @@
 from clementinebank.relay import EntryLog
 from clementinebank.routes import Route, RouteTable
 
+NOT_FOUND = 404
 TOO_MANY_REQUESTS = 429
 
 
@@ -54,6 +56,30 @@
         """Create the table of the accounts, which is empty at first."""
         self.accounts = AccountTable(self.bounds.change_s)
 
+    def find_route(self, message: HttpRequest) -> Route:
+        """Return the route of a request.
+
+        Raises
+        ------
+        Failure
+            If no route is known or none matches.
+        """
+        if self.route_table.configuration is None:
+            raise Failure(
+                'no_routes', 'the routes are not known yet', Step.ADMIT
+            )
+        route = self.route_table.find(
+            message.headers.get('host', ''), message.path
+        )
+        if route is None:
+            raise Failure(
+                'no_route',
+                f'no route of version {self.route_table.version} matches',
+                Step.ADMIT,
+                status=NOT_FOUND,
+            )
+        return route
+
     async def admit(
         self, request: ForwardRequest, route: Route
     ) -> ForwardRequest:
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -8,14 +8,13 @@
 from result import Err
 
 from clementinebank.aggregation import (
-    GATHER_PATH,
     AggregationService,
     AggregatorSelector,
     Delegator,
 )
 from clementinebank.clock import now
-from clementinebank.departures import TELL_PATH, DepartureAnnouncer
-from clementinebank.errors import Failure, Step
+from clementinebank.departures import DepartureAnnouncer
+from clementinebank.errors import Failure
 from clementinebank.forwarding import (
     CallerCodec,
     ExtraLoadLimits,
@@ -24,24 +23,27 @@
     LinkDelays,
 )
 from clementinebank.gateway._admission import Admission
+from clementinebank.gateway._caller_limits import create_caller_limits
 from clementinebank.gateway._changes import DecodeEntry
 from clementinebank.gateway._limit_peers import LimitPeers
+from clementinebank.gateway._peer_server import PeerServices, create_peer_server
+from clementinebank.gateway._probes import PlatformListeners
 from clementinebank.gateway._refusal_log import RefusalLog
 from clementinebank.gateway._request_log import RequestLog
+from clementinebank.gateway._samples import read_gateway_samples
 from clementinebank.gateway._settings import GatewaySettings
 from clementinebank.gateway._updater import ControlStateUpdater
 from clementinebank.http import (
-    HttpLimits,
     HttpRequest,
     HttpResponse,
     HttpServer,
+    ServerResources,
 )
 from clementinebank.leafs import LeafDirectory
-from clementinebank.metrics import Metrics, create_sample, format_metrics, names
+from clementinebank.metrics import Metrics, names
 from clementinebank.process import SignalWaiter, supervise
-from clementinebank.ratelimit import ACQUIRE_PATH, LimitClient, LimitService
+from clementinebank.ratelimit import LimitClient, LimitService
 from clementinebank.relay import (
-    WATCH_PATH,
     ControlStore,
     EntryLog,
     RelayClient,
@@ -51,13 +53,10 @@
     RelayService,
     RemovalBounds,
 )
-from clementinebank.routes import CallerLimits, Route, RouteTable
+from clementinebank.routes import CallerLimits, RouteTable
 from clementinebank.rpc import RpcServer
 
-NOT_FOUND = 404
 UNAVAILABLE = 503
-OK = 200
-EXPOSITION_CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 # Time for which a stopping instance still accepts requests: the load balancer
 # checks readiness once a second and removes an instance after two failures.
 ACCEPT_AFTER_STOP_S = 2.5
@@ -72,9 +71,6 @@
 RETRY_AFTER_WITHOUT_ROUTES_S = 0.25
 # Time for which binding a listener to a port in use is retried.
 BIND_TIMEOUT_S = 10.0
-# Limits of the listener for callers.
-MAX_CALLER_CONNECTIONS = 2048
-MAX_REQUESTS_IN_FLIGHT = 1024
 
 
 @attrs.define(eq=False)
@@ -109,6 +105,7 @@
     background: list[Any] = attrs.Factory(list)
     entry_log: EntryLog = attrs.Factory(EntryLog)
     relays: RelayDirectory = attrs.Factory(RelayDirectory)
+    server_resources: ServerResources = attrs.field(init=False)
     leaf_directory: LeafDirectory = attrs.field(init=False)
     engine: ForwardingEngine = attrs.field(init=False)
     registration: RelayRegistration = attrs.field(init=False)
@@ -128,6 +125,9 @@
         """Create the parts of the instance; nothing is started."""
         settings = self.settings
         bounds = settings.bounds
+        self.server_resources = ServerResources(
+            settings.resources.memory_budget
+        )
         self.leaf_directory = LeafDirectory(bounds.drain_s)
         self._bound_memory()
         self.admission = Admission(self.route_table, self.entry_log, bounds)
@@ -148,11 +148,12 @@
             settings.callers.host,
             settings.callers.port,
             self.handle,
-            _http_limits(CallerLimits()),
+            create_caller_limits(CallerLimits(), settings.resources),
             self._on_server_failure,
             BIND_TIMEOUT_S,
+            self.server_resources,
         )
-        self.metrics.add_source(self._metric_samples)
+        self.metrics.add_source(lambda: read_gateway_samples(self))
         self.metrics.add_source(self.admission.metric_samples)
 
     @property
@@ -175,11 +176,12 @@
             instance=self.settings.instance_id,
             data_centre=self.settings.data_centre,
         )
+        listeners = PlatformListeners(
+            lambda: self.is_ready, self.metrics, BIND_TIMEOUT_S
+        )
         for corofunc in (
-            self._create_server(
-                self.settings.readiness, self._on_readiness
-            ).serve,
-            self._create_server(self.settings.metrics, self._on_metrics).serve,
+            listeners.create_readiness(self.settings.readiness).serve,
+            listeners.create_metrics(self.settings.metrics).serve,
             self.updater.run,
             self.peer_server.serve,
             self.peer_server.cancel_disconnected,
@@ -205,7 +207,7 @@
             self._count_refusal(failure)
             return self.caller_codec.encode_failure('', failure, RETRY_AFTER_S)
         try:
-            route = self._find_route(message)
+            route = self.admission.find_route(message)
             request = await self.admission.admit(request, route)
         except Failure as failure:
             return self._refuse(request.request_id, failure)
@@ -218,30 +220,6 @@
             )
         return self.caller_codec.encode(request.request_id, outcome.ok_value)
 
-    def _find_route(self, message: HttpRequest) -> Route:
-        """Return the route of a request.
-
-        Raises
-        ------
-        Failure
-            If no route is known or none matches.
-        """
-        if self.route_table.configuration is None:
-            raise Failure(
-                'no_routes', 'the routes are not known yet', Step.ADMIT
-            )
-        route = self.route_table.find(
-            message.headers.get('host', ''), message.path
-        )
-        if route is None:
-            raise Failure(
-                'no_route',
-                f'no route of version {self.route_table.version} matches',
-                Step.ADMIT,
-                status=NOT_FOUND,
-            )
-        return route
-
     def _refuse(self, request_id: str, failure: Failure) -> HttpResponse:
         """Return the response to a request that is not admitted."""
         self._count_refusal(failure)
@@ -380,16 +358,12 @@
             settings.resources.follower_bytes,
         )
         cores = settings.resources.cores
-        self.peer_server = RpcServer(
-            settings.peers.host,
-            settings.peers.port,
-            {
-                WATCH_PATH: service.handle_watch,
-                GATHER_PATH: self.aggregation.handle_gather,
-                ACQUIRE_PATH: self.limit_service.handle_acquire,
-                TELL_PATH: self.departures.handle_tell,
-            },
-            accepting_paths=(GATHER_PATH,),
+        self.peer_server = create_peer_server(
+            settings,
+            PeerServices(
+                service, self.aggregation, self.limit_service, self.departures
+            ),
+            self.server_resources,
         )
         self.registration = RelayRegistration(
             settings.instance_id,
@@ -425,7 +399,9 @@
         configuration = self.route_table.configuration
         if configuration is not None:
             self.admission.update()
-            self.server.state.limits = _http_limits(configuration.limits)
+            self.server.state.limits = create_caller_limits(
+                configuration.limits, self.settings.resources
+            )
         await self.delegator.update()
         self.aggregation.is_accepting = not self.is_draining
 
@@ -454,23 +430,6 @@
         log_message(message_type='gateway:stopped', requests_cut=cut_count)
         return 0
 
-    async def _on_readiness(self, message: HttpRequest) -> HttpResponse:
-        return HttpResponse(OK if self.is_ready else UNAVAILABLE)
-
-    async def _on_metrics(self, message: HttpRequest) -> HttpResponse:
-        body = format_metrics(self.metrics).encode()
-        headers = {'content-type': EXPOSITION_CONTENT_TYPE}
-        return HttpResponse(OK, headers, body)
-
-    def _create_server(self, address: Any, handler: Any) -> HttpServer:
-        return HttpServer(
-            address.host,
-            address.port,
-            handler,
-            HttpLimits(),
-            bind_timeout_s=BIND_TIMEOUT_S,
-        )
-
     def _count_refusal(self, failure: Failure) -> None:
         self.metrics.add(names.REFUSALS, listener='callers', code=failure.code)
 
@@ -480,62 +439,3 @@
     def _on_server_failure(self, failure: Failure) -> None:
         self._count_refusal(failure)
         log_message(message_type='caller:failure', reason=str(failure))
-
-    def _placement_samples(self) -> list[Any]:
-        """Return the calls by their place, none without a placement."""
-        placement = self.engine.router.placement
-        if placement is None:
-            return []
-        return [
-            create_sample(
-                names.PLACED_CALLS, placement.home_count, place='home'
-            ),
-            create_sample(
-                names.PLACED_CALLS, placement.away_count, place='away'
-            ),
-        ]
-
-    def _metric_samples(self) -> list[Any]:
-        return [
-            create_sample(names.KEY_VALUE_CALLS, self.store.calls),
-            *self._placement_samples(),
-            create_sample(
-                names.EVACUATED_DATA_CENTRES,
-                len(self.leaf_directory.evacuated_data_centres),
-            ),
-            create_sample(
-                names.LIMITED_LEAFS, self.engine.router.limits.limited_count
-            ),
-            create_sample(
-                names.LEAVING_LEAFS,
-                len(self.leaf_directory.registered_departures()),
-            ),
-            *self._malformed_samples(),
-            create_sample(
-                names.CONNECTIONS,
-                self.server.open_connections,
-                listener='callers',
-            ),
-            create_sample(
-                names.IN_FLIGHT, self.server.in_flight, listener='callers'
-            ),
-        ]
-
-    def _malformed_samples(self) -> list[Any]:
-        counts = self.engine.statements.malformed_by_name
-        return [
-            create_sample(names.MALFORMED_STATEMENTS, count, statement=name)
-            for name, count in counts.items()
-        ]
-
-
-def _http_limits(limits: CallerLimits) -> HttpLimits:
-    return HttpLimits(
-        max_header_bytes=limits.max_header_bytes,
-        max_body_bytes=limits.max_body_bytes,
-        header_timeout_s=limits.header_timeout_s,
-        idle_timeout_s=limits.idle_timeout_s,
-        max_connections=MAX_CALLER_CONNECTIONS,
-        max_in_flight=MAX_REQUESTS_IN_FLIGHT,
-        responds_before_idle_close=False,
-    )
--- /dev/null
+++ b/clementinebank/gateway/_samples.py
@@ -0,0 +1,77 @@
+"""Present figures of a gateway, read with its metrics."""
+
+from typing import Protocol
+
+from clementinebank.forwarding import ForwardingEngine
+from clementinebank.http import (
+    HttpServer,
+    ServerResources,
+    read_resource_samples,
+)
+from clementinebank.leafs import LeafDirectory
+from clementinebank.metrics import Sample, create_sample, names
+from clementinebank.relay import ControlStore
+
+
+class SampledGateway(Protocol):
+    """Parts of a gateway whose figures are read."""
+
+    store: ControlStore
+    engine: ForwardingEngine
+    leaf_directory: LeafDirectory
+    server: HttpServer
+    server_resources: ServerResources
+
+
+def read_gateway_samples(gateway: SampledGateway) -> list[Sample]:
+    """Return the present figures of a gateway for its metrics."""
+    return [
+        create_sample(names.KEY_VALUE_CALLS, gateway.store.calls),
+        *_placement_samples(gateway),
+        create_sample(
+            names.EVACUATED_DATA_CENTRES,
+            len(gateway.leaf_directory.evacuated_data_centres),
+        ),
+        create_sample(
+            names.LIMITED_LEAFS, gateway.engine.router.limits.limited_count
+        ),
+        create_sample(
+            names.LEAVING_LEAFS,
+            len(gateway.leaf_directory.registered_departures()),
+        ),
+        *_malformed_samples(gateway),
+        create_sample(
+            names.CONNECTIONS,
+            gateway.server.open_connections,
+            listener='callers',
+        ),
+        create_sample(
+            names.IN_FLIGHT, gateway.server.in_flight, listener='callers'
+        ),
+        create_sample(
+            names.CLIENT_MEMORY,
+            gateway.engine.buffers.used_bytes,
+            part='leaf_answers',
+            kind='held',
+        ),
+        *read_resource_samples(gateway.server_resources),
+    ]
+
+
+def _placement_samples(gateway: SampledGateway) -> list[Sample]:
+    """Return the calls by their place, none without a placement."""
+    placement = gateway.engine.router.placement
+    if placement is None:
+        return []
+    return [
+        create_sample(names.PLACED_CALLS, placement.home_count, place='home'),
+        create_sample(names.PLACED_CALLS, placement.away_count, place='away'),
+    ]
+
+
+def _malformed_samples(gateway: SampledGateway) -> list[Sample]:
+    counts = gateway.engine.statements.malformed_by_name
+    return [
+        create_sample(names.MALFORMED_STATEMENTS, count, statement=name)
+        for name, count in counts.items()
+    ]
--- a/clementinebank/http/_request_reader.py
+++ b/clementinebank/http/_request_reader.py
@@ -1,13 +1,16 @@
 """Read one HTTP request within the limits of a server."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 import curio
 import h11
 
+from clementinebank.clock import now
 from clementinebank.errors import Failure, Step
 from clementinebank.http._limits import HttpLimits
+from clementinebank.http._memory import Holding, MemoryPart
 from clementinebank.http._messages import HttpRequest
 from clementinebank.http._sockets import READ_SIZE_BYTES
 from clementinebank.http._turns import ReadTurn
@@ -16,6 +19,17 @@
 REQUEST_TIMEOUT_STATUS = 408
 CONTENT_TOO_LARGE_STATUS = 413
 HEADERS_TOO_LARGE_STATUS = 431
+UNAVAILABLE_STATUS = 503
+# Retry-After of a body for which there is no memory; short, because the next
+# attempt reaches another instance.
+RETRY_AFTER_S = 0.1
+# Largest body that has its own part of the memory.
+MAX_SMALL_BODY_BYTES = 8192
+# A body, and its copy on the way to an upstream.
+COPIES = 2
+# Input of a reader in the lane, which waits in the buffers of the system and
+# of the protocol state.
+UNREAD_BYTES = 2 * READ_SIZE_BYTES
 # A request with one of these headers twice is ambiguous and refused.
 UNREPEATABLE_HEADERS = frozenset(
     ('request-id', 'deadline-ms', 'idempotency-key')
@@ -34,12 +48,22 @@
         Protocol state of the connection.
     limits : HttpLimits
         Largest sizes and longest times that are accepted.
+    holding : Holding
+        Memory of the body, which the caller of ``read`` gives back.
+    turn : ReadTurn
+        Turn of the task of the connection.
+    on_head : callable
+        Called when the headers are complete.
     """
 
     sock: Any
     http: Any
     limits: HttpLimits
-    _turn: ReadTurn = attrs.Factory(ReadTurn)
+    holding: Holding
+    turn: ReadTurn
+    on_head: Callable[[], None]
+    _body_bytes: int = 0
+    _unread_bytes: int = 0
 
     async def read(self) -> HttpRequest | None:
         """Return the request, or ``None`` if the client closed before it.
@@ -47,7 +71,8 @@
         Raises
         ------
         Failure
-            If the request is malformed, too large or too slow.
+            If the request is malformed, too large or too slow, or if there
+            is no memory for its body.
         """
         try:
             head = await self._read_in_time(
@@ -84,17 +109,22 @@
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
+        self.on_head()
         for name, length in head.headers:
             if name == b'content-length':
                 self._check_body_size(int(length))
+                self._hold(int(length))
         return head
 
     async def _read_body(self) -> bytes:
         body = bytearray()
         event = await self._next_event()
         while isinstance(event, h11.Data):
+            size = len(body) + len(event.data)
+            self._check_body_size(size)
+            self._hold(size)
+            self.holding.note_progress(len(event.data))
             body += event.data
-            self._check_body_size(len(body))
             event = await self._next_event()
         return bytes(body)
 
@@ -106,13 +136,47 @@
                 'body_too_large', message, 'body', CONTENT_TOO_LARGE_STATUS
             )
 
+    def _hold(self, length: int) -> None:
+        """Hold the memory of a body; raise if there is none.
+
+        A body with a stated length is refused before it is read.
+        """
+        self._body_bytes = max(self._body_bytes, length)
+        size = COPIES * self._body_bytes + self._unread_bytes
+        holding = self.holding
+        if size > COPIES * MAX_SMALL_BODY_BYTES and (
+            holding.part is MemoryPart.SMALL_REQUESTS
+        ):
+            holding.move_to(MemoryPart.REQUESTS)
+        if holding.is_shed or not holding.grow_to(size):
+            raise Failure(
+                'memory_full',
+                'the instance has no memory left for the body',
+                Step.ACCEPT,
+                field='body',
+                status=UNAVAILABLE_STATUS,
+                retry_after_s=RETRY_AFTER_S,
+            )
+
     async def _next_event(self) -> Any:
-        await self._turn.yield_if_due()
-        event = self.http.next_event()
+        await self._end_turn()
+        event = self._parse()
         while event is h11.NEED_DATA:
             await self._receive_bytes()
-            await self._turn.yield_if_due()
-            event = self.http.next_event()
+            await self._end_turn()
+            event = self._parse()
+        return event
+
+    async def _end_turn(self) -> None:
+        if self.turn.is_heavy and not self._unread_bytes:
+            self._unread_bytes = UNREAD_BYTES
+            self._hold(self._body_bytes)
+        await self.turn.yield_if_due()
+
+    def _parse(self) -> Any:
+        started_at = now()
+        event = self.http.next_event()
+        self.turn.add_work(now() - started_at)
         return event
 
     async def _receive_bytes(self) -> None:
