--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -28,12 +28,11 @@
 # Without a body, requests of these methods carry no content-length header:
 # `content-length: 0` would only enlarge each of many small requests.
 METHODS_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
-LENGTH_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d+)')
 # Within a head, the start of another response: what precedes it is a part of an
 # earlier one. The version is looked for first, because most heads hold none.
 VERSION_PREFIX = b'HTTP/1.'
-STATUS_LINE_PATTERN = re.compile(rb'HTTP/1\.\d \d{3}(?: |$)')
+STATUS_LINE_PATTERN = re.compile(rb'HTTP/1\.\d \d{3}(?: |$)', re.MULTILINE)
 # A connection is not reused in the last part of the idle time that the server
 # allows: a request sent while the server closes it would be lost.
 IDLE_TIMEOUT_MARGIN_S = 0.75
@@ -215,10 +214,10 @@
         """
         turn = ReadTurn()
         head = await self._read_head(turn)
-        self._check_length(head)
+        headers, repeated = decode_headers(head.headers.raw_items())
+        self._check_length(head.status_code, headers)
         body = await self._read_body(turn)
         self._start_next_cycle()
-        headers, repeated = decode_headers(head.headers)
         self._reusable_until = now() + _idle_limit_s(headers)
         return HttpResponse(head.status_code, headers, body, repeated)
 
@@ -241,16 +240,19 @@
             with contextlib.suppress(OSError):
                 await sock.close()
 
-    def _check_length(self, head: Any) -> None:
+    def _check_length(self, status: int, headers: dict[str, str]) -> None:
         """Raise if the body is too large or its length is not stated."""
-        lengths = [each for each in head.headers if each[0] in LENGTH_HEADERS]
-        if self.allows_close_delimited and not lengths:
-            return
-        if not lengths and head.status_code not in STATUSES_WITHOUT_BODY:
-            raise HttpProtocolError('the response has no length header')
-        for name, length in lengths:
-            if name == b'content-length' and int(length) > self.max_body_bytes:
-                raise HttpProtocolError('the response body is too large')
+        length = headers.get('content-length')
+        if length is None:
+            is_stated = (
+                'transfer-encoding' in headers
+                or status in STATUSES_WITHOUT_BODY
+                or self.allows_close_delimited
+            )
+            if not is_stated:
+                raise HttpProtocolError('the response has no length header')
+        elif int(length) > self.max_body_bytes:
+            raise HttpProtocolError('the response body is too large')
 
     async def _read_head(self, turn: ReadTurn) -> Any:
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
@@ -330,10 +332,10 @@
     A server may send the beginning of an earlier response once more. The status
     line that is due then ends the reason or a header of that part.
     """
-    texts = (head.reason, *[text for _, text in head.headers])
-    for text in texts:
-        if VERSION_PREFIX in text and STATUS_LINE_PATTERN.search(text):
-            raise HttpProtocolError('the head holds a part of another response')
+    texts = [text for _, text in head.headers.raw_items()]
+    lines = b'\n'.join((head.reason, *texts))
+    if VERSION_PREFIX in lines and STATUS_LINE_PATTERN.search(lines):
+        raise HttpProtocolError('the head holds a part of another response')
 
 
 def _idle_limit_s(headers: dict[str, str]) -> float:
--- a/clementinebank/http/_messages.py
+++ b/clementinebank/http/_messages.py
@@ -81,7 +81,7 @@
     headers: dict[str, str] = {}
     repeated = set()
     for raw_name, raw_text in raw_headers:
-        name = raw_name.decode(HEADER_ENCODING)
+        name = raw_name.decode(HEADER_ENCODING).lower()
         text = raw_text.decode(HEADER_ENCODING)
         if name in headers:
             repeated.add(name)
