--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -56,7 +56,6 @@
 from clementinebank.routes import CallerLimits, RouteTable
 from clementinebank.rpc import RpcServer
 
-UNAVAILABLE = 503
 # Time for which a stopping instance still accepts requests: the load balancer
 # checks readiness once a second and removes an instance after two failures.
 ACCEPT_AFTER_STOP_S = 2.5
