--- a/clementinebank/coordination/_key_value.py
+++ b/clementinebank/coordination/_key_value.py
@@ -17,6 +17,7 @@
 )
 from clementinebank.validation import Address
 
+VERSION_HEADER = 'version'
 MAX_VALUE_BYTES = 1_000_000
 CALL_TIMEOUT_S = 2.0
 # Largest number of entries in one page if the caller gives no limit.
@@ -255,6 +256,10 @@
             return Err(_with_execution(failure, connection))
         finally:
             await connection.close()
+        version = response.headers.get(VERSION_HEADER, '0')
+        if not version.isdecimal():
+            message = f'the version is no number: {version!r}'
+            return Err(self._failure('key_value_malformed', message, step))
         if response.status in {200, 304, 404, 409}:
             return Ok(response)
         message = f'status {response.status}'
@@ -282,7 +287,7 @@
 
 
 def _version_of(response: HttpResponse) -> int:
-    return int(response.headers.get('version', '0'))
+    return int(response.headers.get(VERSION_HEADER, '0'))
 
 
 def _entry_of(response: HttpResponse) -> Entry:
