Decide quotas in the order of the requests, forgive small excesses

Instances refused without asking for up to half a second, so that a request within its quota could be refused while one beyond it was served. Now an instance refuses by itself only until the next token has accrued, unless more than 100 questions a second are refused, and requests beyond the tokens are granted within the forgiven part of the tolerated excess. The coordinator logs the state of which all instances are told.

--- a/clementinebank/ratelimit/_quota_ledger.py
+++ b/clementinebank/ratelimit/_quota_ledger.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import attrs
+from eliot import log_message
 
 from clementinebank.ratelimit._quota import Quota, QuotaBounds
 from clementinebank.ratelimit._quota_messages import QuotaReport, QuotaVerdict
@@ -21,11 +22,13 @@
 # requests that run before their instance hears that the quota is used up.
 FORGIVEN_PART = 0.3
 # Excess, as a part of the tolerated one, at which all instances are told.
-ALARM_PART = 0.1
+ALARM_PART = 0.2
 # Time without a refusal after which the account is free again, in seconds.
 RELAXED_TIME_S = 3.0
 # Longest time for which an instance refuses without asking again, in seconds.
 MAX_RETRY_S = 0.5
+# Refusals a second of an account beyond which instances ask less often.
+MAX_QUESTIONS_PER_S = 100
 # Interval at which instances are told again of a quota that is used up.
 RESTATE_INTERVAL_S = 10.0
 # A bucket that is full and that nobody asked for in this time is removed.
@@ -77,27 +80,38 @@
     def charge(self, used: int, quota: Quota, bounds: QuotaBounds) -> None:
         """Take the tokens of requests that have run without asking."""
         self.tokens -= used
-        room = bounds.spare(quota) * FORGIVEN_PART - self.excess
-        forgiven = min(max(0, -self.tokens), max(0, room))
+        room = max(0, self._room(quota, bounds))
+        forgiven = min(max(0, -self.tokens), room)
         self.tokens += forgiven
         self.excess += forgiven
 
-    def grant(self, wanted: int) -> int:
-        """Take up to `wanted` whole tokens and return how many were taken."""
-        granted = max(0, min(wanted, int(self.tokens)))
-        self.tokens -= granted
-        return granted
+    def grant(self, wanted: int, quota: Quota, bounds: QuotaBounds) -> int:
+        """Take up to `wanted` tokens and return how many were taken.
+
+        Requests beyond the tokens are forgiven as long as there is room, so
+        that those within the quota don't pay for a request that ran first.
+        """
+        from_tokens = max(0, min(wanted, int(self.tokens)))
+        self.tokens -= from_tokens
+        room = max(0, int(self._room(quota, bounds)))
+        forgiven = min(wanted - from_tokens, room) if self.tokens >= 0 else 0
+        self.excess += forgiven
+        return from_tokens + forgiven
 
     def refuse(self, count: int, rate_per_s: float, now: float) -> float:
         """Record refusals and return when to ask again, in seconds.
 
-        The more requests are refused, the later, so that about as many ask as
-        tokens accrue.
+        That is when the next token has accrued, unless many ask for it.
         """
         self.refused_at = now
         self._refused_count += count
-        missing = max(1, 1 - self.tokens)
-        return min(MAX_RETRY_S, max(missing, self._refused_count) / rate_per_s)
+        crowd = self._refused_count / MAX_QUESTIONS_PER_S
+        missing = max(0, 1 - self.tokens) * max(1, crowd)
+        return min(MAX_RETRY_S, missing / rate_per_s)
+
+    def _room(self, quota: Quota, bounds: QuotaBounds) -> float:
+        """Return the requests beyond the quota that may still be forgiven."""
+        return bounds.spare(quota) * FORGIVEN_PART - self.excess
 
     def must_state(self, now: float) -> bool:
         """Return whether all instances must be told of this account now."""
@@ -155,7 +169,7 @@
         bucket = self._bucket_of(report.account, quota, now)
         bucket.accrue(quota, self.bounds, now)
         bucket.charge(report.used, quota, self.bounds)
-        granted = bucket.grant(report.wanted)
+        granted = bucket.grant(report.wanted, quota, self.bounds)
         retry_after_s: float = 0
         if granted < report.wanted:
             retry_after_s = bucket.refuse(
@@ -170,7 +184,6 @@
             granted,
             0 if is_tight else max(1, int(FREE_PART * bucket.tokens)),
             retry_after_s,
-            is_tight,
         )
 
     def statements_due(self, now: float) -> dict[str, bool]:
@@ -191,6 +204,7 @@
             if bucket.must_state(now):
                 bucket.stated_at = now
                 due[account] = bucket.is_tight
+                _log(account, bucket, quota)
         return due
 
     @property
@@ -234,3 +248,16 @@
             is_unused = bucket.updated_at < now - UNUSED_TIME_S
             if is_unused and account not in self._tight_accounts:
                 self.buckets_by_account.pop(account)
+
+
+def _log(account: str, bucket: QuotaBucket, quota: Quota | None) -> None:
+    """Log the state of which all instances are told."""
+    log_message(
+        message_type='account:quota',
+        account=account,
+        is_used_up=bucket.is_tight,
+        rate_per_s=quota and quota.rate_per_s,
+        burst=quota and quota.burst,
+        tokens=round(bucket.tokens, 1),
+        excess=round(bucket.excess, 1),
+    )
--- a/clementinebank/ratelimit/_quota_messages.py
+++ b/clementinebank/ratelimit/_quota_messages.py
@@ -46,18 +46,16 @@
     granted : int
         Tokens for the waiting requests.
     free : int
-        Requests that may be admitted before the next report.
+        Requests that may be admitted before the next report; with 0, each
+        one must wait for a token.
     retry_after_s : float
         Time until a token may be there, in seconds.
-    is_tight : bool
-        Whether each request must wait for a token.
     """
 
     account: str
     granted: int = 0
     free: int = 0
     retry_after_s: float = 0
-    is_tight: bool = False
 
 
 @attrs.frozen
@@ -117,7 +115,6 @@
             granted=each.granted,
             free=each.free,
             retry_after_ms=_in_ms(each.retry_after_s),
-            is_tight=each.is_tight,
         )
         for each in verdicts
     ]
@@ -139,7 +136,6 @@
             each.granted,
             each.free,
             each.retry_after_ms / MS_PER_S,
-            each.is_tight,
         )
         for each in raw
     )
--- a/clementinebank/ratelimit/_quota_table.py
+++ b/clementinebank/ratelimit/_quota_table.py
@@ -59,8 +59,6 @@
         Tokens that the coordinator has granted and that aren't used yet.
     unreported : int
         Requests that it has admitted and not reported.
-    is_tight : bool
-        Whether the last verdict was to ask for each request.
     heard_at, granted_at, refused_until : float
         Runtime times in seconds of the last verdict and of the last grant, and
         until which requests are refused without asking.
@@ -76,7 +74,6 @@
     free: int = 0
     granted: int = 0
     unreported: int = 0
-    is_tight: bool = False
     heard_at: float = float('-inf')
     granted_at: float = float('-inf')
     refused_until: float = float('-inf')
@@ -92,12 +89,10 @@
         self.granted = 0
         if now < self.refused_until:
             return Decision.REFUSE
-        is_known = now < self.heard_at + VERDICT_TIME_S
-        if is_tight_everywhere or (is_known and self.is_tight):
+        if is_tight_everywhere:
             return Decision.ASK
-        if not is_known:
+        if now >= self.heard_at + VERDICT_TIME_S:
             self.heard_at = now
-            self.is_tight = False
             self.free = 1
         if not self.free:
             return Decision.ASK
@@ -126,7 +121,6 @@
         """Apply the reply of the coordinator."""
         self.alone_tokens = None
         self.heard_at = at
-        self.is_tight = verdict.is_tight
         self.free = verdict.free
         if verdict.granted:
             self.granted += verdict.granted
@@ -199,7 +193,7 @@
         if local.alone_tokens is None:
             local.alone_at = now
             local.granted = 0
-            is_used_up = local.is_tight or self.is_tight(account, now)
+            is_used_up = self.is_tight(account, now)
             # The sum over all instances is the spare, also if the share of
             # each is below one request.
             local.alone_tokens = self.rng.random() + (
