Bound the requests to cold leafs over all instances

Cause: a cold leaf crashes at a rate well above cold_per_s; only a slow start of each instance for itself held requests back.

Change: while a leaf is cold by its registration, by a response or by the news of other instances, the rate limiter grants 0.7 of cold_per_s under a key of its own. Hedges and probes never go there. Services without the figure pay a lookup in an empty dictionary.

--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -33,6 +33,7 @@
 from clementinebank.ratelimit import LimitTable
 from clementinebank.routes import Route, RouteTable
 from clementinebank.routing import (
+    COLD_KEY_PREFIX,
     FORWARDING_ROUTING_POLICY,
     OUTCOMES_BY_CODE,
     SLOW_START_S,
@@ -177,12 +178,14 @@
             for record in self.directory.records_by_id.values()
         }
         known_leaf_ids = set(self.router.leafs_by_id)
+        self._apply_cold_rates()
         self.router.update_service(topology, now(), delays_s_by_leaf, MAX_SLOTS)
         self._update_budgets()
         for record in self.directory.records_by_id.values():
             self._update_leaf(
                 record, is_new=record.incarnation_id not in known_leaf_ids
             )
+        self.statements.retain()
         for service, group in topology.groups_by_id.items():
             self._ensure_budget(service)
             pools = self._pools_by_service.get(service)
@@ -200,6 +203,12 @@
             if service not in topology.groups_by_id:
                 await self._pools_by_service.pop(service).stop()
 
+    def _apply_cold_rates(self) -> None:
+        configuration = self.table.configuration
+        if configuration is not None:
+            cold_rates = configuration.cold_rates_by_service
+            self.router.cold_rates_by_group = cold_rates
+
     def set_limits(self, limits: ExtraLoadLimits) -> None:
         """Apply changed bounds of the extra requests to every budget."""
         self.limits = limits
@@ -296,6 +305,7 @@
         leaf.set_evacuated(
             now(), is_evacuated=self.directory.is_evacuated(record.data_centre)
         )
+        self.statements.update_cold(record)
         if is_new:
             cold_s = min(SLOW_START_S, record.cold_s)
             leaf.cold_since = (
@@ -313,7 +323,7 @@
 
     def _limit_share(self, leaf_id: str) -> float:
         """Return the share of this instance in the rate limit of a leaf."""
-        service = self.router.group_of(leaf_id)
+        service = self.router.group_of(leaf_id.removeprefix(COLD_KEY_PREFIX))
         return self.shares.share_of(
             1, is_aggregated=service in self._aggregated_services
         )
--- a/clementinebank/forwarding/_statements.py
+++ b/clementinebank/forwarding/_statements.py
@@ -6,7 +6,7 @@
 
 from clementinebank.clock import now
 from clementinebank.forwarding._messages import LeafResponse
-from clementinebank.leafs import LeafDirectory
+from clementinebank.leafs import LeafDirectory, LeafRecord
 from clementinebank.routing import Router
 
 
@@ -27,6 +27,7 @@
     router: Router
     directory: LeafDirectory
     malformed_by_name: Counter[str] = attrs.Factory(Counter)
+    _registered_cold_by_leaf: dict[str, tuple[int, float]] = attrs.Factory(dict)
 
     def record(
         self, incarnation_id: str, leaf_response: LeafResponse, elapsed_s: float
@@ -51,6 +52,8 @@
         load = leaf_response.load
         if load is not None:
             leaf.on_load(load.running, load.waiting)
+        if leaf_response.cold_s is not None:
+            self.router.set_cold(incarnation_id, leaf_response.cold_s, now())
         if leaf_response.retry_after_s is not None:
             self.router.on_turned_away(
                 incarnation_id, leaf_response.retry_after_s, now()
@@ -59,6 +62,25 @@
             incarnation_id, leaf_response.named_limit, now(), elapsed_s
         )
 
+    def update_cold(self, record: LeafRecord) -> None:
+        """Apply what a new registration states about the warm-up of a leaf.
+
+        The time that it states runs from its arrival, so each one counts once.
+        """
+        leaf_id = record.incarnation_id
+        if record.service not in self.router.cold_rates_by_group:
+            return
+        stated = (record.sequence, record.cold_s)
+        if self._registered_cold_by_leaf.get(leaf_id) != stated:
+            self._registered_cold_by_leaf[leaf_id] = stated
+            self.router.set_cold(leaf_id, record.cold_s, now())
+
+    def retain(self) -> None:
+        """Forget the registrations of leafs that are gone."""
+        known = self._registered_cold_by_leaf
+        for leaf_id in known.keys() - self.router.leafs_by_id.keys():
+            known.pop(leaf_id)
+
     def on_leaving(self, incarnation_id: str, is_told_on: bool) -> bool:
         """Send no new requests to an incarnation that leaves.
 
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -464,6 +464,9 @@
                 names.LEAVING_LEAFS,
                 len(self.leaf_directory.registered_departures()),
             ),
+            create_sample(
+                names.COLD_LEAFS, len(self.engine.router.cold_until_by_leaf)
+            ),
             *self._malformed_samples(),
             create_sample(
                 names.CONNECTIONS,
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -116,6 +116,11 @@
     'gauge',
     'Registered leafs that have said in an answer that they leave.',
 )
+COLD_LEAFS = _register(
+    'clementinebank_cold_leafs',
+    'gauge',
+    'Leafs whose requests are bounded because they are cold.',
+)
 MALFORMED_STATEMENTS = _register(
     'clementinebank_malformed_statements_total',
     'counter',
--- a/clementinebank/routes/_model.py
+++ b/clementinebank/routes/_model.py
@@ -149,6 +149,9 @@
         All routes of the configuration.
     connections_by_service : dict of str to int
         Connections that one leaf of a service accepts from all instances.
+    cold_rates_by_service : dict of str to float
+        Requests a second that a cold leaf of a service takes from all
+        instances; services without such a bound are missing.
     limits : CallerLimits
         Limits for the requests of callers.
     """
@@ -157,3 +160,4 @@
     routes: tuple[Route, ...]
     connections_by_service: dict[str, int]
     limits: CallerLimits = CallerLimits()
+    cold_rates_by_service: dict[str, float] = attrs.Factory(dict)
--- a/clementinebank/routing/__init__.py
+++ b/clementinebank/routing/__init__.py
@@ -10,11 +10,13 @@
     RoutingPolicy,
 )
 from clementinebank.routing._quantiles import LatencyWindow
+from clementinebank.routing._replicas import COLD_KEY_PREFIX
 from clementinebank.routing._router import Router
 from clementinebank.routing._subset import rendezvous_subset
 from clementinebank.routing._topology import Topology
 
 __all__ = (
+    'COLD_KEY_PREFIX',
     'FORWARDING_ROUTING_POLICY',
     'OUTCOMES_BY_CODE',
     'CallOutcome',
--- a/clementinebank/routing/_calls.py
+++ b/clementinebank/routing/_calls.py
@@ -42,6 +42,9 @@
         check('no-new-work-for-draining-leaf', request_id, leaf=leaf)
         leaf.on_sent(now)
         self.limits.on_sent(leaf_id, now, is_extra=is_extra)
+        key = self.limit_key(leaf_id, now)
+        if key != leaf_id:
+            self.limits.on_sent(key, now, is_extra=is_extra)
 
     def on_end(
         self,
--- a/clementinebank/routing/_choice.py
+++ b/clementinebank/routing/_choice.py
@@ -66,7 +66,7 @@
             for leaf in self._usable_leafs(group_id, remaining_s)
             if leaf.leaf_id not in excluded
             and not leaf.is_turned_away(now)
-            and not (is_extra and self.limits.limit_of(leaf.leaf_id))
+            and not (is_extra and self.is_limited(leaf.leaf_id, now))
         ]
         eligible = [leaf for leaf in usable if self._may_get_request(leaf, now)]
         max_own_slots = max(1, self.service.slots - SLOTS_FOR_OTHER_INSTANCES)
@@ -80,11 +80,13 @@
         if not with_room:
             return None
         chosen = self._cheapest_of_sample(with_room, now)
-        if not self.limits.may_send(chosen.leaf_id, now):
+        if not self.may_send(chosen.leaf_id, now):
             with_room = self._with_token(with_room, usable, now)
             if not is_repeated:
                 self.limits.on_missed(
-                    chosen.leaf_id, now, is_waiting=not with_room
+                    self.limit_key(chosen.leaf_id, now),
+                    now,
+                    is_waiting=not with_room,
                 )
             if not with_room:
                 return None
@@ -148,7 +150,7 @@
             is_free = leaf.in_flight == 0 and leaf.is_probe_due(now)
             if leaf.is_turned_away(now):
                 continue
-            if is_free and not self.limits.limit_of(leaf.leaf_id):
+            if is_free and not self.is_limited(leaf.leaf_id, now):
                 return leaf.leaf_id
         return None
 
@@ -238,7 +240,7 @@
         If they permit none of the leafs with room, the request goes to one that
         is usually avoided, as it does if the others are ejected.
         """
-        may_send = self.limits.may_send
+        may_send = self.may_send
         return [leaf for leaf in with_room if may_send(leaf.leaf_id, now)] or [
             leaf
             for leaf in usable
--- a/clementinebank/routing/_rate_limits.py
+++ b/clementinebank/routing/_rate_limits.py
@@ -5,6 +5,13 @@
 
 from clementinebank.ratelimit import LimitStatement, NamedLimit
 from clementinebank.routing._choice import ReplicaChoice
+from clementinebank.routing._replicas import COLD_KEY_PREFIX
+
+# Time in seconds after which a leaf counts as warm of which other instances
+# have said that it is cold, and nobody since.
+HEARD_COLD_S = 30.0
+# Longest time in seconds by which the knowledge of an instance lags behind.
+MAX_LAG_S = 1.0
 
 
 class RateLimitQueries(ReplicaChoice):
@@ -16,7 +23,7 @@
         """Return whether the rate limits permit a request to the group."""
         leafs = self._usable_leafs(group_id, inf)
         return not leafs or any(
-            self.limits.may_send(leaf.leaf_id, now) for leaf in leafs
+            self.may_send(leaf.leaf_id, now) for leaf in leafs
         )
 
     def token_wait_s(self, group_id: str, now: float) -> float:
@@ -30,7 +37,10 @@
             the rate of the tokens isn't known yet.
         """
         return self.limits.wait_s(
-            [leaf.leaf_id for leaf in self._usable_leafs(group_id, inf)],
+            [
+                self.limit_key(leaf.leaf_id, now)
+                for leaf in self._usable_leafs(group_id, inf)
+            ],
             self.waiting_by_group.get(group_id, 0),
             now,
         )
@@ -65,7 +75,8 @@
         leafs = self._usable_leafs(group_id, inf)
         if leafs:
             missed = self.rng.choice(leafs)
-            self.limits.on_missed(missed.leaf_id, now, is_waiting=False)
+            key = self.limit_key(missed.leaf_id, now)
+            self.limits.on_missed(key, now, is_waiting=False)
 
     def add_waiting(self, group_id: str, change: int) -> None:
         """Add `change` to the number of requests that wait for the group."""
@@ -100,6 +111,34 @@
     def merge_limits(
         self, statements: Iterable[LimitStatement], now: float
     ) -> None:
-        """Apply rate limits that other instances have heard, where newer."""
-        for leaf_id in self.limits.merge(statements, now):
+        """Apply limits that other instances have heard of, where newer."""
+        heard = tuple(statements)
+        for key in self.limits.merge(heard, now):
+            leaf_id = key.removeprefix(COLD_KEY_PREFIX)
             self._start_slowly(leaf_id, now)
+            if key != leaf_id:
+                self._on_heard_warm(leaf_id, now)
+        for statement in heard:
+            if statement.leaf_id.startswith(COLD_KEY_PREFIX):
+                self._on_heard_cold(statement.leaf_id, now)
+
+    def _on_heard_warm(self, leaf_id: str, now: float) -> None:
+        """Apply the end of coldness, unless the leaf itself has said more.
+
+        The instance that told of the end may not know yet that the leaf has
+        become cold again.
+        """
+        remaining_s = self.cold_until_by_leaf.get(leaf_id, now) - now
+        if leaf_id in self._stated_cold_leafs and remaining_s > MAX_LAG_S:
+            self.set_cold(leaf_id, remaining_s, now)
+        else:
+            self.end_cold(leaf_id, now)
+
+    def _on_heard_cold(self, key: str, now: float) -> None:
+        """Apply coldness of which this instance knows from others only."""
+        leaf_id = key.removeprefix(COLD_KEY_PREFIX)
+        if leaf_id in self._stated_cold_leafs:
+            return
+        limit = self.limits.limit_of(key)
+        if limit is not None and leaf_id in self.leafs_by_id:
+            self.cold_until_by_leaf[leaf_id] = limit.stated_at + HEARD_COLD_S
--- a/clementinebank/routing/_replicas.py
+++ b/clementinebank/routing/_replicas.py
@@ -5,8 +5,9 @@
 from math import inf
 
 import attrs
+from eliot import log_message
 
-from clementinebank.ratelimit import LimitTable, WaitingRequests
+from clementinebank.ratelimit import LimitTable, NamedLimit, WaitingRequests
 from clementinebank.routing._budget import (
     DEFAULT_BUCKET_CAPACITY,
     ExtraLoadBudget,
@@ -16,6 +17,12 @@
 from clementinebank.routing._policy import RoutingPolicy
 from clementinebank.routing._topology import Topology
 
+# Key of the limit of a cold leaf, before the leaf's id.
+COLD_KEY_PREFIX = 'cold '
+# Share of the bound of a cold leaf that is granted. Tokens live for a second,
+# so that the requests of one second may be those of two.
+COLD_RATE_SHARE = 0.7
+
 
 @attrs.define
 class Replicas:
@@ -43,6 +50,11 @@
         Number of requests of this instance that wait for a free leaf.
     regions_by_leaf : mapping of str to str
         Region of each leaf, for requests that only some regions may run.
+    cold_rates_by_group : mapping of str to float
+        Requests a second that a cold leaf takes from all instances; groups
+        without such a bound are missing.
+    cold_until_by_leaf : dict of str to float
+        Runtime time in seconds until which leafs with such a bound are cold.
     latencies : Latencies
         Recent service times of the leafs.
     limits : LimitTable
@@ -64,6 +76,10 @@
     limits: LimitTable = attrs.field()
     # Runtime time until which any leaf turns requests away.
     _turned_away_until: float = -inf
+    cold_rates_by_group: Mapping[str, float] = attrs.Factory(dict)
+    cold_until_by_leaf: dict[str, float] = attrs.Factory(dict)
+    # Cold leafs of which this instance knows from their own statements.
+    _stated_cold_leafs: set[str] = attrs.Factory(set)
     _group_id_by_leaf: dict[str, str] = attrs.Factory(dict)
 
     @limits.default
@@ -139,6 +155,70 @@
         """Return the budget from which extra requests of a group are paid."""
         return self.budgets_by_group.get(group_id, self.budget)
 
+    def limit_key(self, leaf_id: str, now: float) -> str:
+        """Return the key of the limit that binds a leaf at this moment.
+
+        A cold leaf has a limit of its own besides the one that it may name.
+        """
+        cold_until = self.cold_until_by_leaf.get(leaf_id)
+        if cold_until is None:
+            return leaf_id
+        if now >= cold_until:
+            self.end_cold(leaf_id, now)
+            return leaf_id
+        return COLD_KEY_PREFIX + leaf_id
+
+    def is_limited(self, leaf_id: str, now: float) -> bool:
+        """Return whether a leaf is cold with a bound or names a limit."""
+        key = self.limit_key(leaf_id, now)
+        return key != leaf_id or self.limits.limit_of(leaf_id) is not None
+
+    def may_send(self, leaf_id: str, now: float) -> bool:
+        """Return whether the limits permit a request to a leaf now."""
+        if not self.limits.may_send(leaf_id, now):
+            return False
+        key = self.limit_key(leaf_id, now)
+        return key == leaf_id or self.limits.may_send(key, now)
+
+    def set_cold(self, leaf_id: str, remaining_s: float, now: float) -> None:
+        """Record what a leaf or its registration states about its warm-up.
+
+        Parameters
+        ----------
+        leaf_id : str
+            The leaf; nothing changes if its group has no bound.
+        remaining_s : float
+            Time in seconds for which it is still cold; 0 for a warm leaf.
+        now : float
+            Runtime time in seconds.
+        """
+        rate_per_s = self.cold_rates_by_group.get(self.group_of(leaf_id), 0)
+        if remaining_s <= 0 or rate_per_s <= 0:
+            self.end_cold(leaf_id, now)
+            return
+        if leaf_id not in self._stated_cold_leafs:
+            log_message(
+                message_type='leaf:cold', leaf=leaf_id, seconds=remaining_s
+            )
+        self.cold_until_by_leaf[leaf_id] = now + remaining_s
+        self._stated_cold_leafs.add(leaf_id)
+        self.limits.on_named(
+            COLD_KEY_PREFIX + leaf_id,
+            NamedLimit(COLD_RATE_SHARE * rate_per_s),
+            now,
+            now,
+        )
+
+    def end_cold(self, leaf_id: str, now: float) -> None:
+        """End the limit of a cold leaf, which then starts slowly."""
+        if self.cold_until_by_leaf.pop(leaf_id, None) is None:
+            return
+        self._stated_cold_leafs.discard(leaf_id)
+        log_message(message_type='leaf:warm', leaf=leaf_id)
+        key = COLD_KEY_PREFIX + leaf_id
+        if self.limits.on_named(key, NamedLimit(None), now, now):
+            self._start_slowly(leaf_id, now)
+
     def _usable_leafs(
         self, group_id: str, remaining_s: float
     ) -> list[LeafState]:
@@ -178,8 +258,14 @@
                     self._usable_leafs(group_id, inf),
                     key=lambda leaf: leaf.delay_s,
                 )
-                leaf_ids = [leaf.leaf_id for leaf in leafs]
-                yield WaitingRequests(leaf_ids, count)
+                cold = self.cold_until_by_leaf
+                keys = [
+                    COLD_KEY_PREFIX + leaf.leaf_id
+                    if leaf.leaf_id in cold
+                    else leaf.leaf_id
+                    for leaf in leafs
+                ]
+                yield WaitingRequests(keys, count)
 
     def _start_slowly(self, leaf_id: str, now: float) -> None:
         """Raise the requests to a leaf whose limit has ended over some time.
@@ -207,7 +293,15 @@
                     leaf_id
                 ) or self._create_leaf(leaf_id, now)
                 self._configure_leaf(self.leafs_by_id[leaf_id])
-        self.limits.retain(set(self.leafs_by_id))
+        self._retain_limits()
+
+    def _retain_limits(self) -> None:
+        """Forget the limits and the coldness of leafs that are gone."""
+        for leaf_id in self.cold_until_by_leaf.keys() - self.leafs_by_id.keys():
+            self.cold_until_by_leaf.pop(leaf_id)
+            self._stated_cold_leafs.discard(leaf_id)
+        cold_keys = {COLD_KEY_PREFIX + each for each in self.cold_until_by_leaf}
+        self.limits.retain(cold_keys.union(self.leafs_by_id))
 
     def _create_leaf(self, leaf_id: str, now: float | None) -> LeafState:
         if self.policy.avoids_overtaken_leafs:
