--- a/clementinebank/gateway/_samples.py
+++ b/clementinebank/gateway/_samples.py
@@ -39,6 +39,9 @@
             names.LEAVING_LEAFS,
             len(gateway.leaf_directory.registered_departures()),
         ),
+        create_sample(
+            names.COLD_LEAFS, len(gateway.engine.router.cold_until_by_leaf)
+        ),
         *_malformed_samples(gateway),
         create_sample(
             names.CONNECTIONS,
--- a/clementinebank/routing/_calls.py
+++ b/clementinebank/routing/_calls.py
@@ -46,6 +46,9 @@
             self.placement.on_placed(
                 self.group_of(leaf_id), self.prices_by_leaf.get(leaf_id, 0)
             )
+        key = self.limit_key(leaf_id, now)
+        if key != leaf_id:
+            self.limits.on_sent(key, now, is_extra=is_extra)
 
     def on_end(
         self,
