--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -36,6 +36,12 @@
 CALLER_DESCRIPTOR_SHARE = 0.5
 PEER_DESCRIPTOR_SHARE = 0.3
 MIN_CONNECTIONS = 16
+# Shares of the memory for connections, and what one takes: protocol state, a
+# task, and the headers of a caller or the tables of HTTP/2.
+CALLER_CONNECTION_MEMORY_SHARE = 0.2
+CALLER_CONNECTION_BYTES = 40_000
+PEER_CONNECTION_MEMORY_SHARE = 0.25
+PEER_CONNECTION_BYTES = 80_000
 MIN_DESCRIPTORS = 300
 # Bodies of the largest accepted size that fit into the buffers at once.
 MAX_BODIES_IN_BUFFERS = 16
@@ -128,12 +134,18 @@
     @property
     def max_caller_connections(self) -> int:
         """Return the largest number of connections of callers."""
-        return self._connections(CALLER_DESCRIPTOR_SHARE)
+        return self._connections(
+            CALLER_DESCRIPTOR_SHARE,
+            CALLER_CONNECTION_MEMORY_SHARE / CALLER_CONNECTION_BYTES,
+        )
 
     @property
     def max_peer_connections(self) -> int:
         """Return the largest number of connections of other instances."""
-        return self._connections(PEER_DESCRIPTOR_SHARE)
+        return self._connections(
+            PEER_DESCRIPTOR_SHARE,
+            PEER_CONNECTION_MEMORY_SHARE / PEER_CONNECTION_BYTES,
+        )
 
     @property
     def buffer_limit(self) -> BufferLimit:
@@ -146,9 +158,10 @@
         """Return the processor of the instance in cores."""
         return round(self.processor_share * self.processor_speed, 3)
 
-    def _connections(self, share: float) -> int:
-        sockets = self.max_descriptors - FILE_DESCRIPTORS
-        return max(MIN_CONNECTIONS, int(share * sockets))
+    def _connections(self, share: float, per_byte: float) -> int:
+        by_descriptors = share * (self.max_descriptors - FILE_DESCRIPTORS)
+        by_memory = per_byte * self.memory_mb * BYTES_PER_MB
+        return max(MIN_CONNECTIONS, int(min(by_descriptors, by_memory)))
 
 
 @attrs.frozen
--- a/clementinebank/gateway/tests/test_settings.py
+++ b/clementinebank/gateway/tests/test_settings.py
@@ -4,18 +4,22 @@
 without a signal, and an unchanged or invalid one must change nothing.
 """
 
+import resource
+
 import curio
 import pytest
 from result import Err
 
 from clementinebank.clock import FakeClockKernel
-from clementinebank.gateway import load_gateway_settings
+from clementinebank.gateway import ResourceLimits, load_gateway_settings
 from clementinebank.gateway._reload import (
     FILE_CHECK_INTERVAL_S,
     SettingsWatcher,
 )
+from clementinebank.http import Holding, MemoryPart
 from clementinebank.validation import Address
 
+MAX_BODY_BYTES = 262_144
 GOOD = """\
 instance_id: g-1
 data_centre: dc-1
@@ -59,6 +63,32 @@
     assert settings.regions_by_data_centre == {'dc-1': 'region-1'}
 
 
+def test_limits_for_crowds_follow_from_the_machine(path):
+    path.write_text(
+        GOOD.replace('_mb: 300', '_mb: 160\n  max_descriptors: 4100')
+    )
+    resources = load_gateway_settings(path).ok_value.resources
+    budget = resources.memory_budget
+    assert budget.max_bytes == 40_000_000
+    # Bodies of the largest size on the platform that are read at once.
+    crowd = [Holding(budget, MemoryPart.REQUESTS) for _ in range(38)]
+    assert all(each.grow_to(2 * MAX_BODY_BYTES) for each in crowd)
+    assert resources.max_caller_connections == 800
+    assert resources.max_peer_connections == 500
+
+
+def test_connections_leave_descriptors_for_leafs():
+    resources = ResourceLimits(0.5, 2, 552, 1000)
+    assert resources.max_caller_connections == 400
+    assert resources.max_peer_connections == 240
+
+
+def test_limit_of_the_system_holds_without_a_setting(path):
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    settings = load_gateway_settings(path).ok_value
+    assert settings.resources.max_descriptors == limit
+
+
 @pytest.mark.parametrize(
     ('good', 'bad', 'field'),
     [
@@ -67,6 +97,11 @@
         ('instance_id: g-1', 'instance_id: 7', 'instance_id'),
         ('_speed: 2', '_speed: fast', 'resources.processor_speed'),
         ('memory_mb: 300', 'memory_mb: 1', 'resources.memory_mb'),
+        (
+            'memory_mb: 300',
+            'memory_mb: 300\n  max_descriptors: 10',
+            'resources.max_descriptors',
+        ),
         ('_share: 0.537', '_share: 0', 'resources.processor_share'),
         ('_share: 0.537', '_part: 0.5', 'resources.processor_part'),
         ('"127.0.0.1:4"', '"store:4"', 'control_store'),
