--- a/clementinebank/gateway/tests/test_task_edges.py
+++ b/clementinebank/gateway/tests/test_task_edges.py
@@ -383,6 +383,35 @@
             raise UnexpectedError
 
 
+@attrs.define
+class _UnsendableCodec(_Codec):
+    """Codec that gives all requests but one a header that isn't allowed."""
+
+    encoded: list = attrs.Factory(list)
+
+    def encode(self, request, leaf_id, remaining_ms):
+        message = _Codec.encode(self, request, leaf_id, remaining_ms)
+        self.encoded.append(request.request_id)
+        if request.request_id != 'four':
+            message.headers['x'] = 'ł'
+        return message
+
+
+def test_request_that_http_forbids_fails_at_once(monkeypatch):
+    monkeypatch.setattr(client_module, 'open_socket', _open_to_leaf)
+
+    async def run():
+        codec = _UnsendableCodec()
+        started_at = now()
+        await _forward_four(codec)
+        return codec.encoded, now() - started_at
+
+    with FakeClockKernel() as kernel:
+        encoded, elapsed_s = kernel.run(run)
+    assert encoded == ['one', 'two', 'three', 'four']
+    assert elapsed_s < 0.2
+
+
 @pytest.mark.parametrize('failing', ['encode', 'decode'])
 def test_error_of_a_codec_gives_the_place_back(failing, monkeypatch):
     monkeypatch.setattr(client_module, 'open_socket', _open_to_leaf)
