--- a/clementinebank/ratelimit/tests/test_quota_fleet.py
+++ b/clementinebank/ratelimit/tests/test_quota_fleet.py
@@ -197,6 +197,21 @@
         fleet = kernel.run(run)
     assert fleet.greatest_excess() <= 0
     assert len(fleet.admitted) >= 0.9 * MIDDLE.rate_per_s * DURATION_S
+    # They are refused without a message until the next token can be there.
+    assert fleet.message_count < 0.5 * len(fleet.refused)
+
+
+def test_burst_after_a_quiet_time_is_bounded():
+    async def run():
+        fleet = QuotaFleet(62, LARGE)
+        await fleet.start()
+        await fleet.send(1, DURATION_S)
+        await fleet.send(300, WINDOW_S)
+        return fleet
+
+    with FakeClockKernel() as kernel:
+        fleet = kernel.run(run)
+    assert fleet.greatest_excess() <= 0
 
 
 def test_state_grows_with_active_accounts_only():
