Refuse everyone where all keys are withdrawn

A configuration whose accounts have no keys left was read as one without accounts, so that requests without a key ran.

--- a/clementinebank/accounts/_table.py
+++ b/clementinebank/accounts/_table.py
@@ -22,11 +22,11 @@
         Greatest age of the knowledge on which a key is called unknown, in
         seconds.
     accounts_by_key : dict of str to ClientAccount
-        Account of each key; empty if the deployment has no accounts.
+        Account of each key.
     quotas_by_account : dict of str to Quota
         Quota of each account that has one.
     account_count : int
-        Number of accounts.
+        Number of accounts; 0 if callers need no key.
     """
 
     max_age_s: float
--- a/clementinebank/gateway/_admission.py
+++ b/clementinebank/gateway/_admission.py
@@ -143,7 +143,7 @@
         self, request: ForwardRequest, route: Route
     ) -> ClientAccount | None:
         """Return the account of a request, ``None`` if it needs none."""
-        if not self.accounts.accounts_by_key:
+        if not self.accounts.account_count:
             return None
         return self.accounts.authenticate(
             request.api_key,
--- a/clementinebank/gateway/tests/test_settings.py
+++ b/clementinebank/gateway/tests/test_settings.py
@@ -41,6 +41,13 @@
 """
 
 
+QUOTA_BOUNDS = """\
+  quota_window_s: 4
+  quota_excess: 0.25
+  quota_slack: 12
+"""
+
+
 @pytest.fixture(name='path')
 def _path(tmp_path):
     path = tmp_path / 'gateway.yaml'
@@ -48,6 +55,17 @@
     return path
 
 
+def test_bounds_of_quotas_are_read_and_strict_if_missing(path):
+    strict = load_gateway_settings(path).ok_value.bounds.quota
+    assert (strict.excess, strict.slack) == (0, 0)
+    path.write_text(GOOD + QUOTA_BOUNDS)
+    bounds = load_gateway_settings(path).ok_value.bounds.quota
+    assert (bounds.window_s, bounds.excess, bounds.slack) == (4, 0.25, 12)
+    path.write_text(GOOD + QUOTA_BOUNDS.replace('12', '-1'))
+    (problem,) = load_gateway_settings(path).err_value
+    assert problem.field == 'bounds.quota_slack'
+
+
 def test_good_settings_are_read(path):
     settings = load_gateway_settings(path).ok_value
     assert settings.bounds.drain_s == 3
