--- a/clementinebank/gateway/_settings.py
+++ b/clementinebank/gateway/_settings.py
@@ -276,8 +276,8 @@
         regions_by_data_centre={
             name: regions.text(name) for name in regions.data
         },
-        bounds=_read_bounds(reader.child('bounds')),
-        resources=_read_resources(reader.child('resources')),
+        bounds=_read_bounds(_with_optional(reader.child('bounds'))),
+        resources=_read_resources(_with_optional(reader.child('resources'))),
         seeds=reader.addresses('seeds'),
         placement=_read_placement(reader.child('placement', required=False)),
     )
@@ -286,6 +286,21 @@
     return settings
 
 
+def _with_optional(reader: FieldReader) -> FieldReader:
+    """Add the optional fields that a table of the platform states.
+
+    ``stated`` is that table, and ``optional`` has the names in it of the fields
+    that are added. Fields that the table lacks are left out.
+    """
+    stated = reader.child('stated', required=False)
+    optional = reader.child('optional', required=False)
+    for name in optional.data:
+        found = stated.data.get(optional.text(name))
+        if found is not None:
+            reader.data.setdefault(name, found)
+    return reader
+
+
 def _read_placement(reader: FieldReader) -> PlacementSettings:
     """Read the prices of work that leaves; without them nothing is held."""
     defaults = PlacementSettings()
--- a/clementinebank/gateway/tests/test_settings.py
+++ b/clementinebank/gateway/tests/test_settings.py
@@ -45,6 +45,13 @@
 """
 
 
+QUOTA_BOUNDS = """\
+  quota_window_s: 4
+  quota_excess: 0.25
+  quota_slack: 12
+"""
+
+
 @pytest.fixture(name='path')
 def _path(tmp_path):
     path = tmp_path / 'gateway.yaml'
@@ -52,6 +59,17 @@
     return path
 
 
+def test_bounds_of_quotas_are_read_and_strict_if_missing(path):
+    strict = load_gateway_settings(path).ok_value.bounds.quota
+    assert (strict.excess, strict.slack) == (0, 0)
+    path.write_text(GOOD + QUOTA_BOUNDS)
+    bounds = load_gateway_settings(path).ok_value.bounds.quota
+    assert (bounds.window_s, bounds.excess, bounds.slack) == (4, 0.25, 12)
+    path.write_text(GOOD + QUOTA_BOUNDS.replace('12', '-1'))
+    (problem,) = load_gateway_settings(path).err_value
+    assert problem.field == 'bounds.quota_slack'
+
+
 def test_good_settings_are_read(path):
     settings = load_gateway_settings(path).ok_value
     assert settings.bounds.drain_s == 3
@@ -184,3 +202,30 @@
     path.write_text(f'{GOOD}placement: {placement}\n')
     problems = load_gateway_settings(path).err_value
     assert [problem.field for problem in problems] == [field]
+
+
+def test_optional_fields_are_added_from_what_the_platform_states(path):
+    """A field that the platform doesn't state must keep its default."""
+    path.write_text(
+        GOOD + '  optional: {evacuation_ms: evacuate, quota_slack: slack}\n'
+        '  stated: {evacuate: 2500, drain_ms: 1, unknown: [1]}\n'
+    )
+    bounds = load_gateway_settings(path).ok_value.bounds
+    assert bounds.evacuation_s == 2.5
+    assert bounds.drain_s == 3
+
+
+@pytest.mark.parametrize(
+    ('stated', 'field'),
+    [
+        ('{evacuate: soon}', 'bounds.evacuation_ms'),
+        ('[1]', 'bounds.stated'),
+    ],
+)
+def test_bad_stated_field_is_reported_by_its_name(path, stated, field):
+    path.write_text(
+        GOOD + '  optional: {evacuation_ms: evacuate}\n'
+        f'  stated: {stated}\n'
+    )
+    problems = load_gateway_settings(path).err_value
+    assert [problem.field for problem in problems] == [field]
