--- a/clementinebank/forwarding/_statements.py
+++ b/clementinebank/forwarding/_statements.py
@@ -52,6 +52,8 @@
         load = leaf_response.load
         if load is not None:
             leaf.on_load(load.running, load.waiting)
+            if load.slowness is not None:
+                leaf.on_slowness(now(), load.slowness)
         if leaf_response.cold_s is not None:
             self.router.set_cold(incarnation_id, leaf_response.cold_s, now())
         if leaf_response.retry_after_s is not None:
--- a/clementinebank/routing/_choice.py
+++ b/clementinebank/routing/_choice.py
@@ -281,12 +281,13 @@
     def _expected_cost_s(self, leaf: LeafState, now: float) -> float:
         """Return the cost of a leaf in seconds.
 
-        If the policy avoids overtaken leafs, it includes the penalty for
-        unserved calls.
+        It includes the slowness of its machine and, if the policy avoids
+        overtaken leafs, the penalty for unserved calls.
         """
+        cost_s = leaf.cost_s + leaf.slowness_cost_s(now)
         if self.policy.avoids_overtaken_leafs:
-            return leaf.cost_s + leaf.unserved_penalty_s(now)
-        return leaf.cost_s
+            return cost_s + leaf.unserved_penalty_s(now)
+        return cost_s
 
     def _is_wait_shorter(
         self, chosen: LeafState, candidates: list[LeafState], now: float
--- a/clementinebank/routing/_leaf_costs.py
+++ b/clementinebank/routing/_leaf_costs.py
@@ -32,6 +32,13 @@
 # Least time between two decreases of the limit, so that all refusals of one
 # overload decrease it once.
 DECREASE_INTERVAL_S = 0.05
+# Half-life of what a leaf states about the speed of its machine, in seconds. It
+# changes many times a second, so that an old statement says nothing.
+SLOWNESS_HALF_LIFE_S = 0.1
+# Bounds of the stated slowness: a wrong statement can't remove a leaf that
+# answers well, nor draw all requests to it.
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 4.0
 
 
 @attrs.define
@@ -79,6 +86,8 @@
     slots: int = 1
     foreign_load: float = 0
     queue_factor: float = DEFAULT_QUEUE_FACTOR
+    _slowness: float = 1
+    _slowness_stated_at: float = 0
     _unserved_share: float = 0
     _unserved_share_updated_at: float = 0
     _limit_decreased_at: float = float('-inf')
@@ -103,6 +112,32 @@
         service_with_queue_s = max(1, slot_load) * self.service_s
         return (self.round_trip_s + service_with_queue_s) * self._report_penalty
 
+    def on_slowness(self, now: float, slowness: float) -> None:
+        """Record how long work takes on the machine of the leaf.
+
+        Parameters
+        ----------
+        now : float
+            Runtime time in seconds at which the statement arrived.
+        slowness : float
+            Multiple of the usual time.
+        """
+        self._slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
+        self._slowness_stated_at = now - self.delay_s
+
+    def slowness_cost_s(self, now: float) -> float:
+        """Return the time in seconds that the slowness of the machine adds.
+
+        It decays to 0 with the age of the statement, and is negative on a
+        machine that is faster than usual.
+        """
+        if self._slowness == 1:
+            return 0
+        age_s = max(0, now - self._slowness_stated_at)
+        weight = 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
+        service_s = self.cost_s - self.round_trip_s
+        return weight * (self._slowness - 1) * max(0, service_s)
+
     @property
     def min_reply_s(self) -> float:
         """Return the shortest time in seconds until an answer can arrive."""
