--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -5,6 +5,7 @@
 from typing import cast
 
 import attrs
+from eliot import write_traceback
 from result import Err, Result
 
 from clementinebank.clock import now
@@ -28,8 +29,10 @@
 from clementinebank.forwarding._shares import FleetShares
 from clementinebank.forwarding._statements import StatementRecorder
 from clementinebank.forwarding._topology import LeafTopology, create_topology
+from clementinebank.forwarding._worth import values_of_services
 from clementinebank.http import BufferLimit
 from clementinebank.leafs import LeafDirectory, LeafEndpoint, LeafRecord
+from clementinebank.placement import PlacementSettings, create_placement
 from clementinebank.ratelimit import LimitTable
 from clementinebank.routes import Route, RouteTable
 from clementinebank.routing import (
@@ -112,6 +115,8 @@
         another instance.
     rng : random.Random
         Source of randomness for the choice of leafs.
+    placement : PlacementSettings
+        What the operators pay for work that leaves its data centre.
     router : Router
         Routing state; its groups are the services.
     statements : StatementRecorder
@@ -128,6 +133,7 @@
     on_request_end: OnRequestEnd | None = None
     on_gathering_end: OnRequestEnd | None = None
     rng: random.Random = attrs.Factory(random.Random)
+    placement: PlacementSettings = PlacementSettings()
     router: Router = attrs.field(init=False)
     statements: StatementRecorder = attrs.field(init=False)
     _pools_by_service: dict[str, LeafPools] = attrs.Factory(dict)
@@ -139,6 +145,7 @@
             LeafTopology({}, MAX_SLOTS, self.limits.ratio),
             self.rng,
             policy=FORWARDING_ROUTING_POLICY,
+            placement=create_placement(self.placement),
             limits=LimitTable(self._limit_share, rng=self.rng),
         )
         self.statements = StatementRecorder(self.router, self.directory)
@@ -177,6 +184,7 @@
             record.incarnation_id: self.delays.region_of(record.data_centre)
             for record in self.directory.records_by_id.values()
         }
+        self._update_placement()
         known_leaf_ids = set(self.router.leafs_by_id)
         self._apply_cold_rates()
         self.router.update_service(topology, now(), delays_s_by_leaf, MAX_SLOTS)
@@ -209,6 +217,24 @@
             cold_rates = configuration.cold_rates_by_service
             self.router.cold_rates_by_group = cold_rates
 
+    def _update_placement(self) -> None:
+        """Apply the places of the leafs and the worth of the services."""
+        placement = self.router.placement
+        if placement is None:
+            return
+        placement.set_values(values_of_services(self.table.configuration))
+        delays = self.delays
+        own_region = delays.region_of(delays.data_centre)
+        self.router.prices_by_leaf = {
+            record.incarnation_id: self.placement.price(
+                is_same_data_centre=record.data_centre == delays.data_centre,
+                is_same_region=(
+                    delays.region_of(record.data_centre) == own_region
+                ),
+            )
+            for record in self.directory.records_by_id.values()
+        }
+
     def set_limits(self, limits: ExtraLoadLimits) -> None:
         """Apply changed bounds of the extra requests to every budget."""
         self.limits = limits
@@ -396,10 +422,12 @@
 
     state_machine: ForwardStateMachine
     engine: ForwardingEngine
-    _pools_by_attempt: dict[str, LeafPool] = attrs.Factory(dict)
+    _pools_by_attempt: dict[str, LeafPool | None] = attrs.Factory(dict)
 
     async def cancel(self, action: CancelCall) -> None:
-        """Cancel a call; does nothing if the call was never given to a pool."""
+        """Cancel a call, or give its place back if it never came to a pool."""
+        if action.attempt_id not in self._pools_by_attempt:
+            self._release(action)
         pool = self._pools_by_attempt.get(action.attempt_id)
         if pool is not None:
             await pool.cancel(action.attempt_id)
@@ -410,12 +438,12 @@
         if pool is None:
             await self._fail_without_pool(action)
             return
-        self._pools_by_attempt[action.attempt_id] = pool
         request = self.state_machine.request
         finish_at = self.state_machine.dispatcher.finish_at
         remaining_ms = max(1, int((finish_at - now()) * MS_PER_S))
         leaf_id = action.leaf_id.rpartition('@')[0]
         message = self.engine.codec.encode(request, leaf_id, remaining_ms)
+        self._pools_by_attempt[action.attempt_id] = pool
         await pool.submit(
             LeafCall(
                 action.attempt_id,
@@ -438,9 +466,14 @@
             peer=action.leaf_id,
             execution=Execution.NOT_RUN,
         )
-        self.engine.router.on_end(action.leaf_id, now(), 0, CallOutcome.UNSENT)
+        self._pools_by_attempt[action.attempt_id] = None
+        self._release(action)
         await self.replies.put((action.attempt_id, Err(failure)))
 
+    def _release(self, action: SendCall | CancelCall) -> None:
+        """Give back the place at the leaf of a call that no pool gets."""
+        self.engine.router.on_end(action.leaf_id, now(), 0, CallOutcome.UNSENT)
+
     async def _on_reply(self, reply: LeafReply) -> None:
         """Update the routing state and pass the outcome to the request.
 
@@ -456,11 +489,7 @@
             reply.leaf_id, reply.call_id
         )
         is_counted = is_current or ended_overtaken_call
-        outcome = reply.outcome.map(self.engine.codec.decode)
-        if not isinstance(outcome, Err):
-            self.engine.statements.record(
-                reply.leaf_id, outcome.ok_value, reply.elapsed_s
-            )
+        outcome = self._decode(reply)
         router.on_end(
             reply.leaf_id,
             now(),
@@ -471,6 +500,30 @@
         if is_current and self.result is None:
             await self.replies.put((reply.call_id, outcome))
 
+    def _decode(self, reply: LeafReply) -> Result[LeafResponse, Failure]:
+        """Decode a reply and update the routing state with its statements.
+
+        An unexpected error fails the call, which may have run.
+        """
+        try:
+            outcome = reply.outcome.map(self.engine.codec.decode)
+            if not isinstance(outcome, Err):
+                self.engine.statements.record(
+                    reply.leaf_id, outcome.ok_value, reply.elapsed_s
+                )
+        except Exception as error:
+            write_traceback()
+            return Err(
+                Failure(
+                    'internal_error',
+                    f'unexpected {type(error).__name__}',
+                    Step.READ,
+                    peer=reply.leaf_id,
+                    execution=Execution.UNKNOWN,
+                )
+            )
+        return outcome
+
     def on_outcome(
         self, call_id: str, outcome: Result[LeafResponse, Failure]
     ) -> list[Action]:
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -8,14 +8,13 @@
 from result import Err
 
 from clementinebank.aggregation import (
-    GATHER_PATH,
     AggregationService,
     AggregatorSelector,
     Delegator,
 )
 from clementinebank.clock import now
-from clementinebank.departures import TELL_PATH, DepartureAnnouncer
-from clementinebank.errors import Failure, Step
+from clementinebank.departures import DepartureAnnouncer
+from clementinebank.errors import Failure
 from clementinebank.forwarding import (
     CallerCodec,
     ExtraLoadLimits,
@@ -23,22 +22,28 @@
     LeafCodec,
     LinkDelays,
 )
+from clementinebank.gateway._admission import Admission
+from clementinebank.gateway._caller_limits import create_caller_limits
 from clementinebank.gateway._changes import DecodeEntry
+from clementinebank.gateway._limit_peers import LimitPeers
+from clementinebank.gateway._peer_server import PeerServices, create_peer_server
+from clementinebank.gateway._probes import PlatformListeners
+from clementinebank.gateway._refusal_log import RefusalLog
 from clementinebank.gateway._request_log import RequestLog
+from clementinebank.gateway._samples import read_gateway_samples
 from clementinebank.gateway._settings import GatewaySettings
 from clementinebank.gateway._updater import ControlStateUpdater
 from clementinebank.http import (
-    HttpLimits,
     HttpRequest,
     HttpResponse,
     HttpServer,
+    ServerResources,
 )
 from clementinebank.leafs import LeafDirectory
-from clementinebank.metrics import Metrics, create_sample, format_metrics, names
-from clementinebank.process import SignalWaiter
-from clementinebank.ratelimit import ACQUIRE_PATH, LimitClient, LimitService
+from clementinebank.metrics import Metrics, names
+from clementinebank.process import SignalWaiter, supervise
+from clementinebank.ratelimit import LimitClient, LimitService
 from clementinebank.relay import (
-    WATCH_PATH,
     ControlStore,
     EntryLog,
     RelayClient,
@@ -46,16 +51,11 @@
     RelayedFeed,
     RelayRegistration,
     RelayService,
+    RemovalBounds,
 )
 from clementinebank.routes import CallerLimits, RouteTable
-from clementinebank.routing import rendezvous_subset
 from clementinebank.rpc import RpcServer
-from clementinebank.validation import Address
 
-NOT_FOUND = 404
-UNAVAILABLE = 503
-OK = 200
-EXPOSITION_CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 # Time for which a stopping instance still accepts requests: the load balancer
 # checks readiness once a second and removes an instance after two failures.
 ACCEPT_AFTER_STOP_S = 2.5
@@ -70,9 +70,6 @@
 RETRY_AFTER_WITHOUT_ROUTES_S = 0.25
 # Time for which binding a listener to a port in use is retried.
 BIND_TIMEOUT_S = 10.0
-# Limits of the listener for callers.
-MAX_CALLER_CONNECTIONS = 2048
-MAX_REQUESTS_IN_FLIGHT = 1024
 
 
 @attrs.define(eq=False)
@@ -107,6 +104,7 @@
     background: list[Any] = attrs.Factory(list)
     entry_log: EntryLog = attrs.Factory(EntryLog)
     relays: RelayDirectory = attrs.Factory(RelayDirectory)
+    server_resources: ServerResources = attrs.field(init=False)
     leaf_directory: LeafDirectory = attrs.field(init=False)
     engine: ForwardingEngine = attrs.field(init=False)
     registration: RelayRegistration = attrs.field(init=False)
@@ -115,6 +113,8 @@
     aggregation: AggregationService = attrs.field(init=False)
     limit_service: LimitService = attrs.field(init=False)
     limit_client: LimitClient = attrs.field(init=False)
+    admission: Admission = attrs.field(init=False)
+    refusal_log: RefusalLog = attrs.Factory(RefusalLog)
     departures: DepartureAnnouncer = attrs.field(init=False)
     updater: ControlStateUpdater = attrs.field(init=False)
     peer_server: RpcServer = attrs.field(init=False)
@@ -124,7 +124,13 @@
         """Create the parts of the instance; nothing is started."""
         settings = self.settings
         bounds = settings.bounds
+        self.server_resources = ServerResources(
+            settings.resources.memory_budget
+        )
         self.leaf_directory = LeafDirectory(bounds.drain_s)
+        self._bound_memory()
+        self.admission = Admission(self.route_table, self.entry_log, bounds)
+        self._bound_removals()
         self._create_engine()
         self._create_feed()
         self.updater = ControlStateUpdater(
@@ -141,11 +147,13 @@
             settings.callers.host,
             settings.callers.port,
             self.handle,
-            _http_limits(CallerLimits()),
+            create_caller_limits(CallerLimits(), settings.resources),
             self._on_server_failure,
             BIND_TIMEOUT_S,
+            self.server_resources,
         )
-        self.metrics.add_source(self._metric_samples)
+        self.metrics.add_source(lambda: read_gateway_samples(self))
+        self.metrics.add_source(self.admission.metric_samples)
 
     @property
     def is_ready(self) -> bool:
@@ -167,22 +175,26 @@
             instance=self.settings.instance_id,
             data_centre=self.settings.data_centre,
         )
+        listeners = PlatformListeners(
+            lambda: self.is_ready, self.metrics, BIND_TIMEOUT_S
+        )
         for corofunc in (
-            self._create_server(
-                self.settings.readiness, self._on_readiness
-            ).serve,
-            self._create_server(self.settings.metrics, self._on_metrics).serve,
+            listeners.create_readiness(self.settings.readiness).serve,
+            listeners.create_metrics(self.settings.metrics).serve,
             self.updater.run,
             self.peer_server.serve,
             self.peer_server.cancel_disconnected,
             self.registration.run,
             self.limit_client.run,
+            self.admission.quota_client.run,
             self.departures.run,
             self.server.serve,
             self.server.cancel_disconnected,
             *self.background,
         ):
-            await curio.spawn(corofunc, daemon=True)
+            await curio.spawn(
+                supervise, corofunc, self._count_task_failure, daemon=True
+            )
         await self.stop_signal.wait()
         return await self._drain()
 
@@ -193,24 +205,11 @@
         except Failure as failure:
             self._count_refusal(failure)
             return self.caller_codec.encode_failure('', failure, RETRY_AFTER_S)
-        if self.route_table.configuration is None:
-            return self._refuse(
-                request.request_id,
-                'no_routes',
-                'the routes are not known yet',
-                UNAVAILABLE,
-            )
-        route = self.route_table.find(
-            message.headers.get('host', ''), message.path
-        )
-        if route is None:
-            return self._refuse(
-                request.request_id,
-                'no_route',
-                f'no route of version {self.route_table.version} matches',
-                NOT_FOUND,
-            )
-        request = attrs.evolve(request, regions=route.regions)
+        try:
+            route = self.admission.find_route(message)
+            request = await self.admission.admit(request, route)
+        except Failure as failure:
+            return self._refuse(request.request_id, failure)
         outcome = await self.delegator.forward(request, route)
         if isinstance(outcome, Err):
             return self.caller_codec.encode_failure(
@@ -220,22 +219,20 @@
             )
         return self.caller_codec.encode(request.request_id, outcome.ok_value)
 
-    def _refuse(
-        self, request_id: str, code: str, message: str, status: int
-    ) -> HttpResponse:
-        failure = Failure(code, message, Step.ADMIT, status=status)
+    def _refuse(self, request_id: str, failure: Failure) -> HttpResponse:
+        """Return the response to a request that is not admitted."""
         self._count_refusal(failure)
-        log_message(
-            message_type='request:refused',
+        self.refusal_log.record(
+            failure,
             request_id=request_id,
             instance=self.settings.instance_id,
             version=self.route_table.version,
-            code=code,
-            reason=message,
             confirmed_s=round(now() - self.updater.confirmed_at, 3),
         )
         return self.caller_codec.encode_failure(
-            request_id, failure, RETRY_AFTER_WITHOUT_ROUTES_S
+            request_id,
+            failure,
+            failure.retry_after_s or RETRY_AFTER_WITHOUT_ROUTES_S,
         )
 
     def apply_settings(self, settings: GatewaySettings) -> None:
@@ -249,14 +246,30 @@
             log_message(message_type='gateway:restart_needed')
         self.settings = applied
         self.feed.seed_relays = seeds
+        self.admission.apply_bounds(bounds)
         self.registration.is_seed = applied.peers in seeds
         self.leaf_directory.drain_limit_s = bounds.drain_s
+        self._bound_removals()
         self.updater.watch_wait_s = bounds.watch_wait_s
         self.feed.bounds = bounds.freshness
         self.engine.set_limits(
             ExtraLoadLimits(bounds.retry_ratio, bounds.retry_burst)
         )
 
+    def _bound_memory(self) -> None:
+        """Bound what is kept longer than a request by the own memory."""
+        resources = self.settings.resources
+        self.entry_log.max_state_bytes = resources.state_bytes
+        self.entry_log.max_removal_bytes = resources.removal_bytes
+        self.metrics.max_distribution_bytes = resources.distribution_bytes
+
+    def _bound_removals(self) -> None:
+        """Let removals count early enough for the drain limit."""
+        self.entry_log.removal_bounds = RemovalBounds(
+            self.leaf_directory.removal_notice_s,
+            self.settings.bounds.freshness.max_age_s,
+        )
+
     def _create_engine(self) -> None:
         """Create the forwarding of requests, here and by aggregators."""
         settings = self.settings
@@ -279,6 +292,7 @@
             buffers=settings.resources.buffer_limit,
             on_request_end=request_log.record,
             on_gathering_end=request_log.record_gathering,
+            placement=settings.placement,
         )
         self.delegator = Delegator(
             self.engine,
@@ -291,47 +305,33 @@
         )
 
         router = self.engine.router
-        self.limit_service = LimitService(router.limits, router.merge_limits)
+        self.limit_service = self.admission.create_limit_service(
+            router.limits, router.merge_limits
+        )
+        limit_peers = LimitPeers(
+            settings.data_centre,
+            settings.peers,
+            self.relays,
+            self.leaf_directory,
+        )
         self.limit_client = LimitClient(
             settings.peers,
             self.limit_service,
-            self._find_coordinator,
-            self._limit_listeners,
+            limit_peers.find_coordinator,
+            limit_peers.listeners,
             self.entry_log.wake_waiting,
         )
+        self.admission.use_limits(
+            self.limit_client, lambda: self.relays.fleet_size(now())
+        )
         self.departures = DepartureAnnouncer(
             settings.peers,
             self.leaf_directory,
-            self._limit_listeners,
+            limit_peers.listeners,
             self.engine.statements.on_leaving,
             self.entry_log.wake_waiting,
         )
 
-    def _find_coordinator(self, leaf_id: str) -> Address | None:
-        """Return the relay that grants the requests to a limited leaf.
-
-        It is the relay of the leaf's data centre, or another one if there is
-        none; ``None`` while no relay is known.
-        """
-        relays = self.relays.records_by_data_centre
-        data_centre = self.leaf_directory.data_centre_of(leaf_id)
-        if data_centre not in relays:
-            for chosen in rendezvous_subset(leaf_id, relays, 1):
-                data_centre = chosen
-        record = relays.get(data_centre)
-        return record.address if record else None
-
-    def _limit_listeners(self) -> set[Address]:
-        """Return the relays that this instance tells of new limits.
-
-        An instance tells its relay, and that one all other relays.
-        """
-        relays = self.relays.records_by_data_centre
-        own_relay = relays.get(self.settings.data_centre)
-        if own_relay is None or own_relay.address == self.settings.peers:
-            return {record.address for record in relays.values()}
-        return {own_relay.address}
-
     def _encode_notice(self) -> bytes:
         """Return what the followers of this relay have to know of leafs.
 
@@ -351,18 +351,18 @@
     def _create_feed(self) -> None:
         """Create the feed of control entries and the relay of this instance."""
         settings = self.settings
-        service = RelayService(self.entry_log, self._encode_notice)
+        service = RelayService(
+            self.entry_log,
+            self._encode_notice,
+            settings.resources.follower_bytes,
+        )
         cores = settings.resources.cores
-        self.peer_server = RpcServer(
-            settings.peers.host,
-            settings.peers.port,
-            {
-                WATCH_PATH: service.handle_watch,
-                GATHER_PATH: self.aggregation.handle_gather,
-                ACQUIRE_PATH: self.limit_service.handle_acquire,
-                TELL_PATH: self.departures.handle_tell,
-            },
-            accepting_paths=(GATHER_PATH,),
+        self.peer_server = create_peer_server(
+            settings,
+            PeerServices(
+                service, self.aggregation, self.limit_service, self.departures
+            ),
+            self.server_resources,
         )
         self.registration = RelayRegistration(
             settings.instance_id,
@@ -397,7 +397,10 @@
         """Pass changed limits and leafs on to the server and the engine."""
         configuration = self.route_table.configuration
         if configuration is not None:
-            self.server.state.limits = _http_limits(configuration.limits)
+            self.admission.update()
+            self.server.state.limits = create_caller_limits(
+                configuration.limits, self.settings.resources
+            )
         await self.delegator.update()
         self.aggregation.is_accepting = not self.is_draining
 
@@ -426,73 +429,12 @@
         log_message(message_type='gateway:stopped', requests_cut=cut_count)
         return 0
 
-    async def _on_readiness(self, message: HttpRequest) -> HttpResponse:
-        return HttpResponse(OK if self.is_ready else UNAVAILABLE)
-
-    async def _on_metrics(self, message: HttpRequest) -> HttpResponse:
-        body = format_metrics(self.metrics).encode()
-        headers = {'content-type': EXPOSITION_CONTENT_TYPE}
-        return HttpResponse(OK, headers, body)
-
-    def _create_server(self, address: Any, handler: Any) -> HttpServer:
-        return HttpServer(
-            address.host,
-            address.port,
-            handler,
-            HttpLimits(),
-            bind_timeout_s=BIND_TIMEOUT_S,
-        )
-
     def _count_refusal(self, failure: Failure) -> None:
         self.metrics.add(names.REFUSALS, listener='callers', code=failure.code)
 
+    def _count_task_failure(self, name: str) -> None:
+        self.metrics.add(names.TASK_FAILURES, task=name)
+
     def _on_server_failure(self, failure: Failure) -> None:
         self._count_refusal(failure)
         log_message(message_type='caller:failure', reason=str(failure))
-
-    def _metric_samples(self) -> list[Any]:
-        return [
-            create_sample(names.KEY_VALUE_CALLS, self.store.calls),
-            create_sample(
-                names.EVACUATED_DATA_CENTRES,
-                len(self.leaf_directory.evacuated_data_centres),
-            ),
-            create_sample(
-                names.LIMITED_LEAFS, self.engine.router.limits.limited_count
-            ),
-            create_sample(
-                names.LEAVING_LEAFS,
-                len(self.leaf_directory.registered_departures()),
-            ),
-            create_sample(
-                names.COLD_LEAFS, len(self.engine.router.cold_until_by_leaf)
-            ),
-            *self._malformed_samples(),
-            create_sample(
-                names.CONNECTIONS,
-                self.server.open_connections,
-                listener='callers',
-            ),
-            create_sample(
-                names.IN_FLIGHT, self.server.in_flight, listener='callers'
-            ),
-        ]
-
-    def _malformed_samples(self) -> list[Any]:
-        counts = self.engine.statements.malformed_by_name
-        return [
-            create_sample(names.MALFORMED_STATEMENTS, count, statement=name)
-            for name, count in counts.items()
-        ]
-
-
-def _http_limits(limits: CallerLimits) -> HttpLimits:
-    return HttpLimits(
-        max_header_bytes=limits.max_header_bytes,
-        max_body_bytes=limits.max_body_bytes,
-        header_timeout_s=limits.header_timeout_s,
-        idle_timeout_s=limits.idle_timeout_s,
-        max_connections=MAX_CALLER_CONNECTIONS,
-        max_in_flight=MAX_REQUESTS_IN_FLIGHT,
-        responds_before_idle_close=False,
-    )
--- a/clementinebank/gateway/_updater.py
+++ b/clementinebank/gateway/_updater.py
@@ -35,8 +35,10 @@
 MAX_RETRY_INTERVAL_BEFORE_LOAD_S = 0.2
 # Longest wait afterwards.
 MAX_RETRY_INTERVAL_S = 0.8
+# Wait after a state that is too large for the memory of the instance.
+TOO_LARGE_RETRY_S = 5.0
 # Interval of the check for removed leafs whose grace period is over.
-EXPIRY_CHECK_INTERVAL_S = 0.4
+EXPIRY_CHECK_INTERVAL_S = 0.1
 
 OnChangesApplied = Callable[[], Awaitable[None]]
 
@@ -116,15 +118,21 @@
         if isinstance(loaded, Err):
             await self._back_off(loaded.err_value)
             return
-        self._on_feed_success()
         state = loaded.ok_value
+        if not self.entry_log.can_load(state.entries):
+            await self._refuse_state()
+            return
+        self._on_feed_success()
+        removed_at = self.entry_log.removal_time(now())
         await self.entry_log.load(state)
         self._must_reload = False
         self.relays.load(filter(_is_relay_registration, state.entries), now())
         changes = self._decode_all(state.entries)
-        self.leaf_directory.retain(_leaf_ids(changes), now())
+        self.leaf_directory.retain(_leaf_ids(changes), removed_at)
         self.leaf_directory.evacuate(_evacuated_data_centres(changes))
-        self._apply_changes(changes)
+        for change in changes:
+            self._apply_change(change, removed_at)
+        self.leaf_directory.expire(now())
         await self.on_changes_applied()
 
     async def _apply_next_changes(self, revision: int) -> None:
@@ -136,15 +144,35 @@
                 return
             await self._back_off(received.err_value)
             return
-        self._on_feed_success()
         batch = received.ok_value
+        if not self.entry_log.can_hold(batch.entries):
+            await self._refuse_state()
+            return
+        self._on_feed_success()
+        removal_times = [
+            self.entry_log.removal_time(now(), entry) for entry in batch.entries
+        ]
         await self.entry_log.append(batch)
         for entry in filter(_is_relay_registration, batch.entries):
             self.relays.apply(entry, now())
         if batch.entries:
-            self._apply_changes(self._decode_all(batch.entries))
+            for entry, removed_at in zip(
+                batch.entries, removal_times, strict=True
+            ):
+                for change in self._decode_all([entry]):
+                    self._apply_change(change, removed_at)
+            self.leaf_directory.expire(now())
             await self.on_changes_applied()
 
+    async def _refuse_state(self) -> None:
+        """Leave the last state in force that is small enough, and wait."""
+        log_message(
+            message_type='feed:state_too_large',
+            max_bytes=self.entry_log.max_state_bytes,
+            version=self.route_table.version,
+        )
+        await curio.sleep(TOO_LARGE_RETRY_S)
+
     def _decode_all(self, entries: Iterable[Entry]) -> list[Change]:
         decoded = [
             self.decode_entry(entry)
@@ -153,16 +181,16 @@
         ]
         return [change for change in decoded if change is not None]
 
-    def _apply_changes(self, changes: Iterable[Change]) -> None:
-        for change in changes:
-            if isinstance(change, ConfigurationWritten):
-                self.route_table.activate(change.configuration)
-            elif isinstance(change, LeafWritten):
-                self.leaf_directory.register(change.record)
-            elif isinstance(change, LeafRemoved):
-                self.leaf_directory.remove(change.leaf_id, now())
-            else:
-                self._apply_evacuation(change)
+    def _apply_change(self, change: Change, removed_at: float) -> None:
+        """Apply a change; a removal counts from ``removed_at`` on."""
+        if isinstance(change, ConfigurationWritten):
+            self.route_table.activate(change.configuration)
+        elif isinstance(change, LeafWritten):
+            self.leaf_directory.register(change.record)
+        elif isinstance(change, LeafRemoved):
+            self.leaf_directory.remove(change.leaf_id, removed_at)
+        else:
+            self._apply_evacuation(change)
 
     def _apply_evacuation(
         self, change: EvacuationBegun | EvacuationEnded
@@ -205,7 +233,12 @@
             await curio.sleep(EXPIRY_CHECK_INTERVAL_S)
             if now() >= self.leaf_directory.next_expiry_at():
                 self.leaf_directory.expire(now())
-                await self.on_changes_applied()
+                try:
+                    await self.on_changes_applied()
+                except Exception:
+                    # Reading everything again applies the change, too.
+                    write_traceback()
+                    self._must_reload = True
 
 
 def _is_relay_registration(entry: Entry) -> bool:
--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -11,7 +11,12 @@
 
 from clementinebank.clock import now
 from clementinebank.http._buffers import MAX_REPLY_BYTES, BufferLimit
-from clementinebank.http._messages import HttpRequest, HttpResponse
+from clementinebank.http._messages import (
+    HttpRequest,
+    HttpResponse,
+    decode_headers,
+    encode_headers,
+)
 from clementinebank.http._sockets import READ_SIZE_BYTES, has_input
 from clementinebank.http._turns import ReadTurn
 
@@ -23,8 +28,11 @@
 # Without a body, requests of these methods carry no content-length header:
 # `content-length: 0` would only enlarge each of many small requests.
 METHODS_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
-LENGTH_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d+)')
+# Within a head, the start of another response: what precedes it is a part of an
+# earlier one. The version is looked for first, because most heads hold none.
+VERSION_PREFIX = b'HTTP/1.'
+STATUS_LINE_PATTERN = re.compile(rb'HTTP/1\.\d \d{3}(?: |$)', re.MULTILINE)
 # A connection is not reused in the last part of the idle time that the server
 # allows: a request sent while the server closes it would be lost.
 IDLE_TIMEOUT_MARGIN_S = 0.75
@@ -47,6 +55,10 @@
     """The server sent invalid HTTP or closed the connection too early."""
 
 
+class UnsendableRequestError(HttpProtocolError):
+    """HTTP doesn't allow the request; no byte of it was sent."""
+
+
 @attrs.define
 class HttpConnection:
     """HTTP/1.1 client connection with at most one unanswered request.
@@ -66,6 +78,9 @@
         Bound of this and all other response bodies that are being read.
     bytes_sent : int
         Bytes passed to the socket, over all requests.
+    has_partial_response : bool
+        Whether the head of the last response was read, but not all of its
+        body.
     """
 
     host: str
@@ -74,6 +89,7 @@
     allows_close_delimited: bool = False
     buffers: BufferLimit = attrs.Factory(BufferLimit)
     bytes_sent: int = 0
+    has_partial_response: bool = False
     _sock: Any = None
     _http: Any = None
     _reusable_until: float = float('inf')
@@ -126,6 +142,13 @@
 
         Its size is added to ``bytes_sent`` before the first byte is sent, so
         a ``bytes_sent`` of zero after a failure proves that nothing left.
+
+        Raises
+        ------
+        UnsendableRequestError
+            If HTTP doesn't allow the request, before a byte is sent.
+        OSError
+            If the transport fails.
         """
         payload = self._encode(message)
         self.bytes_sent += len(payload)
@@ -163,13 +186,19 @@
         return await self.receive()
 
     def _encode(self, message: HttpRequest) -> bytes:
+        try:
+            return self._encode_unchecked(message)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            raise UnsendableRequestError(str(error)) from error
+
+    def _encode_unchecked(self, message: HttpRequest) -> bytes:
         headers = {'host': f'{self.host}:{self.port}', **message.headers}
         if message.body or message.method not in METHODS_WITHOUT_BODY:
             headers['content-length'] = str(len(message.body))
         head = h11.Request(
             method=message.method,
             target=message.target,
-            headers=list(headers.items()),
+            headers=encode_headers(headers),
         )
         payload = self._http.send(head)
         if message.body:
@@ -188,16 +217,16 @@
             If the transport fails.
         """
         turn = ReadTurn()
+        self.has_partial_response = False
         head = await self._read_head(turn)
-        self._check_length(head)
+        self.has_partial_response = True
+        headers, repeated = decode_headers(head.headers.raw_items())
+        self._check_length(head.status_code, headers)
         body = await self._read_body(turn)
+        self.has_partial_response = False
         self._start_next_cycle()
-        headers = {
-            name.decode('latin-1'): value.decode('latin-1')
-            for name, value in head.headers
-        }
         self._reusable_until = now() + _idle_limit_s(headers)
-        return HttpResponse(head.status_code, headers, body)
+        return HttpResponse(head.status_code, headers, body, repeated)
 
     def abort(self) -> None:
         """Shut the socket down, so that the task that reads from it fails.
@@ -218,20 +247,24 @@
             with contextlib.suppress(OSError):
                 await sock.close()
 
-    def _check_length(self, head: Any) -> None:
+    def _check_length(self, status: int, headers: dict[str, str]) -> None:
         """Raise if the body is too large or its length is not stated."""
-        lengths = [each for each in head.headers if each[0] in LENGTH_HEADERS]
-        if self.allows_close_delimited and not lengths:
-            return
-        if not lengths and head.status_code not in STATUSES_WITHOUT_BODY:
-            raise HttpProtocolError('the response has no length header')
-        for name, length in lengths:
-            if name == b'content-length' and int(length) > self.max_body_bytes:
-                raise HttpProtocolError('the response body is too large')
+        length = headers.get('content-length')
+        if length is None:
+            is_stated = (
+                'transfer-encoding' in headers
+                or status in STATUSES_WITHOUT_BODY
+                or self.allows_close_delimited
+            )
+            if not is_stated:
+                raise HttpProtocolError('the response has no length header')
+        elif int(length) > self.max_body_bytes:
+            raise HttpProtocolError('the response body is too large')
 
     async def _read_head(self, turn: ReadTurn) -> Any:
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             head = await self._next_event(turn)
+            _check_is_one_head(head)
             if not isinstance(head, h11.InformationalResponse):
                 return head
         raise HttpProtocolError(
@@ -300,6 +333,18 @@
     return sock
 
 
+def _check_is_one_head(head: Any) -> None:
+    """Raise if a head begins with a part of another response.
+
+    A server may send the beginning of an earlier response once more. The status
+    line that is due then ends the reason or a header of that part.
+    """
+    texts = [text for _, text in head.headers.raw_items()]
+    lines = b'\n'.join((head.reason, *texts))
+    if VERSION_PREFIX in lines and STATUS_LINE_PATTERN.search(lines):
+        raise HttpProtocolError('the head holds a part of another response')
+
+
 def _idle_limit_s(headers: dict[str, str]) -> float:
     """Return how long a connection stays reusable while idle, in seconds.
 
--- a/clementinebank/http/_sockets.py
+++ b/clementinebank/http/_sockets.py
@@ -1,5 +1,6 @@
 """Wait for input on sockets without losing bytes that have arrived."""
 
+import contextlib
 import select
 import socket
 from typing import Any
@@ -21,7 +22,9 @@
 
 
 def is_closed_by_peer(sock: Any) -> bool:
-    """Return whether the other side closed or reset the connection."""
+    """Return whether either side closed or reset the connection."""
+    if sock.fileno() < 0:
+        return True
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLRDHUP)
     return bool(poll.poll(0))
@@ -79,3 +82,9 @@
     # curio cancels a task only once unless this flag is reset.
     task = await curio.current_task()
     task.cancelled = False
+
+
+def shut_down_socket(sock: Any) -> None:
+    """Shut a curio socket down; the task that uses it fails and closes it."""
+    with contextlib.suppress(OSError):
+        sock._socket.shutdown(socket.SHUT_RDWR)
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -106,11 +106,38 @@
     'gauge',
     'Leafs that name a rate limit now.',
 )
+PLACED_CALLS = _register(
+    'clementinebank_placed_calls_total',
+    'counter',
+    'Calls that could be placed at home or elsewhere, by their place.',
+    'place',
+)
 EVACUATED_DATA_CENTRES = _register(
     'clementinebank_evacuated_data_centres',
     'gauge',
     'Data centres whose leafs get no requests by order of the operators.',
 )
+QUOTA_DECISIONS = _register(
+    'clementinebank_quota_decisions_total',
+    'counter',
+    'Requests of accounts with a quota, by how it was decided.',
+    'decision',
+)
+CLIENT_ACCOUNTS = _register(
+    'clementinebank_client_accounts',
+    'gauge',
+    'Client accounts of the configuration in force.',
+)
+SERVED_QUOTAS = _register(
+    'clementinebank_quotas_served',
+    'gauge',
+    'Client accounts with a quota that this instance has served lately.',
+)
+USED_UP_QUOTAS = _register(
+    'clementinebank_quotas_used_up',
+    'gauge',
+    'Quotas that this instance coordinates and that are used up.',
+)
 LEAVING_LEAFS = _register(
     'clementinebank_leaving_leafs',
     'gauge',
@@ -150,11 +177,30 @@
     'Requests in the handler by listener.',
     'listener',
 )
+CLIENT_MEMORY = _register(
+    'clementinebank_client_memory_bytes',
+    'gauge',
+    'Memory for what clients make the instance hold, by part.',
+    'part',
+    'kind',
+)
+SHED_CONNECTIONS = _register(
+    'clementinebank_shed_connections_total',
+    'counter',
+    'Connections closed to make room for others, by what there was none for.',
+    'reason',
+)
 PAUSES = _register(
     'clementinebank_process_pauses_total',
     'counter',
     'Jumps of the clock of the loop above 2 s.',
 )
+TASK_FAILURES = _register(
+    'clementinebank_task_failures_total',
+    'counter',
+    'Unexpected errors of long-lived tasks, which were started again.',
+    'task',
+)
 LOG_LOSSES = _register(
     'clementinebank_log_lines_lost_total',
     'counter',
--- a/clementinebank/ratelimit/__init__.py
+++ b/clementinebank/ratelimit/__init__.py
@@ -11,7 +11,15 @@
     named_limit_of,
     read_named_limit,
 )
-from clementinebank.ratelimit._service import ACQUIRE_PATH, LimitService
+from clementinebank.ratelimit._quota import Quota, QuotaBounds, account_key
+from clementinebank.ratelimit._quota_client import QuotaClient
+from clementinebank.ratelimit._quota_ledger import QuotaLedger
+from clementinebank.ratelimit._quota_table import QuotaTable
+from clementinebank.ratelimit._service import (
+    ACQUIRE_PATH,
+    LimitService,
+    OnStatements,
+)
 from clementinebank.ratelimit._table import (
     LimitStatement,
     LimitTable,
@@ -28,9 +36,16 @@
     'LimitStatement',
     'LimitTable',
     'NamedLimit',
+    'OnStatements',
+    'Quota',
+    'QuotaBounds',
+    'QuotaClient',
+    'QuotaLedger',
+    'QuotaTable',
     'TOKEN_LIFETIME_S',
     'TokenBucket',
     'WaitingRequests',
+    'account_key',
     'equal_share',
     'named_limit_of',
     'read_named_limit',
--- a/clementinebank/ratelimit/_client.py
+++ b/clementinebank/ratelimit/_client.py
@@ -86,11 +86,11 @@
             table = self.service.table
             is_busy = table.limited_count or table.has_changes
             await curio.sleep(BUSY_INTERVAL_S if is_busy else IDLE_INTERVAL_S)
-            if not is_busy:
-                await self._close_channels()
-                continue
             try:
-                await self.update()
+                if is_busy:
+                    await self.update()
+                elif not self.service.quotas.quotas_by_account:
+                    await self._close_channels()
             except Exception:
                 # Without this task the limits of all leafs would be kept by
                 # shares only, until the process ends.
@@ -102,7 +102,7 @@
         wanted_by_coordinator: dict[Address, dict[str, int]] = defaultdict(dict)
         for leaf_id, wanted in table.wanted_by_leaf(now()).items():
             address = self.find_coordinator(leaf_id)
-            if address is None or self._is_paused(address):
+            if address is None or self.is_paused(address):
                 table.use_share(leaf_id, now())
                 continue
             # Also without a demand: the coordinator grants the whole limit,
@@ -125,7 +125,7 @@
         self._next_notice_at = now() + MIN_NOTICE_INTERVAL_S
         leaf_ids = table.pop_changed_leafs()
         for address in self.find_listeners():
-            if address == self.address or self._is_paused(address):
+            if address == self.address or self.is_paused(address):
                 continue
             for batch in _in_batches(leaf_ids):
                 await curio.spawn(self._ask, address, {}, batch, daemon=True)
@@ -136,6 +136,7 @@
     ) -> None:
         if now() < self._next_ask_at.get(address, 0):
             return
+        _drop_past(self._next_ask_at)
         self._next_ask_at[address] = now() + MIN_ASK_INTERVAL_S
         for leaf_ids in _in_batches(wanted_by_leaf):
             wanted = {leaf_id: wanted_by_leaf[leaf_id] for leaf_id in leaf_ids}
@@ -150,9 +151,27 @@
         """Send statements and the wanted tokens; apply the reply."""
         service = self.service
         asked_at = now()
-        request = Acquisition(
-            tuple(service.table.statements_of(leaf_ids)), wanted_by_leaf
+        reply = await self.exchange(
+            address,
+            Acquisition(
+                tuple(service.table.statements_of(leaf_ids)), wanted_by_leaf
+            ),
         )
+        if reply is None:
+            for leaf_id in wanted_by_leaf:
+                service.table.use_share(leaf_id, now())
+            return
+        service.on_statements(reply.known, now())
+        self._add_tokens(wanted_by_leaf, reply.tokens_by_leaf, asked_at)
+
+    async def exchange(
+        self, address: Address, request: Acquisition
+    ) -> Acquisition | None:
+        """Return the reply of a coordinator, ``None`` if it failed.
+
+        Any error counts as a failure of the coordinator. One that failed isn't to be asked for a while, see ``is_paused``.
+        """
+        asked_at = now()
         channel = self._channels.setdefault(
             address, self.create_channel(address)
         )
@@ -164,10 +183,17 @@
                 lambda payload: decode_reply(payload, now()),
             )
         except CALL_ERRORS as error:
-            self._pause(address, error, wanted_by_leaf)
-            return
-        service.on_statements(reply.known, now())
-        self._add_tokens(wanted_by_leaf, reply.tokens_by_leaf, asked_at)
+            self._pause(address, error, request)
+            return None
+        except Exception as error:
+            write_traceback()
+            self._pause(address, error, request)
+            return None
+        return reply
+
+    def is_paused(self, address: Address) -> bool:
+        """Return whether a coordinator has failed a short time ago."""
+        return now() < self._paused_until.get(address, 0)
 
     def _add_tokens(
         self,
@@ -182,27 +208,21 @@
                 wanted = wanted_by_leaf.get(leaf_id, 0)
                 limit.on_granted(wanted, granted, asked_at, now())
 
-    def _is_paused(self, address: Address) -> bool:
-        return now() < self._paused_until.get(address, 0)
-
     def _pause(
-        self,
-        address: Address,
-        error: BaseException,
-        leaf_ids: Collection[str],
+        self, address: Address, error: BaseException, request: Acquisition
     ) -> None:
-        """Earn shares of the leafs while their coordinator isn't asked."""
+        """Don't ask a coordinator for a while."""
         failure = failure_from_error(error, Step.DISPATCH, str(address))
         log_message(
             message_type='limit:coordinator_failed',
             coordinator=str(address),
             reason=str(failure),
-            leafs=sorted(leaf_ids),
+            leafs=sorted(request.tokens_by_leaf),
+            accounts=sorted(each.account for each in request.reports),
             seconds=PAUSE_S,
         )
+        _drop_past(self._paused_until)
         self._paused_until[address] = now() + PAUSE_S
-        for leaf_id in leaf_ids:
-            self.service.table.use_share(leaf_id, now())
 
     async def _close_channels(self) -> None:
         """Close the connections, which are used only during a limit."""
@@ -211,6 +231,13 @@
             await channel.close()
 
 
+def _drop_past(times_by_address: dict[Address, float]) -> None:
+    """Drop the times that have passed, also of instances that are gone."""
+    past = [each for each, at in times_by_address.items() if at <= now()]
+    for address in past:
+        times_by_address.pop(address)
+
+
 def _in_batches(leaf_ids: Iterable[str]) -> Iterator[tuple[str, ...]]:
     """Yield the leafs in batches whose statements fit into one message."""
     remaining = iter(leaf_ids)
--- a/clementinebank/relay/_client.py
+++ b/clementinebank/relay/_client.py
@@ -80,18 +80,24 @@
         entries: list[Entry] = []
         first: WatchReply | None = None
         after_key = ''
+        first_at = now()
         while True:
             request = self._create_request(0, 0, after_key)
             result = await self._call(address, request)
             if isinstance(result, Err):
                 return result
             page = result.ok_value
-            first = first or page
+            if first is None:
+                first, first_at = page, now()
             entries.extend(page.entries)
+            if not self.log.can_load(entries):
+                message = 'the entries are too large for this instance'
+                return Err(_failure('state_too_large', message, address))
             if not page.has_more:
                 break
             after_key = page.entries[-1].key
-        return Ok(StoredState(tuple(entries), first.revision, first.age_s))
+        age_s = first.age_s + now() - first_at
+        return Ok(StoredState(tuple(entries), first.revision, age_s))
 
     async def wait_for_changes(
         self, address: Address, revision: int, wait_s: float
@@ -149,6 +155,7 @@
         self, address: Address, request: WatchRequest
     ) -> Result[WatchReply, Failure]:
         self.calls += 1
+        sent_at = now()
         channel = await self._get_channel(address)
         deadline = now() + request.wait_s + CALL_TIMEOUT_S
         payload = encode_request(request)
@@ -171,7 +178,7 @@
         if not reply.is_loaded:
             message = 'the relay has not loaded the entries yet'
             return Err(_failure('not_loaded', message, address))
-        return Ok(reply)
+        return Ok(_add_way(reply, now() - sent_at))
 
     async def _get_channel(self, address: Address) -> RpcChannel:
         channel = self._channels.get(address)
@@ -185,5 +192,23 @@
         return channel
 
 
+def _add_way(reply: WatchReply, elapsed_s: float) -> WatchReply:
+    """Return a reply with the time of its way added to its ages.
+
+    Without it two instances that read from each other would take an old state
+    for a younger one with each exchange.
+    """
+    if reply.held_s is None:
+        return reply
+    way_s = max(0, elapsed_s - reply.held_s)
+    entries = tuple(
+        each
+        if each.removed_age_s is None
+        else attrs.evolve(each, removed_age_s=each.removed_age_s + way_s)
+        for each in reply.entries
+    )
+    return attrs.evolve(reply, entries=entries, age_s=reply.age_s + way_s)
+
+
 def _failure(code: str, message: str, address: Address) -> Failure:
     return Failure(code, message, Step.DISTRIBUTE, peer=str(address))
--- a/clementinebank/relay/_sources.py
+++ b/clementinebank/relay/_sources.py
@@ -170,14 +170,28 @@
         """
         await self._wait_for_seed_relays()
         if not self.registration.is_active_relay or self._is_store_paused():
-            for address in self._usable_relays():
-                changes = await self._watch_relay(address, revision)
-                if changes is not None:
-                    return changes
-        if self._is_store_paused():
-            message = 'no relay is usable and the store failed recently'
-            return Err(Failure('no_source', message, Step.READ_HEAD))
-        return await self._watch_store(revision, wait_s)
+            changes = await self._watch_relays(revision)
+            if changes is not None:
+                return changes
+            if self._is_store_paused():
+                message = 'no relay is usable and the store failed recently'
+                return Err(Failure('no_source', message, Step.READ_HEAD))
+            return await self._watch_store(revision, wait_s)
+        stored = await self._watch_store(revision, wait_s)
+        if isinstance(stored, Ok) or stored.err_value.code == HISTORY_LOST:
+            return stored
+        # The caller waits after a failure, so the others are asked now.
+        return await self._watch_relays(revision) or stored
+
+    async def _watch_relays(
+        self, revision: int
+    ) -> Result[ChangeBatch, Failure] | None:
+        """Return the changes that the first fresh relay knows, if any is."""
+        for address in self._usable_relays():
+            changes = await self._watch_relay(address, revision)
+            if changes is not None:
+                return changes
+        return None
 
     async def _wait_for_seed_relays(self) -> None:
         """Wait until the seed relays had time to register.
@@ -263,7 +277,9 @@
             self._on_store_reply()
             if result.ok_value.entries:
                 self._next_store_watch_at = now() + STORE_WATCH_PAUSE_S
-        elif result.err_value.code != HISTORY_LOST:
+        elif result.err_value.code == HISTORY_LOST:
+            self._next_store_watch_at = now() + STORE_WATCH_PAUSE_S
+        else:
             self._pause_store()
         return result
 
@@ -319,7 +335,11 @@
         return now() < self._store_paused_until
 
     def _pause_relay(self, address: Address, reason: str) -> None:
-        self._paused_until_by_relay[address] = now() + RELAY_PAUSE_S
+        self._paused_until_by_relay = {
+            each: paused_until
+            for each, paused_until in self._paused_until_by_relay.items()
+            if paused_until > now()
+        } | {address: now() + RELAY_PAUSE_S}
         log_message(
             message_type='relay:left',
             relay=str(address),
@@ -328,6 +348,7 @@
         )
 
     def _pause_store(self) -> None:
+        self.log.store_failed_at = now()
         first_s, longest_s = STORE_RETRY_DELAYS_S
         if self.registration.is_active_relay:
             first_s, longest_s = RELAY_STORE_RETRY_DELAYS_S
--- a/clementinebank/relay/tests/test_log.py
+++ b/clementinebank/relay/tests/test_log.py
@@ -7,14 +7,21 @@
 import logging
 import random
 
+import attrs
 import curio
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from clementinebank.clock import FakeClockKernel
-from clementinebank.relay import ChangeBatch, Entry, EntryLog, StoredState
-from clementinebank.relay import _log as log_module
+from clementinebank.clock import FakeClockKernel, now
+from clementinebank.relay import (
+    ChangeBatch,
+    Entry,
+    EntryLog,
+    RemovalBounds,
+    StoredState,
+)
+from clementinebank.relay._log import MAX_REMOVAL_BYTES
 
 KEYS = ('a', 'b', 'c', 'd')
 # Key and whether it is written or deleted.
@@ -46,14 +53,17 @@
 
 @seed(5)
 @settings(max_examples=150, deadline=None)
-@given(CHANGES, st.integers(0, 2**32), st.sampled_from([3, 4096]))
-def test_chain_of_logs_ends_with_what_is_stored(changes, draw, kept):
+@given(
+    CHANGES, st.integers(0, 2**32), st.sampled_from([600, MAX_REMOVAL_BYTES])
+)
+def test_chain_of_logs_ends_with_what_is_stored(changes, draw, max_bytes):
     """A follower that reads at random moments misses no change."""
 
     async def scenario():
         rng = random.Random(draw)
         history = history_of(changes)
-        relay, follower = EntryLog(), EntryLog()
+        relay = EntryLog(max_removal_bytes=max_bytes)
+        follower = EntryLog()
         await relay.load(StoredState((), 1))
         await follower.load(StoredState((), 1))
         for at in range(0, len(history), 3):
@@ -67,12 +77,7 @@
         assert follower.entries_by_key == expected
         assert follower.revision == relay.revision
 
-    original = log_module.MAX_CHANGES
-    log_module.MAX_CHANGES = kept
-    try:
-        run_scenario(scenario)
-    finally:
-        log_module.MAX_CHANGES = original
+    run_scenario(scenario)
 
 
 async def catch_up(follower, relay):
@@ -84,6 +89,98 @@
         await follower.append(ChangeBatch(changes, relay.revision))
 
 
+@seed(6)
+@settings(max_examples=150, deadline=None)
+@given(
+    CHANGES, st.integers(0, 2**32), st.sampled_from([600, MAX_REMOVAL_BYTES])
+)
+def test_follower_of_a_log_that_reads_all_again_misses_nothing(
+    changes, draw, max_bytes
+):
+    """A state that is loaded again must not hide removals from followers."""
+
+    async def scenario():
+        rng = random.Random(draw)
+        history = history_of(changes)
+        relay = EntryLog(max_removal_bytes=max_bytes)
+        follower = EntryLog()
+        await relay.load(StoredState((), 1))
+        await follower.load(StoredState((), 1))
+        for at in range(0, len(history), 3):
+            batch = tuple(history[at : at + 3])
+            revision = batch[-1].revision
+            if rng.random() < 0.5:
+                stored = tuple(stored_at(history, revision).values())
+                await relay.load(StoredState(stored, revision))
+            else:
+                await relay.append(ChangeBatch(batch, revision))
+            if rng.random() < 0.4:
+                await catch_up(follower, relay)
+        await catch_up(follower, relay)
+        assert relay.entries_by_key == stored_at(history, relay.revision)
+        assert follower.entries_by_key == relay.entries_by_key
+
+    run_scenario(scenario)
+
+
+def test_state_of_an_earlier_revision_makes_followers_read_all_again():
+    """A store that was set back may have removed what the log never saw."""
+
+    async def scenario():
+        log = EntryLog()
+        await log.load(StoredState((Entry('a', b'', 7),), 10))
+        await log.load(StoredState((), 5))
+        assert log.changes_since(4) is None
+        assert log.changes_since(5) == ()
+
+    run_scenario(scenario)
+
+
+REMOVAL = Entry('a', None, 11)
+
+
+@pytest.mark.parametrize(
+    ('silent_s', 'has_store_failed', 'expected_s'),
+    [(0.5, False, 0.5), (1.5, True, 0.8), (2.5, False, 0.8), (2.5, True, 2.5)],
+)
+def test_removal_counts_from_the_last_confirmation(
+    silent_s, has_store_failed, expected_s
+):
+    """Only registrations that a store that was away lost get more time."""
+
+    async def scenario():
+        log = EntryLog(removal_bounds=RemovalBounds(0.8, 1.8))
+        await log.load(StoredState((Entry('a', b'', 9),), 10))
+        loaded_at = now()
+        await curio.sleep(silent_s)
+        if has_store_failed:
+            log.store_failed_at = now()
+        counts_at = log.removal_time(now(), REMOVAL)
+        await log.append(ChangeBatch((REMOVAL,), 11))
+        await curio.sleep(1)
+        [change] = log.changes_since(10)
+        assert change.removed_age_s == pytest.approx(now() - counts_at)
+        return counts_at - loaded_at
+
+    assert run_scenario(scenario) == pytest.approx(expected_s)
+
+
+def test_word_of_another_instance_on_a_removal_counts():
+    """It is passed on unchanged along a chain of any length."""
+
+    async def scenario():
+        told = attrs.evolve(REMOVAL, removed_age_s=1.25)
+        for _ in range(4):
+            log = EntryLog()
+            await log.load(StoredState((Entry('a', b'', 9),), 10))
+            await log.append(ChangeBatch((told,), 11))
+            await curio.sleep(0.25)
+            [told] = log.changes_since(10)
+        return told.removed_age_s
+
+    assert run_scenario(scenario) == pytest.approx(2.25)
+
+
 def test_changes_before_a_load_are_reported_as_missing():
     async def scenario():
         log = EntryLog()
--- a/clementinebank/relay/tests/test_messages.py
+++ b/clementinebank/relay/tests/test_messages.py
@@ -13,6 +13,7 @@
 from clementinebank.clock import FakeClockKernel, now
 from clementinebank.relay import (
     WATCH_PATH,
+    ChangeBatch,
     Entry,
     EntryLog,
     RelayClient,
@@ -44,6 +45,15 @@
     assert decode_reply(encode_reply(lost)) == lost
 
 
+def test_age_of_a_removal_survives_encoding_and_never_shrinks():
+    removal = Entry('b', None, 4, removed_age_s=0.7001)
+    reply = WatchReply((removal, Entry('c', None, 5)), 5, held_s=1.2)
+    decoded = decode_reply(encode_reply(reply))
+    assert 0.7001 <= decoded.entries[0].removed_age_s < 0.71
+    assert decoded.entries[1].removed_age_s is None
+    assert decoded.held_s == 1.2
+
+
 def test_age_never_shrinks_and_unknown_age_is_huge():
     reply = decode_reply(encode_reply(WatchReply(age_s=1.0001)))
     assert reply.age_s >= 1.0001
@@ -157,3 +167,30 @@
 
     with FakeClockKernel() as kernel:
         assert (kernel.run(run) >= 2.0) == waits
+
+
+def test_changes_that_exceed_a_message_are_read_in_pages():
+    """The same refused message would be sent again and again otherwise."""
+
+    async def run():
+        log = EntryLog()
+        await log.load(StoredState((), 12))
+        changes = tuple(
+            Entry(f'k{number}', bytes(600_000), 13 + number)
+            for number in range(4)
+        )
+        await log.append(ChangeBatch(changes, 16))
+        server = RpcServer(
+            '127.0.0.1', 0, {WATCH_PATH: RelayService(log).handle_watch}
+        )
+        client, address, task = await connect_client(server)
+        lost = await client.wait_for_changes(address, 12, 0)
+        assert lost.err_value.code == 'history_lost'
+        found = await client.read_all(address)
+        assert found.ok_value.entries == changes
+        some = await client.wait_for_changes(address, 15, 0)
+        assert some.ok_value.entries == changes[-1:]
+        await client.close()
+        await task.join()
+
+    curio.run(run)
--- a/clementinebank/routes/_model.py
+++ b/clementinebank/routes/_model.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from clementinebank.accounts import ClientAccount
+
 # Limits of a caller's request where the configuration gives none.
 DEFAULT_HEADER_BYTES = 16_384
 DEFAULT_BODY_BYTES = 2_097_152
@@ -154,6 +156,8 @@
         instances; services without such a bound are missing.
     limits : CallerLimits
         Limits for the requests of callers.
+    accounts : tuple of ClientAccount
+        All client accounts; empty if callers need no key.
     """
 
     version: int
@@ -161,3 +165,4 @@
     connections_by_service: dict[str, int]
     limits: CallerLimits = CallerLimits()
     cold_rates_by_service: dict[str, float] = attrs.Factory(dict)
+    accounts: tuple[ClientAccount, ...] = ()
--- a/clementinebank/routing/_calls.py
+++ b/clementinebank/routing/_calls.py
@@ -45,6 +45,10 @@
         key = self.limit_key(leaf_id, now)
         if key != leaf_id:
             self.limits.on_sent(key, now, is_extra=is_extra)
+        if self.placement is not None and not is_extra:
+            self.placement.on_placed(
+                self.group_of(leaf_id), self.prices_by_leaf.get(leaf_id, 0)
+            )
 
     def on_end(
         self,
@@ -74,6 +78,7 @@
             return
         if outcome is CallOutcome.GOOD:
             self._add_latency(leaf, elapsed_s, profile)
+            self._record_response(leaf_id, elapsed_s, now)
         slow_bound_s = self._slow_bound_s(leaf, profile)
         if profile:
             service_s = max(0, elapsed_s - leaf.round_trip_s)
@@ -82,6 +87,17 @@
             )
         leaf.on_end(now, elapsed_s, outcome, slow_bound_s)
 
+    def _record_response(
+        self, leaf_id: str, elapsed_s: float, now: float
+    ) -> None:
+        if self.placement is not None:
+            self.placement.on_response(
+                self.group_of(leaf_id),
+                self.prices_by_leaf.get(leaf_id, 0),
+                elapsed_s,
+                now,
+            )
+
     def on_cancel(
         self,
         leaf_id: str,
--- a/clementinebank/routing/_replicas.py
+++ b/clementinebank/routing/_replicas.py
@@ -7,6 +7,7 @@
 import attrs
 from eliot import log_message
 
+from clementinebank.placement import Placement
 from clementinebank.ratelimit import LimitTable, NamedLimit, WaitingRequests
 from clementinebank.routing._budget import (
     DEFAULT_BUCKET_CAPACITY,
@@ -55,6 +56,11 @@
         without such a bound are missing.
     cold_until_by_leaf : dict of str to float
         Runtime time in seconds until which leafs with such a bound are cold.
+    placement : Placement or None
+        Holds requests back from other data centres; ``None`` if the leaf of
+        least expected time gets each request.
+    prices_by_leaf : mapping of str to float
+        Price of a request to each leaf, for the placement.
     latencies : Latencies
         Recent service times of the leafs.
     limits : LimitTable
@@ -72,6 +78,8 @@
     budgets_by_group: dict[str, ExtraLoadBudget] = attrs.Factory(dict)
     waiting_by_group: dict[str, int] = attrs.Factory(dict)
     regions_by_leaf: Mapping[str, str] = attrs.Factory(dict)
+    placement: Placement | None = None
+    prices_by_leaf: Mapping[str, float] = attrs.Factory(dict)
     latencies: Latencies = attrs.Factory(Latencies)
     limits: LimitTable = attrs.field()
     # Runtime time until which any leaf turns requests away.
--- a/clementinebank/upstream/_pools.py
+++ b/clementinebank/upstream/_pools.py
@@ -5,13 +5,18 @@
 
 import attrs
 import curio
-from eliot import log_message
+from eliot import log_message, write_traceback
 from result import Err
 
 from clementinebank.clock import get_before, now
 from clementinebank.http import HttpRequest
 from clementinebank.leafs import LeafEndpoint
-from clementinebank.upstream._pool import LeafCall, LeafPool, LeafReply
+from clementinebank.upstream._call import (
+    TASK_CANCELLED_CODE,
+    LeafCall,
+    LeafReply,
+)
+from clementinebank.upstream._pool import LeafPool
 from clementinebank.upstream._status import LeafStatus, decode_status
 
 STATUS_PATH = '/v1/status'
@@ -119,7 +124,11 @@
             reply = await get_before(requested_at + PROBE_TIMEOUT_S, replies)
             is_outdated = requested_at <= self._invalidated_at
             if not pool.is_retired and not is_outdated:
-                await self._handle_probe_reply(pool, reply, requested_at)
+                try:
+                    await self._handle_probe_reply(pool, reply, requested_at)
+                except Exception:
+                    # The next probe may tell the state of the leaf.
+                    write_traceback()
             number += 1
             wait_s = requested_at + PROBE_INTERVAL_S - now()
             if wait_s > 0:
@@ -132,9 +141,13 @@
 
         If the leaf is draining, its connections are closed.
         """
-        if reply is None or isinstance(reply.outcome, Err):
+        if reply is None:
             self.on_probe_failed(pool.leaf.leaf_id)
             return
+        if isinstance(reply.outcome, Err):
+            if reply.outcome.err_value.code != TASK_CANCELLED_CODE:
+                self.on_probe_failed(pool.leaf.leaf_id)
+            return
         status = decode_status(reply.outcome.ok_value.body)
         if isinstance(status, Err):
             log_message(
