--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -211,6 +211,12 @@
             if service not in topology.groups_by_id:
                 await self._pools_by_service.pop(service).stop()
 
+    def _apply_cold_rates(self) -> None:
+        configuration = self.table.configuration
+        if configuration is not None:
+            cold_rates = configuration.cold_rates_by_service
+            self.router.cold_rates_by_group = cold_rates
+
     def _update_placement(self) -> None:
         """Apply the places of the leafs and the worth of the services."""
         placement = self.router.placement
@@ -229,12 +235,6 @@
             for record in self.directory.records_by_id.values()
         }
 
-    def _apply_cold_rates(self) -> None:
-        configuration = self.table.configuration
-        if configuration is not None:
-            cold_rates = configuration.cold_rates_by_service
-            self.router.cold_rates_by_group = cold_rates
-
     def set_limits(self, limits: ExtraLoadLimits) -> None:
         """Apply changed bounds of the extra requests to every budget."""
         self.limits = limits
--- a/clementinebank/gateway/tests/test_settings.py
+++ b/clementinebank/gateway/tests/test_settings.py
@@ -224,8 +224,7 @@
 )
 def test_bad_stated_field_is_reported_by_its_name(path, stated, field):
     path.write_text(
-        GOOD + '  optional: {evacuation_ms: evacuate}\n'
-        f'  stated: {stated}\n'
+        GOOD + f'  optional: {{evacuation_ms: evacuate}}\n  stated: {stated}\n'
     )
     problems = load_gateway_settings(path).err_value
     assert [problem.field for problem in problems] == [field]
--- a/clementinebank/routes/_model.py
+++ b/clementinebank/routes/_model.py
@@ -164,5 +164,5 @@
     routes: tuple[Route, ...]
     connections_by_service: dict[str, int]
     limits: CallerLimits = CallerLimits()
-    accounts: tuple[ClientAccount, ...] = ()
     cold_rates_by_service: dict[str, float] = attrs.Factory(dict)
+    accounts: tuple[ClientAccount, ...] = ()
--- a/clementinebank/routing/_calls.py
+++ b/clementinebank/routing/_calls.py
@@ -42,13 +42,13 @@
         check('no-new-work-for-draining-leaf', request_id, leaf=leaf)
         leaf.on_sent(now)
         self.limits.on_sent(leaf_id, now, is_extra=is_extra)
+        key = self.limit_key(leaf_id, now)
+        if key != leaf_id:
+            self.limits.on_sent(key, now, is_extra=is_extra)
         if self.placement is not None and not is_extra:
             self.placement.on_placed(
                 self.group_of(leaf_id), self.prices_by_leaf.get(leaf_id, 0)
             )
-        key = self.limit_key(leaf_id, now)
-        if key != leaf_id:
-            self.limits.on_sent(key, now, is_extra=is_extra)
 
     def on_end(
         self,
--- a/clementinebank/routing/_replicas.py
+++ b/clementinebank/routing/_replicas.py
@@ -51,17 +51,17 @@
         Number of requests of this instance that wait for a free leaf.
     regions_by_leaf : mapping of str to str
         Region of each leaf, for requests that only some regions may run.
-    placement : Placement or None
-        Holds requests back from other data centres; ``None`` if the leaf of
-        least expected time gets each request.
-    prices_by_leaf : mapping of str to float
-        Price of a request to each leaf, for the placement.
-    cold_rates_by_group : mapping of str to float
+            cold_rates_by_group : mapping of str to float
         Requests a second that a cold leaf takes from all instances; groups
         without such a bound are missing.
     cold_until_by_leaf : dict of str to float
         Runtime time in seconds until which leafs with such a bound are cold.
-    latencies : Latencies
+        placement : Placement or None
+        Holds requests back from other data centres; ``None`` if the leaf of
+        least expected time gets each request.
+    prices_by_leaf : mapping of str to float
+        Price of a request to each leaf, for the placement.
+        latencies : Latencies
         Recent service times of the leafs.
     limits : LimitTable
         Rate limits that leafs have named; by default a table that shares the
