--- a/clementinebank/http/_server_connection.py
+++ b/clementinebank/http/_server_connection.py
@@ -160,6 +160,8 @@
                 # A client may send its next request before each response.
                 await self._turn.yield_if_due()
             if next_step is NextStep.LINGER:
+                # Its buffer holds input that isn't read any more.
+                self.http = None
                 await linger(self.sock, self.state.limits.linger_s)
         except OSError:
             # The client is gone, so no response can be sent.
