--- a/clementinebank/gateway/tests/test_task_edges.py
+++ b/clementinebank/gateway/tests/test_task_edges.py
@@ -8,7 +8,6 @@
 
 import contextlib
 import random
-import types
 
 import attrs
 import curio
@@ -27,6 +26,7 @@
 )
 from clementinebank.forwarding.tests.simulation import make_route
 from clementinebank.gateway import ControlStateUpdater
+from clementinebank.gateway.tests.injection import Injection, UnexpectedError
 from clementinebank.gateway.tests.test_follower import (
     FakeFeed,
     change_batch,
@@ -50,58 +50,10 @@
 from clementinebank.upstream import LeafPool, SearchLeafProtocol
 from clementinebank.validation import Address
 
-# Waits of curio at which a task gives up the processor.
-WAITS = frozenset(('trap_io', 'trap_sleep', 'trap_sched_wait'))
 MAX_WAITS = 60
 CHECKS = {}
 
 
-class UnexpectedError(Exception):
-    """An error that no code expects."""
-
-
-@attrs.define
-class Injection:
-    """Raises an error in place of the wait with number ``at``."""
-
-    at: int
-    error: BaseException
-    count: int = 0
-    is_done: bool = False
-
-    @types.coroutine
-    def run(self, coroutine):
-        """Run a coroutine, whose waits are counted."""
-        step = coroutine.send
-        passed = None
-        while True:
-            try:
-                trap = step(passed)
-            except StopIteration as stop:
-                return stop.value
-            self.count += trap[0] in WAITS
-            if not self.is_done and self.count == self.at:
-                self.is_done = True
-                step, passed = coroutine.throw, self.error
-                continue
-            try:
-                step, passed = coroutine.send, (yield trap)
-            except BaseException as error:
-                step, passed = coroutine.throw, error
-
-    def wrap(self, method):
-        """Return a method whose first call is run with this injection."""
-        is_used = []
-
-        async def wrapped(*arguments):
-            if is_used:
-                return await method(*arguments)
-            is_used.append(True)
-            return await self.run(method(*arguments))
-
-        return wrapped
-
-
 def _check(name):
     def add(corofunc):
         CHECKS[name] = corofunc
