--- a/clementinebank/ratelimit/_client.py
+++ b/clementinebank/ratelimit/_client.py
@@ -169,7 +169,8 @@
     ) -> Acquisition | None:
         """Return the reply of a coordinator, ``None`` if it failed.
 
-        Any error counts as a failure of the coordinator. One that failed isn't to be asked for a while, see ``is_paused``.
+        Any error counts as a failure of the coordinator. One that failed isn't
+        to be asked for a while, see ``is_paused``.
         """
         asked_at = now()
         channel = self._channels.setdefault(
