--- a/clementinebank/relay/_registration.py
+++ b/clementinebank/relay/_registration.py
@@ -310,4 +310,12 @@
             )
 
     def _fleet_share(self) -> int:
-        return 1 + self.service.follower_count()
+        """Return how many instances this one counts, itself included.
+
+        Instances that read from several relays, and relays that read from each
+        other, are counted once, by the relay of their data centre.
+        """
+        others = self.directory.records_by_data_centre.keys() - {
+            self.data_centre
+        }
+        return 1 + self.service.follower_count(others)
--- a/clementinebank/relay/_service.py
+++ b/clementinebank/relay/_service.py
@@ -1,6 +1,6 @@
 """Server that sends the entries of an instance to other instances."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -121,10 +121,19 @@
             )
         )
 
-    def follower_count(self) -> int:
-        """Return the number of instances that read from this one now."""
+    def follower_count(self, excluded: Collection[str] = ()) -> int:
+        """Return the number of instances that read from this one now.
+
+        Parameters
+        ----------
+        excluded : collection of str
+            Data centres whose instances aren't counted.
+        """
         self._forget_inactive()
-        return len(self._followers_by_instance)
+        return sum(
+            each.request.data_centre not in excluded
+            for each in self._followers_by_instance.values()
+        )
 
     def members_of(self, data_centre: str) -> list[FleetMember]:
         """Return the followers in a data centre that can be aggregators."""
--- a/clementinebank/relay/tests/test_fleet.py
+++ b/clementinebank/relay/tests/test_fleet.py
@@ -145,6 +145,28 @@
     run_scenario(scenario)
 
 
+def test_relays_that_ask_each_other_do_not_enlarge_the_fleet():
+    """Relays that the store refuses read from each other.
+
+    If each counts the others as its followers, all instances divide the
+    connections and the extra requests by a multiple of the fleet.
+    """
+
+    async def scenario(fleet):
+        for instance in fleet.instances:
+            instance.store.refusal = 'refused'
+        await curio.sleep(4)
+        for instance in fleet.instances:
+            instance.store.refusal = ''
+        for _ in range(20):
+            await curio.sleep(0.5)
+            records = fleet.instances[0].directory.records_by_data_centre
+            shares = [each.fleet_share for each in records.values()]
+            assert sum(shares) <= len(fleet.instances)
+
+    run_scenario(scenario, 6)
+
+
 @pytest.mark.parametrize('fault', [turn_away, cut_from_store])
 @pytest.mark.parametrize('outage_s', [1.0, 3.0, 5.5])
 def test_relay_without_the_store_learns_from_the_other_relays(fault, outage_s):
