--- a/clementinebank/search/tests/test_query_machine.py
+++ b/clementinebank/search/tests/test_query_machine.py
@@ -327,8 +327,41 @@
     machine.teardown()
 
 
-# Fixed sequences of events for the variants that random runs detect too rarely.
+def _answer_hedged_shards():
+    """Answer each shard once after its hedge was sent."""
+    machine = QueryMachine()
+    machine.begin(1, tokens=50, policy='coverage_first', sequences=(1,))
+    machine.wait(milliseconds=1000 * DEADLINE_S / 2)
+    assert len(machine.simulation.sent) > len(GROUPS)
+    for group_id in GROUPS:
+        attempt_id = next(
+            attempt_id
+            for attempt_id, send in machine.simulation.outstanding.items()
+            if send.group_id == group_id
+        )
+        machine.simulation.reply(attempt_id)
+    machine.ends_at_most_once()
+    machine.run_time_invariants_hold()
+    machine.teardown()
+
+
+def _reply_once_with_another_snapshot():
+    """Answer one shard with another snapshot than the query has pinned."""
+    machine = QueryMachine()
+    machine.begin(1, tokens=50, policy='coverage_first', sequences=(1,))
+    machine.reply_of_other_snapshot(0)
+    while machine.simulation.outstanding:
+        machine.reply(0)
+    machine.run_time_invariants_hold()
+    machine.ends_at_most_once()
+    machine.teardown()
+
+
+# Fixed sequences of events for the variants that random runs detect too rarely,
+# or by what another check notices first.
 DIRECTED_SCENARIOS = {
+    'losers are not cancelled': _answer_hedged_shards,
+    'other snapshot is merged': _reply_once_with_another_snapshot,
     'deadline is not kept': _fail_after_deadline,
     'hedge may repeat the leaf': _hedge_with_one_usable_leaf,
 }
