--- a/clementinebank/booking/tests/fakes.py
+++ b/clementinebank/booking/tests/fakes.py
@@ -190,6 +190,7 @@
     leaf: FakeLeaf
     instance: object
     is_reusable: bool = False
+    local_port: int = 1
     is_cut: bool = False
     replies: object = None
     request_id: str = ''
--- a/clementinebank/forwarding/_engine.py
+++ b/clementinebank/forwarding/_engine.py
@@ -1,6 +1,7 @@
 """Execution of forwarded requests over connections to registered leafs."""
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import cast
 
@@ -121,6 +122,8 @@
         Routing state; its groups are the services.
     statements : StatementRecorder
         Applies what leafs state about themselves.
+    answer_counts : Counter of str
+        Answers that were not taken for the one due, on all connections.
     """
 
     codec: LeafCodec
@@ -136,6 +139,7 @@
     placement: PlacementSettings = PlacementSettings()
     router: Router = attrs.field(init=False)
     statements: StatementRecorder = attrs.field(init=False)
+    answer_counts: Counter[str] = attrs.field(init=False, factory=Counter)
     _pools_by_service: dict[str, LeafPools] = attrs.Factory(dict)
     _aggregated_services: set[str] = attrs.Factory(set)
 
@@ -398,6 +402,7 @@
             CONNECT_TIMEOUT_S,
             self._on_connected,
             self.buffers,
+            answer_counts=self.answer_counts,
         )
 
     def _on_connected(self, leaf: LeafEndpoint, elapsed_s: float) -> None:
@@ -498,8 +503,30 @@
             self.state_machine.route.name,
         )
         if is_current and self.result is None:
+            self._trace_exchange(reply, outcome)
             await self.replies.put((reply.call_id, outcome))
 
+    def _trace_exchange(
+        self, reply: LeafReply, outcome: Result[LeafResponse, Failure]
+    ) -> None:
+        """Trace on which connection a call failed, or got a late answer."""
+        exchange = reply.exchange
+        is_usual = not isinstance(outcome, Err) and outcome.ok_value.is_success
+        if exchange is None or (is_usual and not exchange.late_count):
+            return
+        status = None
+        if not isinstance(outcome, Err):
+            status = outcome.ok_value.response.status
+        self.state_machine.dispatcher.trace(
+            now(),
+            'reply',
+            leaf=reply.leaf_id,
+            status=status,
+            connection=exchange.port,
+            request_number=exchange.request_number,
+            late_answers=exchange.late_count,
+        )
+
     def _decode(self, reply: LeafReply) -> Result[LeafResponse, Failure]:
         """Decode a reply and update the routing state with its statements.
 
--- a/clementinebank/gateway/_samples.py
+++ b/clementinebank/gateway/_samples.py
@@ -43,6 +43,7 @@
             names.COLD_LEAFS, len(gateway.engine.router.cold_until_by_leaf)
         ),
         *_malformed_samples(gateway),
+        *_answer_samples(gateway),
         create_sample(
             names.CONNECTIONS,
             gateway.server.open_connections,
@@ -72,6 +73,14 @@
     ]
 
 
+def _answer_samples(gateway: SampledGateway) -> list[Sample]:
+    counts = gateway.engine.answer_counts
+    return [
+        create_sample(names.ANSWER_CHECKS, count, check=name)
+        for name, count in counts.items()
+    ]
+
+
 def _malformed_samples(gateway: SampledGateway) -> list[Sample]:
     counts = gateway.engine.statements.malformed_by_name
     return [
--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -109,6 +109,12 @@
             h11.CLIENT, max_incomplete_event_size=MAX_REPLY_HEADER_BYTES
         )
 
+    @property
+    def local_port(self) -> int:
+        """Return the TCP port on this side, 0 if there is none."""
+        name = self._sock.getsockname() if self._sock is not None else None
+        return int(name[1]) if isinstance(name, tuple) else 0
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the open connection can carry another request.
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -154,6 +154,12 @@
     'Statements in answers of leafs that can not be read and were ignored.',
     'statement',
 )
+ANSWER_CHECKS = _register(
+    'clementinebank_leaf_answer_checks_total',
+    'counter',
+    'Answers of leafs that were told apart from the one due, by what was done.',
+    'check',
+)
 VIOLATIONS = _register(
     'clementinebank_invariant_violations_total',
     'counter',
--- a/clementinebank/upstream/__init__.py
+++ b/clementinebank/upstream/__init__.py
@@ -1,6 +1,7 @@
 """Connection pools and status probes of leafs."""
 
 from clementinebank.upstream._call import LeafCall, LeafReply
+from clementinebank.upstream._exchange import ExchangeRecord
 from clementinebank.upstream._pool import LeafPool
 from clementinebank.upstream._pools import LeafPools
 from clementinebank.upstream._protocol import (
@@ -15,6 +16,7 @@
 )
 
 __all__ = (
+    'ExchangeRecord',
     'LeafCall',
     'LeafPool',
     'LeafPools',
--- a/clementinebank/upstream/_call.py
+++ b/clementinebank/upstream/_call.py
@@ -18,6 +18,7 @@
     LeafConnection,
     MismatchedAnswerError,
 )
+from clementinebank.upstream._exchange import ExchangeRecord
 
 # Error code of a call that tells nothing about its leaf.
 TASK_CANCELLED_CODE = 'task_cancelled'
@@ -38,12 +39,15 @@
         have run the request.
     elapsed_s : float
         Time since the call was submitted, in seconds.
+    exchange : ExchangeRecord or None
+        Where the request was sent, ``None`` if it wasn't.
     """
 
     call_id: str
     leaf_id: str
     outcome: Result[HttpResponse, Failure]
     elapsed_s: float
+    exchange: ExchangeRecord | None = None
 
 
 OnReply = Callable[[LeafReply], Awaitable[None]]
--- a/clementinebank/upstream/_connection.py
+++ b/clementinebank/upstream/_connection.py
@@ -1,10 +1,19 @@
 """Connection to a leaf that tells the answers to its requests apart."""
 
+from collections import Counter
 from typing import Any
 
 import attrs
+from eliot import log_message
 
 from clementinebank.http import HttpProtocolError, HttpRequest, HttpResponse
+from clementinebank.invariants import check, invariant
+from clementinebank.upstream._exchange import (
+    ANSWER_INVALID,
+    ANSWER_MISMATCHED,
+    LATE_ANSWER_SKIPPED,
+    ExchangeRecord,
+)
 from clementinebank.upstream._protocol import LeafProtocol
 
 # Open requests after which a connection is closed. It bounds the memory for
@@ -16,6 +25,11 @@
     """The answer echoes the id of another request."""
 
 
+@invariant('connection-carries-request-once', 'R5')
+def _is_first_send(*, was_answered: bool) -> bool:
+    return not was_answered
+
+
 @attrs.define(eq=False)
 class LeafConnection:
     """HTTP connection that never carries a request twice.
@@ -31,10 +45,16 @@
         The connection itself.
     protocol : LeafProtocol
         Tells which request an answer belongs to and whether it is valid.
+    counts : Counter of str
+        Answers that were not taken for the one that is due.
+    exchange : ExchangeRecord or None
+        Record of the request that was sent last, ``None`` before the first.
     """
 
     http: Any
     protocol: LeafProtocol
+    counts: Counter[str] = attrs.Factory(Counter)
+    exchange: ExchangeRecord | None = None
     # Hashes of the ids of answered requests that may be sent again. Two ids
     # with one hash cost a new connection only.
     _open_requests: set[int] = attrs.Factory(set)
@@ -50,19 +70,31 @@
 
     def can_carry(self, request_id: str) -> bool:
         """Return whether the open connection can carry this request."""
-        key = hash(request_id)
-        return (
-            self.is_reusable
-            and key != self._last_request
-            and key not in self._open_requests
-        )
+        return self.is_reusable and not self._has_answered(request_id)
 
     async def connect(self) -> None:
         """Open a new connection, closing the previous one if it is open."""
         self._open_requests.clear()
         self._last_request = None
+        self.exchange = None
         await self.http.connect()
 
+    def begin_exchange(self, request_id: str) -> None:
+        """Record that a request is sent next, whose answer echoes this id."""
+        check(
+            'connection-carries-request-once',
+            request_id,
+            was_answered=self._has_answered(request_id),
+        )
+        if self.exchange is None:
+            self.exchange = ExchangeRecord(self.http.local_port, 1)
+        else:
+            self.exchange = attrs.evolve(
+                self.exchange,
+                request_number=self.exchange.request_number + 1,
+                late_count=0,
+            )
+
     async def send(self, message: HttpRequest) -> None:
         """Send one request."""
         await self.http.send(message)
@@ -108,11 +140,12 @@
         response = await self.receive()
         if not self._answers(response, request_id):
             if not self.protocol.allows_late_responses:
-                raise _mismatch()
+                raise self._mismatch()
+            self._record_late_answer(response, request_id)
             response = await self.http.receive_after_late_response(message)
             self._check(response)
             if not self._answers(response, request_id):
-                raise _mismatch()
+                raise self._mismatch()
         self._last_request = hash(request_id)
         if not self.protocol.is_conclusive(response):
             self._open_requests.add(self._last_request)
@@ -126,14 +159,40 @@
         """Close the connection; do nothing if it is closed."""
         await self.http.close()
 
+    def _has_answered(self, request_id: str) -> bool:
+        """Return whether a copy of an answer to the request may come here."""
+        key = hash(request_id)
+        return key == self._last_request or key in self._open_requests
+
+    def _record_late_answer(
+        self, response: HttpResponse, request_id: str
+    ) -> None:
+        """Count and log an answer to an earlier request."""
+        self.counts[LATE_ANSWER_SKIPPED] += 1
+        if self.exchange is not None:
+            self.exchange = attrs.evolve(
+                self.exchange, late_count=self.exchange.late_count + 1
+            )
+        log_message(
+            message_type='leaf:late_answer',
+            request_id=request_id,
+            echoed_id=self.protocol.echoed_id(response),
+            status=response.status,
+            connection=self.exchange and self.exchange.port,
+            request_number=self.exchange and self.exchange.request_number,
+        )
+
     def _answers(self, response: HttpResponse, request_id: str) -> bool:
         return self.protocol.echoed_id(response) == request_id
 
     def _check(self, response: HttpResponse) -> None:
         reason = self.protocol.invalid_reason(response)
         if reason is not None:
+            self.counts[ANSWER_INVALID] += 1
             raise HttpProtocolError(reason)
 
-
-def _mismatch() -> MismatchedAnswerError:
-    return MismatchedAnswerError('the reply echoes the id of another request')
+    def _mismatch(self) -> MismatchedAnswerError:
+        self.counts[ANSWER_MISMATCHED] += 1
+        return MismatchedAnswerError(
+            'the reply echoes the id of another request'
+        )
--- a/clementinebank/upstream/_pool.py
+++ b/clementinebank/upstream/_pool.py
@@ -1,5 +1,6 @@
 """Connection pool of one instance to one leaf."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -19,6 +20,7 @@
 from clementinebank.leafs import LeafEndpoint
 from clementinebank.upstream._call import LeafCall, LeafReply
 from clementinebank.upstream._connection import LeafConnection
+from clementinebank.upstream._exchange import CONNECTION_AVOIDED
 from clementinebank.upstream._protocol import LeafProtocol, SearchLeafProtocol
 
 # Time after the deadline of a call in which its late reply is still read, so
@@ -50,6 +52,9 @@
         Bounds of the response bodies that are being read.
     keeps_connections : bool
         Whether a connection stays open after its call.
+    answer_counts : Counter of str
+        Answers that were told apart from the one that was due, and sends for
+        which an open connection was not used.
     connection_count : int
         Number of connection tasks.
     is_retired : bool
@@ -63,6 +68,7 @@
     on_connected: Callable[[LeafEndpoint, float], None] | None = None
     buffers: BufferLimit = attrs.Factory(BufferLimit)
     keeps_connections: bool = True
+    answer_counts: Counter[str] = attrs.Factory(Counter)
     connection_count: int = 0
     is_retired: bool = False
     _calls: Any = attrs.field(factory=curio.Queue)
@@ -164,7 +170,9 @@
 
     async def _run_connection(self) -> None:
         """Run queued calls over one connection until the pool is retired."""
-        connection = LeafConnection(self._new_connection(), self.protocol)
+        connection = LeafConnection(
+            self._new_connection(), self.protocol, self.answer_counts
+        )
         generation = self._generation
         try:
             while True:
@@ -249,6 +257,7 @@
             self.leaf.leaf_id,
             outcome,
             now() - call.submitted_at,
+            connection.exchange if call.is_sent else None,
         )
         try:
             await call.on_reply(reply)
@@ -289,6 +298,8 @@
             cancelled while the connection was opened.
         """
         if not connection.can_carry(call.echoed_id):
+            if connection.is_reusable:
+                self.answer_counts[CONNECTION_AVOIDED] += 1
             started = now()
             limit = min(call.deadline, started + self.connect_timeout_s)
             await run_before(limit, connection.connect)
@@ -297,6 +308,7 @@
             # The call can expire or be cancelled during the connect.
             if call.is_cancelled or now() >= call.deadline:
                 return False
+        connection.begin_exchange(call.echoed_id)
         call.is_sent = True
         await run_before(call.deadline, connection.send, call.request)
         return True
--- a/clementinebank/upstream/tests/test_answers.py
+++ b/clementinebank/upstream/tests/test_answers.py
@@ -6,6 +6,8 @@
 back when it ended the task of the connection.
 """
 
+from collections import Counter
+
 import curio
 import pytest
 from result import Err
@@ -18,7 +20,8 @@
     HttpResponse,
     UnsendableRequestError,
 )
-from clementinebank.upstream import LeafCall, LeafPool
+from clementinebank.invariants import VIOLATIONS_BY_NAME
+from clementinebank.upstream import ExchangeRecord, LeafCall, LeafPool
 from clementinebank.upstream import _connection as connection_module
 from clementinebank.upstream._protocol import SearchLeafProtocol
 from clementinebank.validation import Address
@@ -44,10 +47,12 @@
     def __init__(self, leaf):
         self.leaf = leaf
         self.is_reusable = False
+        self.local_port = 0
 
     async def connect(self):
         self.leaf.reach('connect')
         self.leaf.opened += 1
+        self.local_port = self.leaf.opened
         self.pending = []
         self.late = []
         self.is_reusable = True
@@ -91,11 +96,19 @@
             raise self.error
 
 
-def run_calls(leaf, names):
-    """Run calls one after the other; return outcomes and counts."""
+def run_calls(leaf, names, answer_counts=None, *, whole=False):
+    """Run calls one after the other.
+
+    Returns their outcomes, or the whole replies, and what the pool holds.
+    """
 
     async def run():
-        pool = LeafPool(LEAF, 1, OneIdProtocol(allows_late_responses=True))
+        pool = LeafPool(
+            LEAF,
+            1,
+            OneIdProtocol(allows_late_responses=True),
+            answer_counts=Counter() if answer_counts is None else answer_counts,
+        )
         pool._new_connection = lambda: FakeConnection(leaf)
         replies = curio.Queue()
         found = []
@@ -109,7 +122,8 @@
                 echoed_id=name,
             )
             await pool.submit(call)
-            found.append((await replies.get()).outcome)
+            reply = await replies.get()
+            found.append(reply if whole else reply.outcome)
             # The task of the connection has ended the call by then.
             await curio.sleep(0)
         return found, (pool.connection_count, dict(pool._calls_by_id))
@@ -125,6 +139,8 @@
     monkeypatch.setitem(globals(), 'LeafPool', plain)
 
 
+# REFUSED and TWICE: a late copy of a refusal was taken for the answer to the
+# next send of the same request, which ran though its caller got 503.
 def check_copy_of_a_refusal_is_not_taken():
     leaf = FakeLeaf([REFUSED])
     outcomes, _ = run_calls(leaf, ('one', 'one'))
@@ -146,6 +162,40 @@
         check_copy_of_a_refusal_is_not_taken()
 
 
+def test_request_that_a_connection_answered_is_caught_when_sent_again(
+    monkeypatch,
+):
+    """The invariant notices a pool that doesn't ask the connection."""
+    monkeypatch.setattr(
+        connection_module.LeafConnection,
+        'can_carry',
+        lambda self, request_id: self.is_reusable,
+    )
+    name = 'connection-carries-request-once'
+    before = VIOLATIONS_BY_NAME[name]
+    run_calls(FakeLeaf([REFUSED]), ('one', 'one'))
+    assert VIOLATIONS_BY_NAME[name] == before + 1
+
+
+def test_reply_names_its_connection_and_what_was_told_apart():
+    """Without this, the answer that was taken for a call can't be found."""
+    counts = Counter()
+    leaf = FakeLeaf([REFUSED, REFUSED])
+    replies = run_calls(leaf, ('one', 'two', 'one'), counts, whole=True)[0]
+    assert [reply.exchange for reply in replies] == [
+        ExchangeRecord(port=1, request_number=1),
+        ExchangeRecord(port=1, request_number=2, late_count=1),
+        ExchangeRecord(port=2, request_number=1),
+    ]
+    assert counts == {'late_answer_skipped': 1, 'connection_avoided': 1}
+
+
+def test_reply_of_a_call_that_was_not_sent_names_no_connection():
+    leaf = FakeLeaf(failing='connect', error=OSError())
+    replies, _ = run_calls(leaf, ('one',), whole=True)
+    assert replies[0].exchange is None
+
+
 def test_other_requests_use_the_connection_of_a_refusal():
     leaf = FakeLeaf([REFUSED, REFUSED])
     outcomes, _ = run_calls(leaf, ('one', 'two', 'three', 'four'))
--- a/clementinebank/upstream/tests/test_pool.py
+++ b/clementinebank/upstream/tests/test_pool.py
@@ -32,6 +32,7 @@
     """
 
     opened = 0
+    local_port = 1
 
     def __init__(self, replies, sent):
         self.replies = replies
--- a/clementinebank/upstream/tests/test_pools.py
+++ b/clementinebank/upstream/tests/test_pools.py
@@ -71,6 +71,7 @@
     leaf: _Leaf
     number: int = 0
     message: HttpRequest = None
+    local_port: int = 1
 
     @property
     def is_reusable(self):
--- a/tests/faults/search_fakes.py
+++ b/tests/faults/search_fakes.py
@@ -42,6 +42,7 @@
     leaf_id: str
     engine: object
     is_reusable: bool = False
+    local_port: int = 1
     replies: object = None
 
     async def connect(self):
