Take a request that was sent for unsendable no more

If that failed, the call counted as not sent, and a caller could have been told 503 for a request that the leaf had. No input is known that h11 encodes once and not twice, so no caller has seen it. Change: only a failure before the first byte counts so. Evidence: test_error_ends_one_call_only[receive-error6-...] fails without the change with the code `unsendable`, and passes with it.

--- a/clementinebank/upstream/_call.py
+++ b/clementinebank/upstream/_call.py
@@ -119,7 +119,8 @@
 
         An invalid answer is logged.
         """
-        if isinstance(error, UnsendableRequestError):
+        is_unsendable = isinstance(error, UnsendableRequestError)
+        if is_unsendable and step is Step.DISPATCH:
             self.is_sent = False
             return self.failure('unsendable', str(error), step, leaf)
         is_mismatch = isinstance(error, MismatchedAnswerError)
--- a/clementinebank/upstream/tests/test_answers.py
+++ b/clementinebank/upstream/tests/test_answers.py
@@ -247,6 +247,14 @@
             'unsendable',
             Execution.NOT_RUN,
         ),
+        # REFUSED: a request that was sent is encoded again after a late answer;
+        # a failure of that must not count as "not run".
+        (
+            'receive',
+            UnsendableRequestError('x'),
+            'leaf_broken',
+            Execution.UNKNOWN,
+        ),
         (
             'receive',
             curio.CancelledError(),
