--- a/clementinebank/upstream/tests/test_answers.py
+++ b/clementinebank/upstream/tests/test_answers.py
@@ -139,8 +139,6 @@
     monkeypatch.setitem(globals(), 'LeafPool', plain)
 
 
-# REFUSED and TWICE: a late copy of a refusal was taken for the answer to the
-# next send of the same request, which ran though its caller got 503.
 def check_copy_of_a_refusal_is_not_taken():
     leaf = FakeLeaf([REFUSED])
     outcomes, _ = run_calls(leaf, ('one', 'one'))
@@ -148,6 +146,7 @@
     assert statuses == [REFUSED, RAN]
 
 
+# Review case 1: a late refusal was taken for the answer to a later send.
 def test_copy_of_a_refusal_is_not_taken():
     check_copy_of_a_refusal_is_not_taken()
 
