--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,13 +1,15 @@
-"""Many clients ask for long answers at the same time and read them slowly.
+"""A machine is cut from the store for a moment while leafs change and leave.
 
-Ordinary clients send short requests meanwhile, on connections that they keep.
+It watches the store for its zone. The clients use the other machine of the
+zone, which has no disruption.
 """
 
 import asyncio
 import random
-import socket
+import time
 
 from platform_standins import (
+    BOUNDS,
     HOST,
     Instance,
     Leaf,
@@ -19,174 +21,167 @@
     run_case,
 )
 
-# Clients of a crowd, and the time from one crowd to the next.
-SLOW_CLIENTS = 160
-WAVES = 10
-WAVE_S = 4.0
-# Sizes of the answers that they read, and how fast each reads.
-LONG_BYTES = (200_000, 600_000)
-READ_BYTES = 5_000
-READ_INTERVAL_S = 0.05
-RECEIVE_BUFFER_BYTES = 4096
-SEGMENT_BYTES = 536
-ORDINARY_CLIENTS = 30
-# Largest answer of an ordinary client, as in the site kumagawa-finder.
-ORDINARY_BYTES = 18_000
-TOLERATED = 3
-
-
-class Play:
+CLIENTS = 12
+CYCLES = 6
+CUT_S = 1.5
+# Times after the begin of the cut at which one leaf changes its entry and at
+# which the entry of another one, which leaves, is removed.
+CHANGE_AFTER_S = 0.05
+REMOVAL_AFTER_S = 0.1
+# Time for which a leaf that leaves still serves after its removal.
+SERVES_ON_S = 6.0
+DRAIN_S = BOUNDS['drain_ms'] / 1000
+TOLERATED = 0
+
+
+class CutProxy:
+    """Link between one machine and the store, which can be cut.
+
+    While it is cut, bytes are held up in both directions.
+    """
+
+    def __init__(self, store):
+        self.store = store
+        self.server = None
+        self.port = 0
+        self.link = asyncio.Event()
+        self.link.set()
+        self.watch_sent = asyncio.Event()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        await self.link.wait()
+        to_store, from_store = await asyncio.open_connection(
+            HOST, self.store.port
+        )
+        await asyncio.gather(
+            self._copy(reader, from_store, True),
+            self._copy(to_store, writer, False),
+        )
+
+    async def _copy(self, reader, writer, is_request):
+        try:
+            while chunk := await reader.read(65536):
+                await self.link.wait()
+                writer.write(chunk)
+                await writer.drain()
+                if is_request and b'/v1/kv-watch' in chunk:
+                    self.watch_sent.set()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+
+class Traffic:
+    """Clients that keep their connections and send one request after another."""
+
     def __init__(self, record, port):
         self.record, self.port = record, port
-        self.is_over = False
-        self.number = 0
-        self.answers, self.unanswered = {}, []
-        self.slow_whole = self.slow_cut = self.slow_refused = 0
-
-    def next_headers(self):
-        self.number += 1
-        return {
-            'Host': 'shop.example',
-            'X-Request-Id': f'q{self.number:06d}',
-            'X-Deadline-Ms': 30_000,
-        }
-
-    async def read_slowly(self, ends_at):
-        """Ask for a long answer and read it slowly, until the crowd goes."""
-        loop = asyncio.get_running_loop()
-        while loop.time() < ends_at:
-            sock = socket.socket()
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-            )
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES
-            )
-            sock.setblocking(False)
-            try:
-                await asyncio.wait_for(
-                    self._read_answer(loop, sock), ends_at - loop.time()
-                )
-            except (OSError, asyncio.TimeoutError):
-                pass
-            finally:
-                sock.close()
-            await asyncio.sleep(0.2)
-
-    async def _read_answer(self, loop, sock):
-        size = random.randint(*LONG_BYTES)
-        await loop.sock_connect(sock, (HOST, self.port))
-        await loop.sock_sendall(
-            sock, encode_request(f'/long/{size}', self.next_headers())
-        )
-        received = 0
-        while received < size:
-            chunk = await loop.sock_recv(sock, READ_BYTES)
-            if not received and not chunk.startswith(b'HTTP/1.1 200'):
-                self.slow_refused += bool(chunk)
-                self.slow_cut += not chunk
-                return
-            if not chunk:
-                self.slow_cut += 1
-                return
-            received += len(chunk)
-            await asyncio.sleep(READ_INTERVAL_S)
-        self.slow_whole += 1
-
-    async def ask(self):
+        self.answers, self.number, self.is_over = {}, 0, False
+
+    async def run(self):
         while not self.is_over:
+            reader, writer = await asyncio.open_connection(HOST, self.port)
             try:
-                reader, writer = await asyncio.open_connection(HOST, self.port)
-            except OSError:
-                await asyncio.sleep(0.2)
-                continue
-            for index in range(50):
-                if self.is_over:
-                    break
-                headers = self.next_headers()
-                request_id = headers['X-Request-Id']
-                size = random.randint(1000, ORDINARY_BYTES)
-                try:
-                    writer.write(encode_request(f'/a/{size}', headers))
-                    status, _, body = await asyncio.wait_for(
-                        read_response(reader), 10
-                    )
+                while not self.is_over:
+                    self.number += 1
+                    headers = {
+                        'Host': 'shop.example',
+                        'X-Request-Id': f'q{self.number:06d}',
+                        'X-Deadline-Ms': 4000,
+                    }
+                    writer.write(encode_request('/a/x', headers))
+                    status, _, _ = await read_response(reader)
                     self.answers[status] = self.answers.get(status, 0) + 1
-                except (EOFError, OSError) as error:
-                    kept = 'kept' if index else 'new'
-                    self.record(
-                        f'{request_id}: ordinary, no answer, {kept} connection '
-                        f'({error})'
-                    )
-                    self.unanswered.append((request_id, index > 0))
-                    break
-                await asyncio.sleep(random.uniform(0.1, 0.3))
-            writer.close()
+                    await asyncio.sleep(random.uniform(0.05, 0.15))
+            except (EOFError, OSError) as error:
+                self.record(f'q{self.number:06d}: no answer ({error})')
+            finally:
+                writer.close()
 
 
 async def scenario(record, folder, has_trouble, started):
-    async def respond(leaf, target, headers):
-        return 200, {}, bytes(int(target.rpartition('/')[2]))
-
     store = Store()
     await store.start()
+    arrivals = []
+
+    async def respond(leaf, target, headers):
+        arrivals.append((leaf.leaf_id, time.monotonic(), headers['x-request-id']))
+        await asyncio.sleep(0.02)
+        return 200, {}, leaf.leaf_id.encode().ljust(16)
+
     leafs = [
-        Leaf(record, f'i-{n}', service, respond)
-        for n, service in enumerate(('s1',) * 2 + ('s2',) * 6)
+        Leaf(record, f'i-{number}', 's1', respond) for number in range(3 + CYCLES)
     ]
     for leaf in leafs:
-        leaf.slots = 64
         await leaf.start()
         await leaf.register(store)
     await store.write(
-        'op/config',
-        configuration(
-            7,
-            ('s1', 's2'),
-            route('/a/', service='s1'),
-            route('/long/', service='s2'),
-        ),
+        'op/config', configuration(7, ('s1',), route('/a/', service='s1'))
     )
-    instance = Instance(record, folder, 'front-1', store)
-    started.append(instance)
-    await instance.start()
-    await instance.wait_ready()
-    play = Play(record, instance.ports['front'])
-    tasks = [asyncio.ensure_future(play.ask()) for _ in range(ORDINARY_CLIENTS)]
-    await asyncio.sleep(3)
-    loop = asyncio.get_running_loop()
-    for wave in range(WAVES):
-        ends_at = loop.time() + WAVE_S
-        crowd = []
+    proxy = CutProxy(store)
+    await proxy.start()
+    started.append(proxy)
+    relay = Instance(record, folder, 'front-a-0', proxy)
+    other = Instance(record, folder, 'front-a-1', store)
+    third = Instance(record, folder, 'front-b-0', store, zone='zone-b')
+    for each in (relay, other, third):
+        each.seeds = (relay.control, third.control)
+        started.append(each)
+        await each.start()
+        await each.wait_ready()
+    await asyncio.sleep(5)
+    traffic = Traffic(record, other.ports['front'])
+    tasks = [asyncio.ensure_future(traffic.run()) for _ in range(CLIENTS)]
+    late = []
+    for cycle in range(CYCLES):
+        await asyncio.sleep(2)
+        leaving, changing = leafs[cycle], leafs[-1]
+        proxy.watch_sent.clear()
+        await proxy.watch_sent.wait()
+        began = time.monotonic()
         if has_trouble:
-            crowd = [
-                asyncio.ensure_future(play.read_slowly(ends_at))
-                for _ in range(SLOW_CLIENTS)
-            ]
-        await asyncio.sleep(WAVE_S)
-        await asyncio.gather(*crowd)
+            proxy.link.clear()
+            record('front-a-0 is cut from the store')
+        await asyncio.sleep(CHANGE_AFTER_S)
+        await changing.register(store, version=f'v{cycle + 2}')
+        record(f'{changing.leaf_id} has changed its entry')
+        await asyncio.sleep(REMOVAL_AFTER_S - CHANGE_AFTER_S)
+        await store.write(f'servers/{leaving.leaf_id}', None)
+        removed_at = time.monotonic()
+        record(f'{leaving.leaf_id}: its entry is removed')
+        await asyncio.sleep(max(0, began + CUT_S - time.monotonic()))
+        if has_trouble:
+            proxy.link.set()
+            record('front-a-0 reaches the store again')
+        await asyncio.sleep(removed_at + SERVES_ON_S - time.monotonic())
+        mine = [
+            (at - removed_at, request_id)
+            for leaf_id, at, request_id in arrivals
+            if leaf_id == leaving.leaf_id and at > removed_at
+        ]
+        too_late = [each for each in mine if each[0] > DRAIN_S]
+        late += too_late
         record(
-            f'crowd {wave}: ordinary: answers by status {play.answers}, '
-            f'without an answer {len(play.unanswered)}; slow: '
-            f'{play.slow_whole} whole, {play.slow_cut} cut, {play.slow_refused} refused; '
-            f'peak {instance.peak_mb():.0f} MB'
+            f'{leaving.leaf_id}: {len(mine)} requests after its removal, the '
+            f'last after {max(mine, default=(0, ""))[0]:.3f} s, '
+            f'{len(too_late)} later than {DRAIN_S} s: '
+            f'{[(round(at, 3), each) for at, each in too_late]}'
         )
-    play.is_over = True
+    traffic.is_over = True
     await asyncio.gather(*tasks)
-    ran = {each for leaf in leafs for each in leaf.run_ids}
-    lost = [
-        request_id
-        for request_id, is_kept in play.unanswered
-        if is_kept and request_id in ran
-    ]
-    record(f'sent {play.number}')
-    for leaf in leafs:
-        record(f'{leaf.leaf_id} of {leaf.service} ran {len(leaf.run_ids)}')
-    record(f'ordinary requests from kept connections that ran, lost: {lost}')
-    if len(lost) > TOLERATED:
+    record(f'sent {traffic.number}; answers by status {traffic.answers}')
+    if len(late) > TOLERATED:
         return (
-            f'LOST: {len(lost)} ordinary requests from kept connections, passed '
-            f'on to sound leafs, got no answer, of {sum(play.answers.values())}'
+            f'DRAIN: {len(late)} requests reached leafs later than {DRAIN_S} s '
+            f'after their entries were removed, through a machine in touch'
         )
     return ''
 
