--- a/review/10/case.py
+++ b/review/10/case.py
@@ -20,7 +20,7 @@
     run_case,
 )
 
-CLIENTS = 90
+CLIENTS = 130
 # `limits.max_header_bytes` of the only configuration, and the headers of the
 # clients' requests.
 MAX_HEADER_BYTES = 65_536
@@ -37,7 +37,7 @@
 OTHER_LEAFS = 90
 # Clients that can't connect try again after about this time.
 CONNECT_PAUSE_S = 0.03
-REQUESTS = 20
+REQUESTS = 8
 # DENIED: more than 5 + one in 500 of all requests.
 TOLERATED, TOLERATED_SHARE = 5, 1 / 500
 
