--- a/review/10/case.py
+++ b/review/10/case.py
@@ -88,6 +88,8 @@
         if cookie:
             headers['Cookie'] = cookie
         request = encode_request('/a/x', headers)
+        request_id = headers['X-Request-Id']
+        self.record.detail(f'{request_id} sent, {len(request)} bytes')
         size = FIRST_PIECE_BYTES
         while request:
             writer.write(request[:size])
@@ -96,7 +98,8 @@
             size *= 2
             if request:
                 await asyncio.sleep(ROUND_TRIP_S)
-        status, headers, _ = await asyncio.wait_for(read_response(reader), 5)
+        status, _, _ = await asyncio.wait_for(read_response(reader), 5)
+        self.record.detail(f'{request_id} answered {status}')
         return status
 
     async def ask_often(self, instance):
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -71,8 +71,10 @@
             }
             prefix = '/a/' if self.number % 4 == 0 else '/b/'
             try:
+                self.record.detail(f'{request_id} sent to {instance.name}')
                 writer.write(encode_request(f'{prefix}x', headers))
                 status, _, _ = await read_response(reader)
+                self.record.detail(f'{request_id} answered {status}')
                 self.answers[status] = self.answers.get(status, 0) + 1
             except (EOFError, OSError) as error:
                 self.unanswered.append((request_id, index > 0))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -92,17 +92,20 @@
             try:
                 while not self.is_over:
                     self.number += 1
+                    request_id = f'q{self.number:06d}'
                     headers = {
                         'Host': 'shop.example',
-                        'X-Request-Id': f'q{self.number:06d}',
+                        'X-Request-Id': request_id,
                         'X-Deadline-Ms': 4000,
                     }
+                    self.record.detail(f'{request_id} sent')
                     writer.write(encode_request('/a/x', headers))
                     status, _, _ = await read_response(reader)
+                    self.record.detail(f'{request_id} answered {status}')
                     self.answers[status] = self.answers.get(status, 0) + 1
                     await asyncio.sleep(random.uniform(0.05, 0.15))
             except (EOFError, OSError) as error:
-                self.record(f'q{self.number:06d}: no answer ({error})')
+                self.record(f'{request_id}: no answer ({error})')
             finally:
                 writer.close()
 
@@ -118,7 +121,7 @@
         return 200, {}, leaf.leaf_id.encode().ljust(16)
 
     leafs = [
-        Leaf(record, f'i-{number}', 's1', respond) for number in range(3 + CYCLES)
+        Leaf(record, f'i-{number}', 's1', respond) for number in range(6 + CYCLES)
     ]
     for leaf in leafs:
         await leaf.start()
--- a/review/lib-2/platform_standins.py
+++ b/review/lib-2/platform_standins.py
@@ -55,6 +55,10 @@
         self._file.write(f'{time.monotonic() - self._began:8.3f} {text}\n')
         self._file.flush()
 
+    def detail(self, text):
+        """Record one request that is sent, answered or run."""
+        self._file.write(f'{time.monotonic() - self._began:8.3f} {text}\n')
+
 
 def free_port():
     """Return a port of the loopback address that is free now."""
@@ -295,6 +299,7 @@
                     writer.write(encode_response(421, own, b''))
                     continue
                 self.run_ids.append(request_id)
+                self.record.detail(f'{self.leaf_id} runs {request_id}')
                 own['X-Server-Stamp'] = f'{self.leaf_id}.{request_id}'
                 status, more, answer = 200, {}, self.leaf_id.encode().ljust(16)
                 if self.respond is not None:
