--- a/tests/crowds/system.py
+++ b/tests/crowds/system.py
@@ -5,17 +5,13 @@
 """
 
 import os
-import resource
 import socket
-import subprocess
-import sys
 import threading
 import time
 from pathlib import Path
 
 import attrs
 import curio
-import yaml
 from fleet_adapter.tests.standins import (
     StandInLeaf,
     StandInStore,
@@ -24,21 +20,21 @@
 )
 
 from clementinebank.http import HttpLimits, HttpResponse, HttpServer
+from tests.gateway_process import (
+    HOST,
+    MAX_DESCRIPTORS,
+    MEMORY_MB,
+    GatewayProcess,
+)
 from tests.harness import (
     POLL_INTERVAL_S,
-    ROOT,
     STOP_LIMIT_S,
-    find_free_ports,
-    release_ports,
     send_request,
     wait_until,
 )
 
-HOST = '127.0.0.1'
 BYTES_PER_MB = 1_000_000
 BYTES_PER_KIB = 1024
-MEMORY_MB = 80
-MAX_DESCRIPTORS = 1000
 MAX_BODY_BYTES = 262_144
 HEADER_TIMEOUT_MS = 3000
 IDLE_TIMEOUT_MS = 15_000
@@ -78,8 +74,7 @@
     directory: Path
     memory_mb: float = MEMORY_MB
     max_descriptors: int = MAX_DESCRIPTORS
-    process: subprocess.Popen = None
-    ports: list = attrs.Factory(list)
+    gateway: GatewayProcess = None
     store: StandInStore = None
     leafs: list = attrs.Factory(list)
     long_answers: int = 0
@@ -88,46 +83,45 @@
     _is_serving: threading.Event = attrs.Factory(threading.Event)
     _thread: threading.Thread = None
 
+    @property
+    def process(self):
+        """Return the process of the gateway."""
+        return self.gateway.process
+
     @property
     def callers(self):
         """Return the port for callers."""
-        return self.ports[0]
+        return self.gateway.callers
 
     @property
     def peers(self):
         """Return the port for other instances."""
-        return self.ports[3]
+        return self.gateway.peers
 
     def start(self):
         """Start all parts and wait for an answer to an ordinary request."""
-        self.ports = find_free_ports(4)
         self._thread = threading.Thread(
             target=curio.run, args=(self._serve_standins,), daemon=True
         )
         self._thread.start()
         assert self._is_serving.wait(STOP_LIMIT_S)
-        path = self.directory / 'gateway.yaml'
-        path.write_text(yaml.safe_dump(self._settings()))
-        self.process = subprocess.Popen(
-            [sys.executable, 'platform/gateway.py'],
-            cwd=ROOT,
-            env={**os.environ, 'CLEMENTINEBANK_NODE_FILE': str(path)},
-            stdout=(self.directory / 'gateway.out').open('w'),
-            stderr=subprocess.STDOUT,
-            preexec_fn=self._limit_descriptors,
+        self.gateway = GatewayProcess(
+            self.directory,
+            self.store.address,
+            memory_mb=self.memory_mb,
+            max_descriptors=self.max_descriptors,
         )
+        self.gateway.start()
         assert wait_until(lambda: self.request().status == 200)
 
     def stop(self):
         """End the gateway and the stand-ins."""
-        if self.process is not None:
-            self.process.kill()
-            self.process.wait(STOP_LIMIT_S)
+        if self.gateway is not None:
+            self.gateway.close()
         self.leaf_is_free.set()
         self._stop.set()
         if self._thread is not None:
             self._thread.join(STOP_LIMIT_S)
-        release_ports(self.ports)
 
     def request(self, path='/a/x', body=None, headers=None):
         """Send one ordinary request and return the reply."""
@@ -189,44 +183,9 @@
         assert self.process.poll() is None
         assert peak <= self.memory_mb
         assert self.answers_ordinary_request()
-        for port in self.ports:
+        for port in self.gateway.ports:
             socket.create_connection((HOST, port), PATIENCE_S).close()
 
-    def _limit_descriptors(self):
-        limit = self.max_descriptors
-        resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
-
-    def _settings(self):
-        callers, readiness, metrics, peers = (
-            f'{HOST}:{port}' for port in self.ports
-        )
-        return {
-            'instance_id': 'g-1',
-            'data_centre': 'dc-1',
-            'listen': {
-                'callers': callers,
-                'readiness': readiness,
-                'metrics': metrics,
-                'peers': peers,
-            },
-            'seeds': [peers],
-            'control_store': str(self.store.address),
-            'regions_by_data_centre': {'dc-1': 'region-1'},
-            'resources': {
-                'processor_share': 0.5,
-                'processor_speed': 2,
-                'memory_mb': self.memory_mb,
-            },
-            'bounds': {
-                'drain_ms': 3000,
-                'shutdown_s': 2,
-                'retry_ratio': 0.2,
-                'retry_burst': 50,
-                'stable_window_ms': 4000,
-                'change_ms': 3000,
-            },
-        }
-
     async def _serve_standins(self):
         self.store = StandInStore()
         self.leafs = [
