Read numbers beyond the range of a float as invalid fields

Callers: an entry of another writer stood under servers/ with cold_left_ms of 10**400.

Cause: FieldReader.number reported the number as out of range and then returned float(found), which raises OverflowError. The exception left the decoder of the entry, so the task that reads the store began the read of all entries anew, forever. FieldReader.integer returned such a number unchanged, and a caller that divides it by 1000 raised in the same way.

Change: a number out of range is reported and read as the nearest bound, which the docstring now promises. A problem quotes at most 200 characters, and a value without a repr (integers of more than 4,300 digits, deep nesting) is named by its type instead of raising ValueError or RecursionError.

Why it works: every reader of fields uses these two methods (registrations of leafs, configuration, accounts, records of relays), and neither can raise any more on what JSON holds.

--- a/clementinebank/validation/_reader.py
+++ b/clementinebank/validation/_reader.py
@@ -12,6 +12,8 @@
 from clementinebank.errors import FieldProblem
 
 MAX_PORT = 65_535
+# Characters of a value that a problem quotes.
+MAX_QUOTED_CHARACTERS = 200
 # Units of the field names in use, by the suffix of the name.
 UNITS_BY_SUFFIX = {
     'ms': 'milliseconds',
@@ -66,8 +68,8 @@
 
     A method that reads a missing or invalid field reports a problem and still
     returns a value of the type, so that one pass reports every problem of the
-    input. The result is only valid if ``problems`` is empty. A field without
-    a fallback is required.
+    input. A number is always within its bounds. The result is only valid if
+    ``problems`` is empty. A field without a fallback is required.
 
     Parameters
     ----------
@@ -90,7 +92,7 @@
     def __attrs_post_init__(self) -> None:
         """Report input that is not a mapping and treat it as an empty one."""
         if not isinstance(self.data, dict):
-            self._report('', f'must be a mapping, got {self.data!r}')
+            self._report('', f'must be a mapping, got {_quote(self.data)}')
             self.data = {}
 
     def text(
@@ -104,11 +106,13 @@
         if found is None:
             return ''
         if not isinstance(found, str) or not found:
-            self._report(name, f'must be a non-empty string, got {found!r}')
+            self._report(
+                name, f'must be a non-empty string, got {_quote(found)}'
+            )
             return fallback or ''
         if choices and found not in choices:
             listed = ', '.join(choices)
-            self._report(name, f'must be one of {listed}, got {found!r}')
+            self._report(name, f'must be one of {listed}, got {_quote(found)}')
         return found
 
     def integer(
@@ -125,15 +129,16 @@
             return minimum
         if isinstance(found, bool) or not isinstance(found, int):
             self._report(
-                name, f'must be an integer{_unit_of(name)}, got {found!r}'
+                name, f'must be an integer{_unit_of(name)}, got {_quote(found)}'
             )
             return minimum
         if not minimum <= found <= maximum:
             self._report(
                 name,
                 f'must be between {minimum} and {maximum}'
-                f'{_unit_of(name)}, got {found!r}',
+                f'{_unit_of(name)}, got {_quote(found)}',
             )
+            return maximum if found > maximum else minimum
         return found
 
     def number(
@@ -150,15 +155,16 @@
             return minimum
         if isinstance(found, bool) or not isinstance(found, int | float):
             self._report(
-                name, f'must be a number{_unit_of(name)}, got {found!r}'
+                name, f'must be a number{_unit_of(name)}, got {_quote(found)}'
             )
             return minimum
         if not minimum <= found <= maximum:
             self._report(
                 name,
                 f'must be between {minimum} and {maximum}'
-                f'{_unit_of(name)}, got {found!r}',
+                f'{_unit_of(name)}, got {_quote(found)}',
             )
+            return maximum if found > maximum else minimum
         return float(found)
 
     def address(self, name: str) -> Address:
@@ -166,7 +172,7 @@
         found = self.text(name)
         address = parse_address(found)
         if address is None and found:
-            self._report(name, f'must be IP:PORT, got {found!r}')
+            self._report(name, f'must be IP:PORT, got {_quote(found)}')
         return address or Address('0.0.0.0', 0)  # noqa: S104
 
     def addresses(self, name: str) -> tuple[Address, ...]:
@@ -177,7 +183,9 @@
         items = found if isinstance(found, list) else [found]
         addresses = [parse_address(item) for item in items]
         if not isinstance(found, list) or None in addresses:
-            self._report(name, f'must be a list of IP:PORT, got {found!r}')
+            self._report(
+                name, f'must be a list of IP:PORT, got {_quote(found)}'
+            )
         return tuple(each for each in addresses if each is not None)
 
     def child(self, name: str, *, required: bool = True) -> 'FieldReader':
@@ -277,6 +285,18 @@
     return None
 
 
+def _quote(found: Any) -> str:
+    """Return a value as text for a problem, shortened if it is long."""
+    try:
+        text = repr(found)
+    except (ValueError, RecursionError):
+        # Integers of thousands of digits and deeply nested values have no repr.
+        return f'a value of type {type(found).__name__} that is too long'
+    if len(text) <= MAX_QUOTED_CHARACTERS:
+        return text
+    return f'{text[:MAX_QUOTED_CHARACTERS]}...'
+
+
 def _is_plain_integer(text: str, maximum: int) -> bool:
     # Numbers with leading zeros are refused because some resolvers read them
     # as octal.
