--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -9,18 +9,28 @@
 
 import curio
 import pytest
-from fleet_adapter.tests.standins import configuration, route, run_scenario
+from fleet_adapter.tests.standins import (
+    StandInLeaf,
+    configuration,
+    route,
+    run_scenario,
+)
 
 from clementinebank.clock import now
 from clementinebank.http import HttpProtocolError, HttpRequest, fetch
+from clementinebank.validation import Address
 from tests.gateway_process import HOST, GatewayProcess
 
 INSTANCES = 3
 # Time after a restart by which a fleet must serve again.
 RECOVERY_S = 12
+# Time after a change of the configuration by which it must be in force.
+CHANGE_S = 3
 CALL_TIMEOUT_S = 2
 REQUESTS = 24
 CHECK_INTERVAL_S = 0.05
+# Text that JSON can hold, but no encoding of Unicode.
+SURROGATE = '\ud800'
 NUMBER_FIELDS = ('born', 'sequence', 'concurrency', 'cold_left_ms')
 ODD_NUMBERS = {
     'beyond 64 bits': 2**70,
@@ -66,12 +76,17 @@
     """Serve the store and two leafs of the route ``/a/``."""
     for leaf_id in ('i-1', 'i-2'):
         await platform.add_leaf(leaf_id, 's1')
-    await platform.store.put(
-        'op/config', configuration(7, route('/a/', service='s1'))
-    )
+    await put_route(platform.store, 7, '/a/')
     await platform.serve(platform.store)
 
 
+async def put_route(store, version, prefix):
+    """Write a configuration with one route."""
+    await store.put(
+        'op/config', configuration(version, route(prefix, service='s1'))
+    )
+
+
 async def start_processes(processes):
     """Start all processes and wait until they are ready, or for RECOVERY_S."""
     for process in processes:
@@ -94,7 +109,7 @@
     return await get_status(process.ports[1], message) == 200
 
 
-async def count_served(processes):
+async def count_served(processes, prefix='/a/'):
     """Return how many of ``REQUESTS`` requests are served."""
     served = 0
     for number in range(REQUESTS):
@@ -103,7 +118,7 @@
             'x-request-id': f'q{number}',
             'x-deadline-ms': str(CALL_TIMEOUT_S * 1000),
         }
-        message = HttpRequest('GET', '/a/x', headers)
+        message = HttpRequest('GET', f'{prefix}x', headers)
         process = processes[number % len(processes)]
         served += await get_status(process.callers, message) == 200
     return served
@@ -149,3 +164,100 @@
             }
 
     run_fleet(scenario)
+
+
+async def check_fleet_beside(platform, processes, put_odd_entries):
+    """Check that a fleet serves and applies changes beside odd entries.
+
+    They are written while it runs, and stand when it is restarted.
+    """
+    await start_platform(platform)
+    await start_processes(processes)
+    await put_odd_entries(platform.store)
+    await check_route_comes_into_force(platform, processes, 8, '/b/')
+    await restart_processes(processes)
+    assert await count_served(processes, '/b/') == REQUESTS
+    await check_route_comes_into_force(platform, processes, 9, '/c/')
+
+
+async def check_route_comes_into_force(platform, processes, version, prefix):
+    """Check that all processes serve a route that replaces all others."""
+    await put_route(platform.store, version, prefix)
+    end = now() + CHANGE_S
+    while now() < end and await count_served(processes, prefix) < REQUESTS:
+        await curio.sleep(CHECK_INTERVAL_S)
+    assert await count_served(processes, prefix) == REQUESTS
+
+
+def entry_of(leaf_id, **changes):
+    """Return a registration at an address where nothing listens."""
+    leaf = StandInLeaf(leaf_id, 's1', address=Address(HOST, 1))
+    return leaf.entry(**changes)
+
+
+def relay_record(**changes):
+    return {
+        'instance_id': 'g-9',
+        'address': f'{HOST}:1',
+        'fleet_share': 1,
+        **changes,
+    }
+
+
+# Values of entries that keep to no form.
+ODD_VALUES = {
+    'empty': b'',
+    'json': b'\xff{',
+    'list': ['no mapping'],
+    'fields': {},
+    'depth': b'[' * 2000 + b']' * 2000,
+}
+ODD_CONTENT = {
+    **{
+        f'{prefix}/odd-{name}': content
+        for prefix in ('servers', 'op/evacuate', 'relays')
+        for name, content in ODD_VALUES.items()
+    },
+    'servers/odd-service': entry_of('odd-service', service=SURROGATE),
+    'servers/odd-zone': entry_of('odd-zone', zone=SURROGATE),
+    'relays/odd-name': relay_record(instance_id=SURROGATE),
+    'relays/odd-share': relay_record(fleet_share=10**400),
+    'relays/odd-cores': relay_record(aggregators={f'{HOST}:1': 10**400}),
+}
+
+
+def test_odd_content_costs_itself_alone(run_fleet):
+    async def scenario(platform, processes):
+        async def put(store):
+            for key, content in ODD_CONTENT.items():
+                await store.put(key, content)
+
+        await check_fleet_beside(platform, processes, put)
+
+    run_fleet(scenario)
+
+
+# Fields that a store should not send, by the key of their item.
+ODD_FIELDS = {
+    'servers/odd-1': {'value': 'ł'},
+    'servers/odd-2': {'value': 3},
+    'servers/odd-3': {'value': None},
+    'servers/odd-4': {'key': 3},
+    'servers/odd-5': {'key': f'servers/{SURROGATE}'},
+    'servers/odd-6': {'revision': 2**70},
+    'servers/odd-7': {'revision': float('inf')},
+    'servers/odd-8': {'revision': -1},
+    'servers/odd-9': {'revision': None},
+}
+
+
+def test_odd_items_cost_themselves_alone(run_fleet):
+    async def scenario(platform, processes):
+        async def put(store):
+            store.odd_fields_by_key.update(ODD_FIELDS)
+            for key in ODD_FIELDS:
+                await store.put(key, {})
+
+        await check_fleet_beside(platform, processes, put)
+
+    run_fleet(scenario)
