Take an error of a decoder as a problem of its entry alone

Cause: the decoders are called in a loop over all entries, and only their Result was handled. An exception ended the loop, and all entries were read again, forever.

Change: decode_content calls the decoder of one entry, logs the traceback of an exception and returns it as a problem of that entry.

Why it works: the guard stands where single entries are told apart, so it holds for fields that decoders will read later, too.

--- a/clementinebank/relay/__init__.py
+++ b/clementinebank/relay/__init__.py
@@ -10,6 +10,7 @@
     choose_aggregators,
 )
 from clementinebank.relay._client import RelayClient
+from clementinebank.relay._content import decode_content
 from clementinebank.relay._directory import (
     KEY_PREFIX,
     RelayDirectory,
@@ -52,4 +53,5 @@
     'RemovalBounds',
     'StoredState',
     'choose_aggregators',
+    'decode_content',
 )
--- a/clementinebank/relay/_directory.py
+++ b/clementinebank/relay/_directory.py
@@ -10,6 +10,7 @@
 
 from clementinebank.errors import FieldProblem
 from clementinebank.relay._aggregators import FleetMember
+from clementinebank.relay._content import decode_content
 from clementinebank.relay._model import Entry
 from clementinebank.validation import Address, FieldReader, parse_address
 
@@ -140,7 +141,7 @@
                 message_type='relay:unregistered', data_centre=data_centre
             )
             return
-        decoded = decode_record(entry)
+        decoded = decode_content(entry, decode_record)
         if isinstance(decoded, Err):
             log_message(
                 message_type='relay:invalid_entry',
--- a/clementinebank/relay/tests/test_messages.py
+++ b/clementinebank/relay/tests/test_messages.py
@@ -20,6 +20,7 @@
     RelayService,
     StoredState,
 )
+from clementinebank.relay import _directory as directory_module
 from clementinebank.relay._codec import (
     WatchReply,
     WatchRequest,
@@ -28,7 +29,10 @@
     encode_reply,
     encode_request,
 )
-from clementinebank.relay._directory import RelayDirectory, decode_record
+from clementinebank.relay._directory import (
+    RelayDirectory,
+    decode_record,
+)
 from clementinebank.rpc import RpcProtocolError, RpcServer
 from clementinebank.validation import Address
 
@@ -93,6 +97,16 @@
     assert not directory.records_by_data_centre
 
 
+def test_error_of_a_decoder_is_a_problem_of_its_entry(monkeypatch):
+    def fail(entry):
+        raise ArithmeticError(entry.key)
+
+    monkeypatch.setattr(directory_module, 'decode_record', fail)
+    directory = RelayDirectory()
+    directory.load([Entry('relays/dc', b'{}', 1)], 0)
+    assert not directory.records_by_data_centre
+
+
 async def connect_client(server):
     """Return a client, the address of the server and the server's task.
 
