Replace an odd entry where the registration of a relay belongs

Operators: an entry that can't be decoded stood under the key of the relay of a data centre, relays/ID. No instance of that data centre could register, so that all of them watched the store instead of one, at the price of a call for each change. Callers were served all the same.

Cause: the directory ignored such an entry, so the registration was written as if its key didn't exist. The store answered 412, again and again.

Change: the directory keeps the revision of an entry that it can't decode, and the registration is written at that revision. The registration known before stays in force, as it did.

Why it works: the write is still conditional on the revision of what was read, so that a valid registration of another instance isn't overwritten.

--- a/clementinebank/relay/_directory.py
+++ b/clementinebank/relay/_directory.py
@@ -120,20 +120,25 @@
     aggregators_by_data_centre: dict[str, tuple[FleetMember, ...]] = (
         attrs.Factory(dict)
     )
+    # Revisions of entries that hold no registration that can be decoded.
+    _invalid_revisions: dict[str, int] = attrs.Factory(dict)
     _recent_sizes: deque[tuple[float, int]] = attrs.Factory(deque)
 
     def load(self, entries: Iterable[Entry], now: float) -> None:
         """Replace all registrations by those of the given entries."""
         self.records_by_data_centre = {}
+        self._invalid_revisions = {}
         for entry in entries:
             self.apply(entry, now)
 
     def apply(self, entry: Entry, now: float) -> None:
         """Apply the write or the deletion of one registration.
 
-        A registration that can't be decoded is logged and has no effect.
+        A registration that can't be decoded is logged; the one before it stays
+        in force.
         """
         data_centre = entry.key.removeprefix(KEY_PREFIX)
+        self._invalid_revisions.pop(data_centre, None)
         if entry.value is None:
             self.records_by_data_centre.pop(data_centre, None)
             self._forget_lost_data_centres()
@@ -149,6 +154,7 @@
                 revision=entry.revision,
                 problems=[str(problem) for problem in decoded.err_value],
             )
+            self._invalid_revisions[data_centre] = entry.revision
             return
         record = decoded.ok_value
         self.records_by_data_centre[data_centre] = record
@@ -164,6 +170,16 @@
             revision=record.revision,
         )
 
+    def revision_of(self, data_centre: str) -> int:
+        """Return the revision at which a registration can be replaced.
+
+        It is that of the last write of its key, 0 if the key doesn't exist.
+        """
+        record = self.records_by_data_centre.get(data_centre)
+        return self._invalid_revisions.get(
+            data_centre, record.revision if record else 0
+        )
+
     def fleet_size(self, now: float) -> int:
         """Return an upper estimate of the number of instances.
 
--- a/clementinebank/relay/_registration.py
+++ b/clementinebank/relay/_registration.py
@@ -234,7 +234,6 @@
         """Write the registration, unless another instance has changed it."""
         if self._lease_id is None and not await self._create_lease():
             return
-        registered = self._registered
         if not self.is_registered:
             self._registered_since = now()
         record = RelayRecord(
@@ -247,7 +246,7 @@
         entry = Entry(
             record.key,
             encode_record(record),
-            registered.revision if registered else 0,
+            self.directory.revision_of(self.data_centre),
         )
         written = await self.store.put(entry, self._lease_id or '')
         self._written_at = now()
--- a/clementinebank/relay/tests/test_messages.py
+++ b/clementinebank/relay/tests/test_messages.py
@@ -31,7 +31,9 @@
 )
 from clementinebank.relay._directory import (
     RelayDirectory,
+    RelayRecord,
     decode_record,
+    encode_record,
 )
 from clementinebank.rpc import RpcProtocolError, RpcServer
 from clementinebank.validation import Address
@@ -97,6 +99,23 @@
     assert not directory.records_by_data_centre
 
 
+def test_entry_without_a_registration_is_replaced_at_its_revision():
+    directory = RelayDirectory()
+    assert directory.revision_of('dc') == 0
+    valid = encode_record(RelayRecord('i', ADDRESS, 'dc', 1))
+    directory.apply(Entry('relays/dc', valid, 3), 0)
+    assert directory.revision_of('dc') == 3
+    directory.apply(Entry('relays/dc', b'', 5), 0)
+    assert directory.revision_of('dc') == 5
+    assert directory.records_by_data_centre['dc'].revision == 3
+    directory.apply(Entry('relays/dc', valid, 7), 0)
+    assert directory.revision_of('dc') == 7
+    directory.load([Entry('relays/dc', b'', 8)], 0)
+    assert directory.revision_of('dc') == 8
+    directory.apply(Entry('relays/dc', None, 9), 0)
+    assert directory.revision_of('dc') == 0
+
+
 def test_error_of_a_decoder_is_a_problem_of_its_entry(monkeypatch):
     def fail(entry):
         raise ArithmeticError(entry.key)
@@ -105,6 +124,7 @@
     directory = RelayDirectory()
     directory.load([Entry('relays/dc', b'{}', 1)], 0)
     assert not directory.records_by_data_centre
+    assert directory.revision_of('dc') == 1
 
 
 async def connect_client(server):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -261,3 +261,19 @@
         await check_fleet_beside(platform, processes, put)
 
     run_fleet(scenario)
+
+
+def test_odd_record_of_the_own_data_centre_is_replaced(run_fleet):
+    """Otherwise no relay registers and every instance watches the store."""
+
+    async def scenario(platform, processes):
+        await start_platform(platform)
+        await platform.store.put('relays/dc-1', b'\xff{')
+        await start_processes(processes)
+        end = now() + RECOVERY_S
+        while platform.store.content_of('relays/dc-1') == b'\xff{':
+            assert now() < end, 'no relay has registered'
+            await curio.sleep(CHECK_INTERVAL_S)
+        assert await count_served(processes) == REQUESTS
+
+    run_fleet(scenario)
