Refuse answers of leafs with a control character in their head

Callers: a control byte (01, 1B, 7F) in the value of a field of a leaf's answer was passed on.

Cause: h11 takes control characters other than NUL, CR and LF in values and in the reason, as some sites send them in cookies.

Change: the check of the bytes of a head refuses them as well. Tabs stay allowed.

Evidence: 10 tests of test_odd_answers.py failed before (three bytes in a value, first, later and instead of the length, and one in the reason); they pass now. In names, and NUL or CR in values, h11 refused them already.

--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -34,6 +34,8 @@
 VERSION_PREFIX = b'HTTP/1.'
 STATUS_LINE_PATTERN = re.compile(rb'HTTP/1\.\d \d{3}(?: |$)', re.MULTILINE)
 FOLDED_LINE_PATTERN = re.compile(rb'\n[ \t]')
+# Control characters other than the tab and those that end lines.
+CONTROL_CHARACTER_PATTERN = re.compile(rb'[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]')
 # A connection is not reused in the last part of the idle time that the server
 # allows: a request sent while the server closes it would be lost.
 IDLE_TIMEOUT_MARGIN_S = 0.75
@@ -358,13 +360,17 @@
 def _check_lines(raw_head: bytearray) -> None:
     """Raise if a head has lines that must not be passed on.
 
-    h11 joins a line that begins with a blank to the one before it, so that a
-    field which the server put there would be lost (RFC 9112, section 5.2).
+    h11 takes control characters, which callers may read as they like (RFC 9110,
+    section 5.5). It joins a line that begins with a blank to the one before it,
+    so that a field which the server put there would be lost (RFC 9112, section
+    5.2).
     """
     if FOLDED_LINE_PATTERN.search(raw_head):
         raise HttpProtocolError(
             'the head holds a line that begins with a blank'
         )
+    if CONTROL_CHARACTER_PATTERN.search(raw_head):
+        raise HttpProtocolError('the head holds a control character')
 
 
 def _check_is_one_head(head: Any) -> None:
