Refuse answers of leafs with a status from 600 on

Callers: an answer whose status was 600 to 999 was passed on. RFC 9110, section 15, calls such a status invalid.

Cause: h11 takes any status from 100 to 999. It refuses those below 100, so that a status 000 never reached a caller.

Change: the HTTP client refuses a status beyond 599.

--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -24,6 +24,9 @@
 # Informational (1xx) responses that may precede a response. Without a bound, a
 # server could keep the call waiting by sending them for ever.
 MAX_INFORMATIONAL_RESPONSES = 16
+# Greatest status that has a meaning (RFC 9110, section 15); h11 refuses those
+# below 100.
+MAX_STATUS = 599
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # Without a body, requests of these methods carry no content-length header:
 # `content-length: 0` would only enlarge each of many small requests.
@@ -228,6 +231,8 @@
         turn = ReadTurn()
         self.has_partial_response = False
         head = await self._read_head(turn)
+        if head.status_code > MAX_STATUS:
+            raise HttpProtocolError(f'the status is {head.status_code}')
         self.has_partial_response = True
         headers, repeated = decode_headers(head.headers.raw_items())
         self._check_length(head.status_code, headers)
