--- a/clementinebank/http/tests/test_client.py
+++ b/clementinebank/http/tests/test_client.py
@@ -91,6 +91,14 @@
     assert run_on_fake_clock(_receive, GOOD).body == b'{}'
 
 
+@pytest.mark.parametrize('count', [1, 9, 400, 5000])
+def test_keep_alive_time_of_any_length_is_read(count):
+    """Python converts no text of thousands of digits to an integer."""
+    stated = b'\r\nkeep-alive: timeout=' + b'9' * count + b'\r\n\r\n'
+    payload = GOOD.replace(b'\r\n\r\n', stated)
+    assert run_on_fake_clock(_receive, payload).body == b'{}'
+
+
 async def _is_reusable_after(connection_type, moment):
     connection, leaf = _open_pair(connection_type)
     await connection.send(HttpRequest('GET', '/'))
