Take odd numbers in answers of the key-value service as malformed

Cause: a version header of more than 4,300 digits is decimal, but int() raises ValueError for it, outside of the code that handles a malformed answer. An infinite version in a listing raises OverflowError, which wasn't handled.

Change: a version has 1 to 20 digits, and OverflowError counts as malformed.

Evidence: three tests (the header read and written, the listing) failed before and pass now. Other malformed versions and listings were handled already.

--- a/clementinebank/coordination/_key_value.py
+++ b/clementinebank/coordination/_key_value.py
@@ -1,6 +1,7 @@
 """Interface and HTTP client of the platform's key-value service."""
 
 import json
+import re
 from typing import Protocol
 from urllib.parse import quote, urlencode
 
@@ -22,8 +23,15 @@
 CALL_TIMEOUT_S = 2.0
 # Largest number of entries in one page if the caller gives no limit.
 DEFAULT_PAGE_ENTRIES = 100
+VERSION_PATTERN = re.compile('[0-9]{1,20}')
 # Errors that a malformed listing can cause while it is decoded.
-_MALFORMED_LISTING_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+_MALFORMED_LISTING_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
 
 
 @attrs.frozen
@@ -257,7 +265,7 @@
         finally:
             await connection.close()
         version = response.headers.get(VERSION_HEADER, '0')
-        if not version.isdecimal():
+        if not VERSION_PATTERN.fullmatch(version):
             message = f'the version is no number: {version!r}'
             return Err(self._failure('key_value_malformed', message, step))
         if response.status in {200, 304, 404, 409}:
--- a/clementinebank/coordination/tests/test_listing.py
+++ b/clementinebank/coordination/tests/test_listing.py
@@ -63,8 +63,18 @@
     assert version == 0
 
 
-def test_malformed_listing_is_a_failure(service):
-    page = service._page_of(HttpResponse(200, {}, b'{"entries": [{}]}'), 9)
+@pytest.mark.parametrize(
+    'entry',
+    [
+        b'{}',
+        b'{"key": "k", "value": "v", "version": "x"}',
+        b'{"key": "k", "value": "v", "version": 1e400}',
+        b'{"key": "k", "value": "\\ud800", "version": 1}',
+    ],
+)
+def test_malformed_listing_is_a_failure(service, entry):
+    body = b'{"entries": [%b]}' % entry
+    page = service._page_of(HttpResponse(200, {}, body), 9)
     assert page.unwrap_err().code == 'key_value_malformed'
 
 
--- a/clementinebank/coordination/tests/test_malformed_version.py
+++ b/clementinebank/coordination/tests/test_malformed_version.py
@@ -17,6 +17,7 @@
     """Connection whose answer has a malformed version."""
 
     bytes_sent = 1
+    version = ''
 
     def __init__(self, host, port):
         self.address = (host, port)
@@ -25,17 +26,21 @@
         return None
 
     async def request(self, message):
-        return HttpResponse(200, {'version': '7, 8'})
+        return HttpResponse(200, {'version': self.version})
 
     async def close(self):
         return None
 
 
+@pytest.mark.parametrize('version', ['7, 8', '-1', '', '9' * 5000])
 @pytest.mark.parametrize(
     ('method', 'arguments'),
     [('read', ('k',)), ('compare_and_swap', ('k', b'', 7))],
 )
-def test_malformed_version_is_a_failure(method, arguments, monkeypatch):
+def test_malformed_version_is_a_failure(
+    method, arguments, version, monkeypatch
+):
+    monkeypatch.setattr(FakeConnection, 'version', version)
     monkeypatch.setattr(key_value_module, 'HttpConnection', FakeConnection)
     service = HttpKeyValueService(Address('127.0.0.1', 1))
     with FakeClockKernel() as kernel:
