Take an empty page of a relay before the last one as malformed

Callers: nothing was seen; relays of this code send no such page.

Cause: the client took the key of the last entry of a page without looking whether it had one. The IndexError ended the read of all entries, before the next relay or the store was asked.

Evidence: test_empty_page_before_the_last_one_is_malformed failed before with IndexError and passes now.

--- a/clementinebank/relay/_client.py
+++ b/clementinebank/relay/_client.py
@@ -95,6 +95,9 @@
                 return Err(_failure('state_too_large', message, address))
             if not page.has_more:
                 break
+            if not page.entries:
+                message = 'the relay sent an empty page before the last one'
+                return Err(_failure('malformed', message, address))
             after_key = page.entries[-1].key
         age_s = first.age_s + now() - first_at
         return Ok(StoredState(tuple(entries), first.revision, age_s))
--- a/clementinebank/relay/tests/test_messages.py
+++ b/clementinebank/relay/tests/test_messages.py
@@ -127,6 +127,23 @@
     assert directory.revision_of('dc') == 1
 
 
+class EmptyPages:
+    """Channel to a relay whose pages are empty and never the last one."""
+
+    def __init__(self, address):
+        self.address = address
+
+    async def call_before(self, deadline, path, payload, decode):
+        return decode(encode_reply(WatchReply(revision=5, has_more=True)))
+
+
+def test_empty_page_before_the_last_one_is_malformed():
+    client = RelayClient('i-2', ADDRESS, EntryLog(), EmptyPages)
+    with FakeClockKernel() as kernel:
+        state = kernel.run(client.read_all, ADDRESS)
+    assert state.err_value.code == 'malformed'
+
+
 async def connect_client(server):
     """Return a client, the address of the server and the server's task.
 
