--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -31,7 +31,7 @@
 # Without a body, requests of these methods carry no content-length header:
 # `content-length: 0` would only enlarge each of many small requests.
 METHODS_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
-# The first digits of a longer time are long enough.
+# Of a longer time, the first nine digits are read: int() refuses thousands.
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d{1,9})')
 # Within a head, the start of another response: what precedes it is a part of an
 # earlier one. The version is looked for first, because most heads hold none.
