Close a connection only in the task that uses it

What callers saw: a leaf's rate limit ended while one instance stood still.

Cause: LimitClient closed its connections 0.1 s after the end of the last limit, also those on which another task still waited for the frozen instance. curio keeps such a descriptor in its selector; the next connection gets the same number, epoll refuses it, and the error ends curio's kernel.

Evidence: the traceback of both processes (FileNotFoundError in selector_modify).

Change: RpcChannel.close lets the calls in progress end, and their task closes the connection. The eviction of RelayClient had the same fault. Below that, all sockets are SharedSockets: a socket that is closed in use is shut down, and its last user closes the descriptor, so that no number is given out while a task waits on it. A failed process logs the task that ran last.

In test_client and test_listener the socket is replaced at its new place; the checks are the same. The fleet of processes of test_odd_entries is a module of its own now.

--- a/clementinebank/clock/_kernel.py
+++ b/clementinebank/clock/_kernel.py
@@ -1,8 +1,10 @@
 """Curio kernels: real time for services, fake time for tests."""
 
+import traceback
 from typing import Any
 
 import curio
+from eliot import log_message, write_traceback
 
 from clementinebank.clock._clock import pop_fake_clock, push_fake_clock
 from clementinebank.clock._fake import FakeClock, FakeClockSelector
@@ -13,9 +15,31 @@
 
     Each task has its own ``contextvars`` context. curio's default tasks share
     one, in which eliot would mix the actions of concurrent requests.
+
+    An error that ends the kernel is logged with the task that ran last.
     """
-    with curio.Kernel(taskcls=curio.task.ContextTask) as kernel:
-        return kernel.run(corofunc, *call_args)
+    try:
+        with curio.Kernel(taskcls=curio.task.ContextTask) as kernel:
+            return kernel.run(corofunc, *call_args)
+    except Exception as error:
+        write_traceback()
+        log_message(
+            message_type='process:failed',
+            task=_name_of_last_task(error),
+            reason=repr(error),
+        )
+        raise
+
+
+def _name_of_last_task(error: BaseException) -> str:
+    """Return the name of the task that curio's kernel ran, if it is known."""
+    tasks = [
+        frame.f_locals.get('active')
+        for frame, _ in traceback.walk_tb(error.__traceback__)
+        if frame.f_globals.get('__name__') == curio.kernel.__name__
+    ]
+    names = [task.name for task in tasks if task is not None]
+    return names[-1] if names else ''
 
 
 class FakeClockKernel:
--- a/clementinebank/http/__init__.py
+++ b/clementinebank/http/__init__.py
@@ -24,6 +24,7 @@
     ServerConnection,
     ServerState,
 )
+from clementinebank.http._shared_socket import SharedSocket, listen
 from clementinebank.http._sockets import is_closed_by_peer, shut_down_socket
 from clementinebank.http._turns import MAX_TURN_S, HeavyLane, ReadTurn
 
@@ -45,11 +46,13 @@
     'ServerConnection',
     'ServerResources',
     'ServerState',
+    'SharedSocket',
     'UnsendableRequestError',
     'fetch',
     'is_closed_by_peer',
     'json_request',
     'json_response',
+    'listen',
     'open_socket',
     'read_resource_samples',
     'shut_down_socket',
--- a/clementinebank/http/_client.py
+++ b/clementinebank/http/_client.py
@@ -17,7 +17,12 @@
     decode_headers,
     encode_headers,
 )
-from clementinebank.http._sockets import READ_SIZE_BYTES, has_input
+from clementinebank.http._shared_socket import SharedSocket
+from clementinebank.http._sockets import (
+    READ_SIZE_BYTES,
+    has_input,
+    shut_down_socket,
+)
 from clementinebank.http._turns import ReadTurn
 
 MAX_REPLY_HEADER_BYTES = 64 * 1024
@@ -251,8 +256,7 @@
         to the task that reads the response.
         """
         if self._sock is not None:
-            with contextlib.suppress(OSError):
-                self._sock._socket.shutdown(socket.SHUT_RDWR)
+            shut_down_socket(self._sock)
 
     async def close(self) -> None:
         """Close the connection; do nothing if it is closed."""
@@ -341,8 +345,8 @@
         return event
 
 
-async def open_socket(host: str, port: int) -> Any:
-    """Return a curio socket connected to an IPv4 address.
+async def open_socket(host: str, port: int) -> SharedSocket:
+    """Return a socket connected to an IPv4 address.
 
     ``curio.open_connection`` is not used: it resolves the address in a
     thread, which took longer than the rest of the connect.
@@ -352,7 +356,7 @@
     OSError
         If the server cannot be reached or refuses the connection.
     """
-    sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
+    sock = SharedSocket(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
     try:
         for level, option, setting in TCP_OPTIONS:
             sock.setsockopt(level, option, setting)
--- a/clementinebank/http/_server.py
+++ b/clementinebank/http/_server.py
@@ -16,6 +16,7 @@
     ServerConnection,
     ServerState,
 )
+from clementinebank.http._shared_socket import listen
 from clementinebank.http._sockets import WaitInterrupt, has_input
 
 BACKLOG = 512
@@ -163,9 +164,7 @@
         remaining_s = self.bind_timeout_s
         while True:
             try:
-                return curio.tcp_server_socket(
-                    self.host, self.port, backlog=BACKLOG
-                )
+                return listen(self.host, self.port, BACKLOG)
             except OSError as error:
                 if error.errno != errno.EADDRINUSE or remaining_s <= 0:
                     raise
--- a/clementinebank/http/tests/test_client.py
+++ b/clementinebank/http/tests/test_client.py
@@ -12,6 +12,7 @@
 import pytest
 
 from clementinebank.http import HttpConnection, HttpProtocolError, HttpRequest
+from clementinebank.http import _client as client_module
 from clementinebank.http.tests.wire import run_on_fake_clock
 
 GOOD = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
@@ -142,7 +143,8 @@
     is_refused = False
     opened = ()
 
-    def __init__(self, *call_args):
+    def __init__(self, sock):
+        sock.close()
         self.is_closed = False
         _FakeSocket.opened = (*_FakeSocket.opened, self)
 
@@ -165,7 +167,7 @@
         raise AssertionError('an IP number was looked up')
 
     monkeypatch.setattr(curio.socket, 'getaddrinfo', getaddrinfo)
-    monkeypatch.setattr(curio.socket, 'socket', _FakeSocket)
+    monkeypatch.setattr(client_module, 'SharedSocket', _FakeSocket)
     monkeypatch.setattr(_FakeSocket, 'opened', ())
     return _FakeSocket
 
--- a/clementinebank/process/_supervision.py
+++ b/clementinebank/process/_supervision.py
@@ -24,6 +24,8 @@
         Called with the name of the function after each error.
     """
     name = corofunc.__qualname__
+    # The logs name the function, not this one.
+    (await curio.current_task()).name = name
     while True:
         try:
             return await corofunc()
--- a/clementinebank/rpc/_channel.py
+++ b/clementinebank/rpc/_channel.py
@@ -63,6 +63,8 @@
         Bytes since the last ``pop_byte_counts``.
     is_handled : bool
         Whether the server may have begun to handle the last call.
+    is_retired : bool
+        Whether ``close`` was called, so that no call leaves a connection open.
     """
 
     address: Address
@@ -72,6 +74,7 @@
     bytes_sent: int = 0
     bytes_received: int = 0
     is_handled: bool = False
+    is_retired: bool = False
 
     async def call_before(
         self,
@@ -160,7 +163,16 @@
         return counts
 
     async def close(self) -> None:
-        """Close the connection; the next call opens another one."""
+        """Close the connection, after the call in progress if there is one.
+
+        Only the task of a call closes the connection that it uses. Calls that
+        wait, or begin later, each use a connection of their own.
+        """
+        self.is_retired = True
+        if not self.lock.locked():
+            await self._close_connection()
+
+    async def _close_connection(self) -> None:
         connection = self.connection
         self.connection = None
         if connection is not None:
@@ -184,8 +196,8 @@
                 is_done = True
             finally:
                 self._add_byte_counts()
-                if not is_done:
-                    await self.close()
+                if self.is_retired or not is_done:
+                    await self._close_connection()
         return reply
 
     def _add_byte_counts(self) -> None:
@@ -245,7 +257,7 @@
     ) -> int:
         """Send a message over an open connection; return its stream id."""
         if self.connection is not None and self.connection.is_closed_by_peer:
-            await self.close()
+            await self._close_connection()
         if self.connection is None:
             sock = await open_socket(self.address.host, self.address.port)
             self.connection = RpcConnection(sock, is_client=True)
--- a/clementinebank/rpc/_server.py
+++ b/clementinebank/rpc/_server.py
@@ -11,7 +11,7 @@
 
 from clementinebank.clock import now, run_before
 from clementinebank.errors import Step
-from clementinebank.http import ServerResources
+from clementinebank.http import ServerResources, listen
 from clementinebank.rpc._channel import failure_from_error
 from clementinebank.rpc._connection import (
     REPLY_HEADERS,
@@ -99,9 +99,7 @@
         end = now() + BIND_TIMEOUT_S
         while True:
             try:
-                listening = curio.tcp_server_socket(
-                    self.host, self.port, backlog=BACKLOG
-                )
+                listening = listen(self.host, self.port, BACKLOG)
             except OSError as error:
                 if error.errno != errno.EADDRINUSE or now() >= end:
                     raise
--- a/clementinebank/rpc/tests/test_listener.py
+++ b/clementinebank/rpc/tests/test_listener.py
@@ -9,7 +9,7 @@
 import curio
 
 from clementinebank.clock import FakeClockKernel
-from clementinebank.rpc import RpcServer
+from clementinebank.rpc import RpcServer, _server
 
 
 class FullListener:
@@ -43,9 +43,7 @@
         served.append((sock, peer))
 
     monkeypatch.setattr(RpcServer, 'serve_connection', serve_connection)
-    monkeypatch.setattr(
-        curio, 'tcp_server_socket', lambda *_, **__: FullListener(3)
-    )
+    monkeypatch.setattr(_server, 'listen', lambda *_: FullListener(3))
 
     async def run():
         server = RpcServer('127.0.0.1', 1, {})
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,28 +5,31 @@
 entries again for as long as it stood, so that none got ready.
 """
 
+import functools
+
 import curio
 import pytest
-from fleet_adapter.tests.standins import (
-    StandInLeaf,
-    configuration,
-    route,
-    run_scenario,
-)
+from fleet_adapter.tests.standins import StandInLeaf
 
 from clementinebank.clock import now
-from clementinebank.http import HttpProtocolError, HttpRequest, fetch
+from clementinebank.http import HttpRequest
 from clementinebank.validation import Address
-from tests.gateway_process import HOST, GatewayProcess
+from tests.gateway_fleet import (
+    CALL_TIMEOUT_S,
+    CHECK_INTERVAL_S,
+    RECOVERY_S,
+    get_status,
+    put_route,
+    run_fleet,
+    start_platform,
+    start_processes,
+)
+from tests.gateway_process import HOST
 
 INSTANCES = 3
-# Time after a restart by which a fleet must serve again.
-RECOVERY_S = 12
 # Time after a change of the configuration by which it must be in force.
 CHANGE_S = 3
-CALL_TIMEOUT_S = 2
 REQUESTS = 24
-CHECK_INTERVAL_S = 0.05
 # Text that JSON can hold, but no encoding of Unicode.
 SURROGATE = '\ud800'
 NUMBER_FIELDS = ('born', 'sequence', 'concurrency', 'cold_left_ms')
@@ -42,57 +45,10 @@
 }
 
 
-@pytest.fixture
-def run_fleet(tmp_path):
-    """Return a function that runs a scenario with gateway processes.
-
-    The stand-ins are served by the test itself, so it calls the processes
-    without blocking.
-    """
-    processes = []
-
-    def run(scenario):
-        async def run_with_processes(platform):
-            for number in range(INSTANCES):
-                process = GatewayProcess(
-                    tmp_path,
-                    platform.store.address,
-                    f'g-{number}',
-                    [processes[0].peers] if processes else [],
-                )
-                processes.append(process)
-            await scenario(platform, processes)
-
-        run_scenario(run_with_processes)
-
-    yield run
-    for process in processes:
-        process.close()
-
-
-async def start_platform(platform):
-    """Serve the store and two leafs of the route ``/a/``."""
-    for leaf_id in ('i-1', 'i-2'):
-        await platform.add_leaf(leaf_id, 's1')
-    await put_route(platform.store, 7, '/a/')
-    await platform.serve(platform.store)
-
-
-async def put_route(store, version, prefix):
-    """Write a configuration with one route."""
-    await store.put(
-        'op/config', configuration(version, route(prefix, service='s1'))
-    )
-
-
-async def start_processes(processes):
-    """Start all processes and wait until they are ready, or for RECOVERY_S."""
-    for process in processes:
-        process.start()
-    end = now() + RECOVERY_S
-    for process in processes:
-        while not await is_ready(process) and now() < end:
-            await curio.sleep(CHECK_INTERVAL_S)
+@pytest.fixture(name='run_fleet')
+def _run_fleet(tmp_path):
+    """Return a function that runs a scenario with gateway processes."""
+    return functools.partial(run_fleet, tmp_path, INSTANCES)
 
 
 async def restart_processes(processes):
@@ -102,11 +58,6 @@
     await start_processes(processes)
 
 
-async def is_ready(process):
-    message = HttpRequest('GET', '/v1/readiness')
-    return await get_status(process.readiness, message) == 200
-
-
 async def count_served(processes, prefix='/a/'):
     """Return how many of ``REQUESTS`` requests are served."""
     served = 0
@@ -122,15 +73,6 @@
     return served
 
 
-async def get_status(port, message):
-    """Return the status of the response, ``None`` without a response."""
-    try:
-        response = await fetch(HOST, port, message, CALL_TIMEOUT_S)
-    except (OSError, HttpProtocolError, curio.TaskTimeout):
-        return None
-    return response.status
-
-
 def logs_invalid_entry(process, key):
     """Return whether the log of a process names an entry as invalid."""
     lines = process.output_path.read_text().splitlines()
