Count the age of an answer from the moment for which it vouches

What callers saw: the relay of a data centre was cut from the store for 1.5 s while one entry changed and another one was removed.

Cause: an answer with changes counted as fresh on arrival, however long it was on its way. The removal behind it was taken to have happened later than that, and its grace period began too late.

The ages along relays were right.

Change: states and batches carry confirmed_at, a runtime time without a default, in place of an age that was 0 where nobody set it. watch_confirmed_at says what an answer confirms: the time of its request or, after a wait in vain, the end of that wait. A relay with an older state waits less, so that its followers hear of a confirmation before they turn to the store. The way of a reply without a held time counts whole.

Without the shorter wait test_fleet.py fails with changes every 1.3 s. Other tests only state the time of their confirmation.

--- a/benchmarks/bench_relay.py
+++ b/benchmarks/bench_relay.py
@@ -15,7 +15,7 @@
 import curio
 from result import Ok
 
-from clementinebank.clock import run_service
+from clementinebank.clock import now, run_service
 from clementinebank.relay import (
     WATCH_PATH,
     ChangeBatch,
@@ -72,7 +72,7 @@
 async def measure(count, rounds, entry_bytes):
     """Return the processor time in us and bytes per follower and round."""
     relay_log = EntryLog()
-    await relay_log.load(StoredState((), 1))
+    await relay_log.load(StoredState((), 1, now()))
     listening = curio.tcp_server_socket(HOST, 0, backlog=512)
     address = Address(*listening.getsockname()[:2])
     server = RpcServer(
@@ -83,7 +83,7 @@
     followers = []
     for number in range(count):
         own_log = EntryLog()
-        await own_log.load(StoredState((), 1))
+        await own_log.load(StoredState((), 1, now()))
         client = RelayClient(f'i-{number}', address, own_log)
         followers.append(Follower(client, own_log))
     for each in followers:
@@ -99,7 +99,7 @@
             else ()
         )
         await relay_log.append(
-            ChangeBatch(entries, relay_log.revision + len(entries))
+            ChangeBatch(entries, relay_log.revision + len(entries), now())
         )
         # A follower computes the time from the age in the reply and adds its
         # way, so its value may be earlier than that of the relay. The relay
--- a/clementinebank/gateway/_updater.py
+++ b/clementinebank/gateway/_updater.py
@@ -188,10 +188,19 @@
         elif isinstance(change, LeafWritten):
             self.leaf_directory.register(change.record)
         elif isinstance(change, LeafRemoved):
-            self.leaf_directory.remove(change.leaf_id, removed_at)
+            self._apply_removal(change.leaf_id, removed_at)
         else:
             self._apply_evacuation(change)
 
+    def _apply_removal(self, leaf_id: str, removed_at: float) -> None:
+        if self.leaf_directory.remove(leaf_id, removed_at):
+            log_message(
+                message_type='feed:removal',
+                leaf=leaf_id,
+                counts_for_s=round(now() - removed_at, 3),
+                confirmed_s=round(now() - self.confirmed_at, 3),
+            )
+
     def _apply_evacuation(
         self, change: EvacuationBegun | EvacuationEnded
     ) -> None:
--- a/clementinebank/gateway/tests/test_follower.py
+++ b/clementinebank/gateway/tests/test_follower.py
@@ -9,6 +9,7 @@
 import itertools
 import pickle
 
+import attrs
 import curio
 from result import Err, Ok
 
@@ -59,6 +60,11 @@
     return pickle.loads(entry.value)
 
 
+def confirm(result):
+    """Return a result whose entries are confirmed now."""
+    return result.map(lambda each: attrs.evolve(each, confirmed_at=now()))
+
+
 class FakeFeed:
     """Feed that returns the given results in order.
 
@@ -74,16 +80,16 @@
     async def read_all(self):
         self.calls += 1
         await curio.sleep(0.004)
-        return self.states.pop(0) if self.states else failure('down')
+        return confirm(self.states.pop(0)) if self.states else failure('down')
 
     async def wait_for_changes(self, revision, wait_s):
         self.calls += 1
         self.watch_calls.append((revision, now()))
         await curio.sleep(0.004)
         if self.batches:
-            return self.batches.pop(0)
+            return confirm(self.batches.pop(0))
         await curio.sleep(wait_s)
-        return Ok(ChangeBatch((), revision))
+        return Ok(ChangeBatch((), revision, now()))
 
 
 def run_updater(states, batches, seconds=1.0, log=None):
@@ -112,11 +118,11 @@
 
 
 def stored_state(*changes, revision=5):
-    return Ok(StoredState(entries_of(changes, revision), revision))
+    return Ok(StoredState(entries_of(changes, revision), revision, 0))
 
 
 def change_batch(*changes, revision=6):
-    return Ok(ChangeBatch(entries_of(changes, revision), revision))
+    return Ok(ChangeBatch(entries_of(changes, revision), revision, 0))
 
 
 def test_instance_that_starts_without_the_store_loads_when_it_is_back():
@@ -206,7 +212,7 @@
 
 def test_state_that_is_too_large_leaves_the_last_one_in_force():
     """The instance would be killed for its memory otherwise."""
-    large = Ok(ChangeBatch((Entry('x', bytes(9_000), 6),), 6))
+    large = Ok(ChangeBatch((Entry('x', bytes(9_000), 6),), 6, 0))
     updater = run_updater(
         [stored_state(configuration_change(7))],
         [large, change_batch(configuration_change(8))],
--- a/clementinebank/relay/__init__.py
+++ b/clementinebank/relay/__init__.py
@@ -26,6 +26,7 @@
     ControlStore,
     Entry,
     StoredState,
+    watch_confirmed_at,
 )
 from clementinebank.relay._registration import RelayRegistration
 from clementinebank.relay._service import WATCH_PATH, RelayService
@@ -54,4 +55,5 @@
     'StoredState',
     'choose_aggregators',
     'decode_content',
+    'watch_confirmed_at',
 )
--- a/clementinebank/relay/_client.py
+++ b/clementinebank/relay/_client.py
@@ -74,21 +74,20 @@
     async def read_all(self, address: Address) -> Result[StoredState, Failure]:
         """Return every entry that a relay knows, read page by page.
 
-        The revision and the age are those of the first page, so that changes
-        that are made while the pages are read are received again afterwards.
+        The revision and the confirmation are those of the first page, so that
+        changes that are made while the pages are read are received again
+        afterwards.
         """
         entries: list[Entry] = []
-        first: WatchReply | None = None
+        first: _ReceivedReply | None = None
         after_key = ''
-        first_at = now()
         while True:
             request = self._create_request(0, 0, after_key)
             result = await self._call(address, request)
             if isinstance(result, Err):
                 return result
-            page = result.ok_value
-            if first is None:
-                first, first_at = page, now()
+            first = first or result.ok_value
+            page = result.ok_value.reply
             entries.extend(page.entries)
             if not self.log.can_load(entries):
                 message = 'the entries are too large for this instance'
@@ -99,8 +98,11 @@
                 message = 'the relay sent an empty page before the last one'
                 return Err(_failure('malformed', message, address))
             after_key = page.entries[-1].key
-        age_s = first.age_s + now() - first_at
-        return Ok(StoredState(tuple(entries), first.revision, age_s))
+        return Ok(
+            StoredState(
+                tuple(entries), first.reply.revision, first.confirmed_at
+            )
+        )
 
     async def wait_for_changes(
         self, address: Address, revision: int, wait_s: float
@@ -128,11 +130,14 @@
         result = await self._call(address, request)
         if isinstance(result, Err):
             return result
-        reply = result.ok_value
+        received = result.ok_value
+        reply = received.reply
         if reply.is_history_lost:
             message = 'the relay lacks changes since the known revision'
             return Err(_failure(HISTORY_LOST, message, address))
-        return Ok(ChangeBatch(reply.entries, reply.revision, reply.age_s))
+        return Ok(
+            ChangeBatch(reply.entries, reply.revision, received.confirmed_at)
+        )
 
     async def close(self) -> None:
         """Close every connection."""
@@ -156,7 +161,7 @@
 
     async def _call(
         self, address: Address, request: WatchRequest
-    ) -> Result[WatchReply, Failure]:
+    ) -> Result['_ReceivedReply', Failure]:
         self.calls += 1
         sent_at = now()
         channel = await self._get_channel(address)
@@ -168,6 +173,7 @@
             )
         except CALL_ERRORS as error:
             return Err(failure_from_error(error, Step.DISTRIBUTE, str(address)))
+        received_at = now()
         if self.on_notice is not None:
             try:
                 self.on_notice(reply.notice)
@@ -181,7 +187,7 @@
         if not reply.is_loaded:
             message = 'the relay has not loaded the entries yet'
             return Err(_failure('not_loaded', message, address))
-        return Ok(_add_way(reply, now() - sent_at))
+        return Ok(_receive(reply, sent_at, received_at))
 
     async def _get_channel(self, address: Address) -> RpcChannel:
         channel = self._channels.get(address)
@@ -195,22 +201,43 @@
         return channel
 
 
-def _add_way(reply: WatchReply, elapsed_s: float) -> WatchReply:
-    """Return a reply with the time of its way added to its ages.
+@attrs.frozen
+class _ReceivedReply:
+    """Reply of a relay, and what it says about the time.
 
-    Without it two instances that read from each other would take an old state
-    for a younger one with each exchange.
+    Parameters
+    ----------
+    reply : WatchReply
+        The reply, with the time of its way in the ages of removals.
+    confirmed_at : float
+        Runtime time in seconds up to which the store confirms the entries.
     """
-    if reply.held_s is None:
-        return reply
-    way_s = max(0, elapsed_s - reply.held_s)
+
+    reply: WatchReply
+    confirmed_at: float
+
+
+def _receive(
+    reply: WatchReply, sent_at: float, received_at: float
+) -> _ReceivedReply:
+    """Return a reply whose ages count from its arrival.
+
+    Without the time of its way two instances that read from each other would
+    take an old state for a younger one with each exchange. A relay that doesn't
+    say how long it held the request may have answered it at once.
+    """
+    held_s = reply.held_s or 0
+    way_s = max(0, received_at - sent_at - held_s)
     entries = tuple(
         each
         if each.removed_age_s is None
         else attrs.evolve(each, removed_age_s=each.removed_age_s + way_s)
         for each in reply.entries
     )
-    return attrs.evolve(reply, entries=entries, age_s=reply.age_s + way_s)
+    return _ReceivedReply(
+        attrs.evolve(reply, entries=entries),
+        received_at - way_s - reply.age_s,
+    )
 
 
 def _failure(code: str, message: str, address: Address) -> Failure:
--- a/clementinebank/relay/_log.py
+++ b/clementinebank/relay/_log.py
@@ -187,7 +187,7 @@
         }
         self._drop_old_removals()
         self.revision = state.revision
-        await self._record_confirmation(state.age_s)
+        await self._record_confirmation(state.confirmed_at)
 
     async def append(self, batch: ChangeBatch) -> None:
         """Apply the changes that follow the known revision.
@@ -206,7 +206,7 @@
                 self._removed_at_by_key[change.key] = removed_at
         self._drop_old_removals()
         self.revision = max(self.revision, batch.revision)
-        await self._record_confirmation(batch.age_s)
+        await self._record_confirmation(batch.confirmed_at)
 
     def changes_since(self, revision: int) -> tuple[Entry, ...] | None:
         """Return the last change of each key after a revision, in their order.
@@ -295,9 +295,9 @@
                 self._kept_after_revision, removal.revision
             )
 
-    async def _record_confirmation(self, age_s: float) -> None:
-        """Record a confirmation of this age and wake waiting tasks."""
-        self.confirmed_at = max(self.confirmed_at, now() - age_s)
+    async def _record_confirmation(self, confirmed_at: float) -> None:
+        """Record a confirmation of that time and wake waiting tasks."""
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
         await self.wake_waiting()
 
 
--- a/clementinebank/relay/_model.py
+++ b/clementinebank/relay/_model.py
@@ -46,13 +46,14 @@
         Entries that exist.
     revision : int
         Revision after which changes are read without a gap.
-    age_s : float
-        Time since the store last confirmed the state, in seconds.
+    confirmed_at : float
+        Runtime time in seconds up to which the store is known to confirm the
+        state, see ``watch_confirmed_at``.
     """
 
     entries: tuple[Entry, ...]
     revision: int
-    age_s: float = 0
+    confirmed_at: float
 
 
 @attrs.frozen
@@ -65,14 +66,44 @@
         Entries as they were written or deleted; empty if nothing changed.
     revision : int
         Revision after which the next changes are read.
-    age_s : float
-        Time since the store last confirmed that there were no later changes,
-        in seconds.
+    confirmed_at : float
+        Runtime time in seconds up to which the store is known to confirm that
+        there were no later changes, see ``watch_confirmed_at``.
     """
 
     entries: tuple[Entry, ...]
     revision: int
-    age_s: float = 0
+    confirmed_at: float
+
+
+def watch_confirmed_at(
+    sent_at: float, received_at: float, wait_s: float, *, has_changes: bool
+) -> float:
+    """Return the time up to which the answer to a watch confirms the entries.
+
+    An answer can be on its way for any time, so its arrival says nothing about
+    its age. The store didn't answer before the request was sent and, without a
+    change, not before the end of the wait. An empty answer that comes sooner
+    was cut short at an unknown moment.
+
+    Parameters
+    ----------
+    sent_at, received_at : float
+        Runtime times in seconds before the request was sent and after its
+        answer was received.
+    wait_s : float
+        Time for which the request asked the store to wait for a change, in
+        seconds.
+    has_changes : bool
+        Whether the answer holds changes.
+
+    Returns
+    -------
+    float
+        Runtime time in seconds.
+    """
+    has_waited = not has_changes and received_at >= sent_at + wait_s
+    return sent_at + wait_s if has_waited else sent_at
 
 
 class ControlFeed(Protocol):
--- a/clementinebank/relay/_sources.py
+++ b/clementinebank/relay/_sources.py
@@ -77,6 +77,15 @@
         reserve_s = STORE_WATCH_PAUSE_S + CONFIRMATION_RESERVE_S
         return max(MIN_WATCH_WAIT_S, self.max_age_s - reserve_s)
 
+    def relay_wait_s(self, age_s: float) -> float:
+        """Return how long a relay with a state of an age waits, in seconds.
+
+        A watch that returned changes confirms the state only as it was when
+        the watch began, so the next one may have to end sooner.
+        """
+        remaining_s = self.relay_watch_wait_s + STORE_WATCH_PAUSE_S - age_s
+        return max(0, min(self.relay_watch_wait_s, remaining_s))
+
 
 @attrs.define(eq=False)
 class RelayedFeed:
@@ -135,7 +144,7 @@
         if self.log.is_loaded and not self.registration.is_active_relay:
             from_relays = await self._read_from_relays()
             if isinstance(from_relays, Ok) and self._is_fresh(
-                from_relays.ok_value.age_s
+                from_relays.ok_value.confirmed_at
             ):
                 return from_relays
         stored = await self._read_from_store()
@@ -259,8 +268,9 @@
             self._pause_relay(address, str(result.err_value))
             return None
         batch = result.ok_value
-        if not self._is_fresh(batch.age_s):
-            self._pause_relay(address, f'its state is {batch.age_s:.1f} s old')
+        if not self._is_fresh(batch.confirmed_at):
+            age_s = now() - batch.confirmed_at
+            self._pause_relay(address, f'its state is {age_s:.1f} s old')
             return result if batch.entries else None
         self._log_source_change(str(address))
         return result
@@ -288,13 +298,14 @@
 
         0 if the state of this instance is stale. A store that was silent never
         answers a call that began meanwhile, so a long watch would delay the
-        next call after the store or a relay is back.
+        next call after the store or a relay is back. A relay with an older
+        state waits less, so that its followers get a confirmation in time.
         """
-        if not self._is_fresh(self.log.age_s(now())):
+        if not self._is_fresh(self.log.confirmed_at):
             return 0
-        if self.registration.is_active_relay:
-            return min(longest_s, self.bounds.relay_watch_wait_s)
-        return longest_s
+        if not self.registration.is_active_relay:
+            return longest_s
+        return min(longest_s, self.bounds.relay_wait_s(self.log.age_s(now())))
 
     async def _read_from_store(self) -> Result[StoredState, Failure]:
         result = await self.store.read_all()
@@ -323,13 +334,13 @@
             state = result.ok_value
             if state.revision >= self.log.revision:
                 best = result
-                if self._is_fresh(state.age_s):
+                if self._is_fresh(state.confirmed_at):
                     self._log_source_change(str(address))
                     return result
         return best
 
-    def _is_fresh(self, age_s: float) -> bool:
-        return age_s <= self.bounds.max_age_s
+    def _is_fresh(self, confirmed_at: float) -> bool:
+        return now() - confirmed_at <= self.bounds.max_age_s
 
     def _is_store_paused(self) -> bool:
         return now() < self._store_paused_until
--- a/clementinebank/relay/tests/simulation.py
+++ b/clementinebank/relay/tests/simulation.py
@@ -33,6 +33,7 @@
     RelayService,
     RemovalBounds,
     StoredState,
+    watch_confirmed_at,
 )
 from clementinebank.routes import RouteTable
 from clementinebank.validation import Address
@@ -115,18 +116,25 @@
     """Store client of one instance, with faults.
 
     Calls fail with the code ``refusal``, or get no reply if ``is_silent``.
+    While the link ``is_held``, messages in both directions are held up.
     """
 
     store: FakeStore
     calls: int = 0
     refusal: str = ''
     is_silent: bool = False
+    is_held: bool = False
     ttl_s: float = 0
 
+    async def _cross_link(self):
+        await curio.sleep(DELAY_S / 2)
+        while self.is_held:
+            await curio.sleep(DELAY_S)
+
     async def _begin_call(self, wait_s=0):
         """Count a call and return its failure, ``None`` if it may go on."""
         self.calls += 1
-        await curio.sleep(DELAY_S)
+        await self._cross_link()
         if self.is_silent:
             # Such a call gets no reply, even if the store is back meanwhile.
             await curio.sleep(wait_s + STORE_TIMEOUT_S)
@@ -134,13 +142,36 @@
         return failure(self.refusal) if self.refusal else None
 
     async def read_all(self):
+        sent_at = now()
         failed = await self._begin_call()
         if failed:
             return failed
         entries = tuple(entry for entry, _ in self.store.items.values())
-        return Ok(StoredState(entries, self.store.revision))
+        state = StoredState(entries, self.store.revision, sent_at)
+        await self._cross_link()
+        return Ok(state)
 
     async def wait_for_changes(self, revision, wait_s):
+        sent_at = now()
+        try:
+            answer = await run_before(
+                sent_at + wait_s + STORE_TIMEOUT_S,
+                self._watch,
+                revision,
+                wait_s,
+            )
+        except curio.TaskTimeout:
+            return failure('unreachable')
+        if isinstance(answer, Err):
+            return answer
+        entries, store_revision = answer
+        confirmed_at = watch_confirmed_at(
+            sent_at, now(), wait_s, has_changes=bool(entries)
+        )
+        return Ok(ChangeBatch(entries, store_revision, confirmed_at))
+
+    async def _watch(self, revision, wait_s):
+        """Return the changes and the store's revision, or a failure."""
         failed = await self._begin_call(wait_s)
         if failed:
             return failed
@@ -153,9 +184,9 @@
                 each for each in store.history if each.revision > revision
             )
             if (entries or now() >= end) and not self.is_silent:
-                return Ok(ChangeBatch(entries, store.revision))
-            if now() >= end + STORE_TIMEOUT_S:
-                return failure('unreachable')
+                store_revision = store.revision
+                await self._cross_link()
+                return entries, store_revision
             remaining_s = end - now() if now() < end else STORE_TIMEOUT_S
             async with curio.ignore_after(remaining_s):
                 await store.changed.wait()
--- a/clementinebank/relay/tests/test_fleet.py
+++ b/clementinebank/relay/tests/test_fleet.py
@@ -12,7 +12,7 @@
 import curio
 import pytest
 
-from clementinebank.clock import FakeClockKernel
+from clementinebank.clock import FakeClockKernel, now
 from clementinebank.relay import KEY_PREFIX
 from clementinebank.relay.tests.simulation import MAX_CHANGE_DELAY_S, Fleet
 
@@ -76,6 +76,26 @@
     run_scenario(scenario, size)
 
 
+@pytest.mark.parametrize('interval_s', [0.2, 0.7, 0.95, 1.3, 1.7])
+def test_followers_stay_with_relays_that_change_late_in_a_watch(interval_s):
+    """A watch with a change confirms only the time at which it began."""
+
+    async def scenario(fleet):
+        followers = [
+            each for each in fleet.instances if each not in fleet.relays
+        ]
+        calls = [each.store.calls for each in followers]
+        for number in range(30):
+            await fleet.store.write('op', b'%d' % number)
+            await curio.sleep(interval_s)
+            assert max(each.log.age_s(now()) for each in fleet.instances) <= (
+                fleet.instances[0].feed.bounds.max_age_s
+            )
+        assert calls == [each.store.calls for each in followers]
+
+    run_scenario(scenario, 21)
+
+
 def test_calls_to_the_store_do_not_grow_with_the_fleet():
     async def scenario(fleet):
         before = fleet.calls
--- a/clementinebank/relay/tests/test_memory.py
+++ b/clementinebank/relay/tests/test_memory.py
@@ -12,7 +12,7 @@
 import eliot
 import pytest
 
-from clementinebank.clock import FakeClockKernel
+from clementinebank.clock import FakeClockKernel, now
 from clementinebank.relay import (
     KEY_PREFIX,
     ChangeBatch,
@@ -57,10 +57,10 @@
 
 async def write_versions(count):
     log = EntryLog()
-    await log.load(StoredState((), 1))
+    await log.load(StoredState((), 1, now()))
     for number in range(2, count):
         entry = Entry('op/config', b'%06d' % number * 20_000, number)
-        await log.append(ChangeBatch((entry,), number))
+        await log.append(ChangeBatch((entry,), number, now()))
     return log
 
 
@@ -72,10 +72,12 @@
 
 async def remove_many(count):
     log = EntryLog(max_removal_bytes=50_000)
-    await log.load(StoredState((), 1))
+    await log.load(StoredState((), 1, now()))
     for number in range(2, count):
         key = f'servers/i-{number:0>150}'
-        await log.append(ChangeBatch((Entry(key, None, number),), number))
+        await log.append(
+            ChangeBatch((Entry(key, None, number),), number, now())
+        )
     return log
 
 
@@ -110,7 +112,7 @@
     The relay has heard nothing from the store, so that each is fresher.
     """
     log = EntryLog()
-    await log.load(StoredState((), 2, age_s=100))
+    await log.load(StoredState((), 2, now() - 100))
     service = RelayService(log)
     for number in range(count):
         request = WatchRequest(
@@ -148,7 +150,7 @@
         log = EntryLog(max_state_bytes=50_000)
         assert log.can_load((Entry('a', bytes(40_000), 1),))
         assert not log.can_load((Entry('a', bytes(60_000), 1),))
-        await log.load(StoredState((Entry('b', bytes(30_000), 1),), 1))
+        await log.load(StoredState((Entry('b', bytes(30_000), 1),), 1, now()))
         assert log.can_hold((Entry('b', bytes(40_000), 2),))
         assert not log.can_hold((Entry('a', bytes(40_000), 2),))
         removal = Entry('b', None, 2)
--- a/clementinebank/relay/tests/test_messages.py
+++ b/clementinebank/relay/tests/test_messages.py
@@ -169,13 +169,15 @@
         entries = tuple(
             Entry(f'k{number}', bytes(600_000), 1) for number in range(4)
         )
-        await log.load(StoredState(entries, 12))
+        await log.load(StoredState(entries, 12, now()))
         server = RpcServer(
             '127.0.0.1', 0, {WATCH_PATH: RelayService(log).handle_watch}
         )
         client, address, task = await connect_client(server)
         found = await client.read_all(address)
-        assert found == Ok(StoredState(entries, 12, found.ok_value.age_s))
+        assert found == Ok(
+            StoredState(entries, 12, found.ok_value.confirmed_at)
+        )
         changes = await client.wait_for_changes(address, 12, 0)
         assert changes.ok_value.entries == ()
         lost = await client.wait_for_changes(address, 11, 0)
@@ -210,7 +212,7 @@
 
     async def run():
         log = EntryLog()
-        await log.load(StoredState((), 12))
+        await log.load(StoredState((), 12, now()))
         request = WatchRequest('i-2', ADDRESS, 12, 2.0, age_s=age_s)
         started = now()
         await RelayService(log).handle_watch(encode_request(request))
@@ -225,12 +227,12 @@
 
     async def run():
         log = EntryLog()
-        await log.load(StoredState((), 12))
+        await log.load(StoredState((), 12, now()))
         changes = tuple(
             Entry(f'k{number}', bytes(600_000), 13 + number)
             for number in range(4)
         )
-        await log.append(ChangeBatch(changes, 16))
+        await log.append(ChangeBatch(changes, 16, now()))
         server = RpcServer(
             '127.0.0.1', 0, {WATCH_PATH: RelayService(log).handle_watch}
         )
--- a/clementinebank/relay/tests/test_removals.py
+++ b/clementinebank/relay/tests/test_removals.py
@@ -30,7 +30,7 @@
 
 
 def knows_leaf(instance):
-    return bool(instance.leafs.records_by_id)
+    return 'leaf' in instance.leafs.records_by_id
 
 
 async def last_known_s(fleet, exempt):
@@ -92,6 +92,39 @@
     instance.store.refusal = ''
 
 
+@pytest.mark.parametrize('held_s', [0.6, 1.0, 1.5, 2.0, 2.8])
+@pytest.mark.parametrize('seed', range(6))
+def test_answers_that_a_cut_holds_up_count_from_before_it(held_s, seed):
+    """Guard a removal behind a change that was on its way for seconds.
+
+    Fault of review/9: the change counted as fresh when it arrived, and the
+    removal that followed it counted from then on.
+    """
+
+    async def scenario(fleet):
+        await fleet.store.write(KEY, b'')
+        rng = random.Random(seed)
+        await curio.sleep(3 + rng.random())
+        relays = list(fleet.relays)
+        for instance in relays:
+            instance.store.is_held = True
+        await curio.spawn(release, relays, held_s, daemon=True)
+        await curio.sleep(rng.uniform(0, 0.1))
+        await fleet.store.write('servers/changing', b'')
+        await curio.sleep(rng.uniform(0, 0.1))
+        await fleet.store.write(KEY, None)
+        known_s = await last_known_s(fleet, relays)
+        assert known_s <= MAX_CHANGE_DELAY_S - WAY_TO_LEAF_S
+
+    run_scenario(scenario, 21, seed)
+
+
+async def release(instances, after_s):
+    await curio.sleep(after_s)
+    for instance in instances:
+        instance.store.is_held = False
+
+
 @pytest.mark.parametrize('is_silent', [False, True])
 @pytest.mark.parametrize('seed', range(4))
 def test_leaf_whose_registration_expires_in_an_outage_is_kept(is_silent, seed):
