--- a/clementinebank/distribution/_head_reader.py
+++ b/clementinebank/distribution/_head_reader.py
@@ -84,14 +84,23 @@
             return False
         entry = outcome.ok_value
         if entry is None:
-            self._confirm_unchanged(sent_at + WATCH_WAIT_MS / 1000)
+            self._confirm_unchanged(sent_at)
             return True
         self.version = entry.version
         return await self._process_entry(entry, sent_at)
 
-    def _confirm_unchanged(self, read_at: float) -> None:
+    def _confirm_unchanged(self, sent_at: float) -> None:
+        """Confirm the head as it was when the service answered at the earliest.
+
+        An answer that comes before the end of the wait was given at an unknown
+        moment since the request.
+        """
         if self.version:
-            self.exchange.currency.confirm(min(read_at, now()))
+            waited_until = sent_at + WATCH_WAIT_MS / 1000
+            has_waited = now() >= waited_until
+            self.exchange.currency.confirm(
+                waited_until if has_waited else sent_at
+            )
 
     async def _process_entry(self, entry: Entry, read_at: float) -> bool:
         state = self.exchange.state
