Compare requests with the limits that are in force at that moment

Cause: h11 got its limit of headers when a connection was accepted, and kept it; before the first configuration that was the default.

Change: the reader of a request asks for the limits whenever it compares, so that a raised or lowered limit holds on open connections and within a head. Without a configuration, what exceeds the defaults gets 503 in place of 431 or 413. A raised idle limit holds for connections that are idle already.

--- a/clementinebank/gateway/_caller_limits.py
+++ b/clementinebank/gateway/_caller_limits.py
@@ -9,17 +9,19 @@
 
 
 def create_caller_limits(
-    limits: CallerLimits, resources: ResourceLimits
+    configured: CallerLimits | None, resources: ResourceLimits
 ) -> HttpLimits:
     """Return the limits of the listener for callers.
 
     Parameters
     ----------
-    limits : CallerLimits
-        What the operators' configuration permits callers.
+    configured : CallerLimits or None
+        What the operators' configuration permits callers; ``None`` as long as
+        none is known.
     resources : ResourceLimits
         Resources of the machine.
     """
+    limits = configured or CallerLimits()
     return HttpLimits(
         max_header_bytes=limits.max_header_bytes,
         max_body_bytes=limits.max_body_bytes,
@@ -33,4 +35,5 @@
         ),
         max_in_flight=MAX_REQUESTS_IN_FLIGHT,
         responds_before_idle_close=False,
+        are_provisional=configured is None,
     )
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -53,7 +53,7 @@
     RelayService,
     RemovalBounds,
 )
-from clementinebank.routes import CallerLimits, RouteTable
+from clementinebank.routes import RouteTable
 from clementinebank.rpc import RpcServer
 
 # Time for which a stopping instance still accepts requests: the load balancer
@@ -147,7 +147,7 @@
             settings.callers.host,
             settings.callers.port,
             self.handle,
-            create_caller_limits(CallerLimits(), settings.resources),
+            create_caller_limits(None, settings.resources),
             self._on_server_failure,
             BIND_TIMEOUT_S,
             self.server_resources,
--- a/clementinebank/http/_limits.py
+++ b/clementinebank/http/_limits.py
@@ -33,6 +33,9 @@
     responds_before_idle_close : bool
         Whether the server sends a 408 response before it closes an idle
         connection.
+    are_provisional : bool
+        Whether the limits in force aren't known yet. A request that exceeds
+        these is then refused as unavailable, not as too large.
     """
 
     max_header_bytes: int = 16 * BYTES_PER_KIB
@@ -45,3 +48,4 @@
     max_connections: int = 2048
     max_in_flight: int = 1024
     responds_before_idle_close: bool = True
+    are_provisional: bool = False
--- a/clementinebank/http/_request_reader.py
+++ b/clementinebank/http/_request_reader.py
@@ -40,14 +40,17 @@
 class RequestReader:
     """Reads one request; a failure names the limit that was exceeded.
 
+    Sizes are compared with the limits that are in force at that moment, which
+    may have changed since the connection was opened or the request began.
+
     Parameters
     ----------
     sock : object
         Connected curio socket.
     http : h11.Connection
         Protocol state of the connection.
-    limits : HttpLimits
-        Largest sizes and longest times that are accepted.
+    get_limits : callable
+        Returns the largest sizes and longest times that are accepted now.
     holding : Holding
         Memory of the body, which the caller of ``read`` gives back.
     turn : ReadTurn
@@ -58,13 +61,18 @@
 
     sock: Any
     http: Any
-    limits: HttpLimits
+    get_limits: Callable[[], HttpLimits]
     holding: Holding
     turn: ReadTurn
     on_head: Callable[[], None]
     _body_bytes: int = 0
     _unread_bytes: int = 0
 
+    @property
+    def limits(self) -> HttpLimits:
+        """Return the limits in force."""
+        return self.get_limits()
+
     async def read(self) -> HttpRequest | None:
         """Return the request, or ``None`` if the client closed before it.
 
@@ -85,7 +93,9 @@
                 self._read_body, self.limits.body_timeout_s, 'body'
             )
         except h11.RemoteProtocolError as error:
-            raise self._protocol_failure(error) from error
+            raise _refusal(
+                'malformed_request', str(error), None, BAD_REQUEST_STATUS
+            ) from error
         return HttpRequest(
             head.method.decode('ascii'),
             head.target.decode('latin-1'),
@@ -131,9 +141,8 @@
     def _check_body_size(self, length: int) -> None:
         limit = self.limits.max_body_bytes
         if length > limit:
-            message = f'the body is larger than {limit} bytes'
-            raise _refusal(
-                'body_too_large', message, 'body', CONTENT_TOO_LARGE_STATUS
+            raise self._too_large(
+                'body_too_large', limit, 'body', CONTENT_TOO_LARGE_STATUS
             )
 
     def _hold(self, length: int) -> None:
@@ -177,27 +186,38 @@
         started_at = now()
         event = self.http.next_event()
         self.turn.add_work(now() - started_at)
+        if event is h11.NEED_DATA:
+            self._check_incomplete_size()
         return event
 
+    def _check_incomplete_size(self) -> None:
+        """Raise if the headers, or a line of a chunked body, are too large."""
+        limit = self.limits.max_header_bytes
+        if len(self.http.trailing_data[0]) > limit:
+            raise self._too_large(
+                'headers_too_large', limit, 'headers', HEADERS_TOO_LARGE_STATUS
+            )
+
     async def _receive_bytes(self) -> None:
         if self.http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self.sock.sendall(self.http.send(interim))
         self.http.receive_data(await self.sock.recv(READ_SIZE_BYTES))
 
-    def _protocol_failure(self, error: h11.RemoteProtocolError) -> Failure:
-        if error.error_status_hint == HEADERS_TOO_LARGE_STATUS:
-            limit = self.limits.max_header_bytes
-            message = f'the headers are larger than {limit} bytes'
-            return _refusal(
-                'headers_too_large',
-                message,
-                'headers',
-                HEADERS_TOO_LARGE_STATUS,
+    def _too_large(
+        self, code: str, limit: int, field: str, status: int
+    ) -> Failure:
+        if self.limits.are_provisional:
+            return Failure(
+                'limits_unknown',
+                f'the largest size of the {field} is not known yet',
+                Step.ACCEPT,
+                field=field,
+                status=UNAVAILABLE_STATUS,
+                retry_after_s=RETRY_AFTER_S,
             )
-        return _refusal(
-            'malformed_request', str(error), None, BAD_REQUEST_STATUS
-        )
+        message = f'the {field} exceeds the limit of {limit} bytes'
+        return _refusal(code, message, field, status)
 
 
 def _decode_headers(head: Any) -> dict[str, str]:
--- a/clementinebank/http/_server_connection.py
+++ b/clementinebank/http/_server_connection.py
@@ -1,6 +1,7 @@
 """One connection of an HTTP server and the state all of them share."""
 
 import enum
+import sys
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -146,9 +147,10 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the protocol state."""
+        # The limit in force may change while the connection is open, so that
+        # the reader of each request checks it.
         self.http = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self.state.limits.max_header_bytes,
+            h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
         self._turn = ReadTurn(self.state.resources.lane)
 
@@ -221,7 +223,7 @@
         reader = RequestReader(
             self.sock,
             self.http,
-            self.state.limits,
+            lambda: self.state.limits,
             holding,
             self._turn,
             self._on_head,
@@ -257,17 +259,21 @@
     async def _wait_for_request(self) -> bool:
         """Return whether a request, or the end of the stream, has arrived.
 
-        Waits for it up to the idle timeout, but not at all while draining.
+        Waits for it up to the idle timeout, also if that is raised meanwhile,
+        but not at all while draining.
         """
-        if self.state.is_draining:
-            return has_input(self.sock)
-        self.is_idle = True
-        try:
-            return await wait_for_input(
-                self.sock, self.state.limits.idle_timeout_s
-            )
-        finally:
-            self.is_idle = False
+        idle_since = now()
+        while not self.state.is_draining:
+            end = idle_since + self.state.limits.idle_timeout_s
+            if now() >= end:
+                return False
+            self.is_idle = True
+            try:
+                if await wait_for_input(self.sock, end - now()):
+                    return True
+            finally:
+                self.is_idle = False
+        return has_input(self.sock)
 
     async def _close_idle(self) -> NextStep:
         """Send a 408 response, if enabled, and return how to close.
