--- a/clementinebank/rpc/_channel.py
+++ b/clementinebank/rpc/_channel.py
@@ -18,6 +18,9 @@
 )
 from clementinebank.validation import Address
 
+# Statuses of a reply, in HTTP and in gRPC, that carries a message.
+SUCCESS_STATUSES_BY_HEADER = {':status': '200', 'grpc-status': '0'}
+
 
 class CallNotAcceptedError(Exception):
     """The server didn't accept a call in time, and will not handle it."""
@@ -227,11 +230,10 @@
             raise RpcProtocolError(
                 'the peer closed the connection or replied on another stream'
             )
-        status = reply.headers_by_name.get('grpc-status')
-        if status != '0':
-            raise RpcProtocolError(
-                f'the peer replied with grpc-status {status}'
-            )
+        for name, expected in SUCCESS_STATUSES_BY_HEADER.items():
+            status = reply.headers_by_name.get(name)
+            if status != expected:
+                raise RpcProtocolError(f'the peer replied with {name} {status}')
         return strip_message_prefix(reply.body)
 
     async def _send_and_wait(
