Log where each configuration came from, and those that aren't newer

From the log nobody could tell a version that came late from one that never came: configuration:activated names neither the revision of the entry nor the source, and an entry that came back with an older version left no line.

The updater writes feed:configuration for each version that comes into force, and feed:configuration_not_newer once for each other entry that comes: version, version in force, revisions of the entry and of the state, source of the feed and confirmed_s. The change of a configuration carries the revision of its entry. The feed names a stale relay as its source too when its entries are used; feed:source left these out. No decision changes.

Measured: tests of gateway and relay and those of decoded entries pass; the new ones fail with a line for each repeated entry, and with the old source of stale relays.

--- a/clementinebank/gateway/_changes.py
+++ b/clementinebank/gateway/_changes.py
@@ -11,9 +11,18 @@
 
 @attrs.frozen
 class ConfigurationWritten:
-    """A valid configuration was written to the control store."""
+    """A valid configuration was written to the control store.
+
+    Parameters
+    ----------
+    configuration : RoutingConfiguration
+        The configuration.
+    revision : int
+        Revision of the store at which its entry last changed.
+    """
 
     configuration: RoutingConfiguration
+    revision: int = 0
 
 
 @attrs.frozen
--- a/clementinebank/gateway/_updater.py
+++ b/clementinebank/gateway/_updater.py
@@ -22,10 +22,10 @@
 from clementinebank.relay import (
     HISTORY_LOST,
     KEY_PREFIX,
-    ControlFeed,
     Entry,
     EntryLog,
     RelayDirectory,
+    SourcedFeed,
 )
 from clementinebank.routes import RouteTable
 
@@ -49,7 +49,7 @@
 
     Parameters
     ----------
-    feed : ControlFeed
+    feed : SourcedFeed
         Source of the entries.
     decode_entry : callable
         Returns the change that an entry makes, or ``None``.
@@ -69,7 +69,7 @@
         seconds.
     """
 
-    feed: ControlFeed
+    feed: SourcedFeed
     decode_entry: DecodeEntry
     route_table: RouteTable
     leaf_directory: LeafDirectory
@@ -79,6 +79,8 @@
     watch_wait_s: float = 5.0
     _must_reload: bool = True
     _consecutive_failures: int = 0
+    # Version and revision of the configuration entry that came last.
+    _last_configuration: tuple[int, int] = (0, 0)
 
     @property
     def is_loaded(self) -> bool:
@@ -184,7 +186,7 @@
     def _apply_change(self, change: Change, removed_at: float) -> None:
         """Apply a change; a removal counts from ``removed_at`` on."""
         if isinstance(change, ConfigurationWritten):
-            self.route_table.activate(change.configuration)
+            self._apply_configuration(change)
         elif isinstance(change, LeafWritten):
             self.leaf_directory.register(change.record)
         elif isinstance(change, LeafRemoved):
@@ -192,6 +194,32 @@
         else:
             self._apply_evacuation(change)
 
+    def _apply_configuration(self, change: ConfigurationWritten) -> None:
+        """Put a configuration in force if it is newer; log its arrival.
+
+        An entry that a whole state holds once more is not logged again.
+        """
+        version = change.configuration.version
+        is_newer = self.route_table.activate(change.configuration)
+        arrived = (version, change.revision)
+        is_repeated = arrived == self._last_configuration
+        self._last_configuration = arrived
+        if is_repeated and not is_newer:
+            return
+        log_message(
+            message_type=(
+                'feed:configuration'
+                if is_newer
+                else 'feed:configuration_not_newer'
+            ),
+            version=version,
+            in_force=self.route_table.version,
+            entry_revision=change.revision,
+            revision=self.entry_log.revision,
+            source=self.feed.source,
+            confirmed_s=round(now() - self.confirmed_at, 3),
+        )
+
     def _apply_removal(self, leaf_id: str, removed_at: float) -> None:
         if self.leaf_directory.remove(leaf_id, removed_at):
             log_message(
--- a/clementinebank/gateway/tests/test_follower.py
+++ b/clementinebank/gateway/tests/test_follower.py
@@ -3,11 +3,13 @@
 While the store is down an instance must keep its routes and leafs. When the
 store has lost the history of changes, the instance must read everything again
 and drop what is gone. A revision that goes back or a change that can't be
-applied must not stop later changes.
+applied must not stop later changes. The log must tell a version that came late
+from one that never came and from one that came back older.
 """
 
 import itertools
 import pickle
+from unittest import mock
 
 import attrs
 import curio
@@ -23,6 +25,7 @@
     LeafRemoved,
     LeafWritten,
 )
+from clementinebank.gateway import _updater as updater_module
 from clementinebank.leafs import LeafDirectory, LeafRecord
 from clementinebank.relay import (
     HISTORY_LOST,
@@ -57,7 +60,10 @@
 
 
 def decode_entry(entry):
-    return pickle.loads(entry.value)
+    change = pickle.loads(entry.value)
+    if isinstance(change, ConfigurationWritten):
+        return attrs.evolve(change, revision=entry.revision)
+    return change
 
 
 def confirm(result):
@@ -71,6 +77,8 @@
     Afterwards reads fail, and watches return no changes.
     """
 
+    source = 'store'
+
     def __init__(self, states, batches):
         self.calls = 0
         self.states = list(states)
@@ -221,3 +229,85 @@
     )
     assert updater.route_table.version == 8
     assert 'x' not in updater.entry_log.entries_by_key
+
+
+def run_logged(states, batches, **options):
+    """Run an updater; return its log lines on configurations."""
+    with mock.patch.object(updater_module, 'log_message') as write:
+        run_updater(states, batches, **options)
+    lines = [call.kwargs for call in write.call_args_list]
+    return [
+        (
+            line['message_type'].removeprefix('feed:'),
+            line['version'],
+            line['in_force'],
+            line['entry_revision'],
+            line['revision'],
+        )
+        for line in lines
+        if line['message_type'].startswith('feed:configuration')
+    ]
+
+
+def test_configuration_in_force_is_logged_with_where_it_came_from():
+    with mock.patch.object(updater_module, 'log_message') as write:
+        run_updater([stored_state(configuration_change(7))], [], seconds=0.1)
+    (line,) = [call.kwargs for call in write.call_args_list]
+    assert line == {
+        'message_type': 'feed:configuration',
+        'version': 7,
+        'in_force': 7,
+        'entry_revision': 5,
+        'revision': 5,
+        'source': 'store',
+        'confirmed_s': 0.0,
+    }
+
+
+def test_each_configuration_that_comes_is_logged_once():
+    """Changes of other entries and whole states repeat none of the lines."""
+    lines = run_logged(
+        [
+            stored_state(configuration_change(7)),
+            Ok(
+                StoredState(
+                    (
+                        *entries_of([configuration_change(8)], 6),
+                        *entries_of([LeafWritten(LEAF)], 9),
+                    ),
+                    9,
+                    0,
+                )
+            ),
+        ],
+        [
+            change_batch(configuration_change(8)),
+            change_batch(LeafWritten(LEAF), revision=8),
+            failure(HISTORY_LOST),
+            change_batch(configuration_change(9), revision=10),
+        ],
+        seconds=3,
+    )
+    assert lines == [
+        ('configuration', 7, 7, 5, 5),
+        ('configuration', 8, 8, 6, 6),
+        ('configuration', 9, 9, 10, 10),
+    ]
+
+
+def test_configuration_that_is_not_newer_is_logged_once():
+    older = stored_state(configuration_change(6), revision=9)
+    lines = run_logged(
+        [stored_state(configuration_change(7)), older, older],
+        [
+            failure(HISTORY_LOST),
+            failure(HISTORY_LOST),
+            change_batch(configuration_change(7), revision=11),
+        ],
+        seconds=3,
+    )
+    assert lines == [
+        ('configuration', 7, 7, 5, 5),
+        ('configuration_not_newer', 6, 7, 9, 9),
+        ('configuration_not_newer', 7, 7, 11, 11),
+    ]
--- a/clementinebank/relay/__init__.py
+++ b/clementinebank/relay/__init__.py
@@ -25,6 +25,7 @@
     ControlFeed,
     ControlStore,
     Entry,
+    SourcedFeed,
     StoredState,
     watch_confirmed_at,
 )
@@ -52,6 +53,7 @@
     'RelayService',
     'RelayedFeed',
     'RemovalBounds',
+    'SourcedFeed',
     'StoredState',
     'choose_aggregators',
     'decode_content',
--- a/clementinebank/relay/_model.py
+++ b/clementinebank/relay/_model.py
@@ -135,6 +135,18 @@
         ...
 
 
+class SourcedFeed(ControlFeed, Protocol):
+    """Control feed that names where its last entries came from.
+
+    Parameters
+    ----------
+    source : str
+        ``store`` or the address of a relay; empty before the first entries.
+    """
+
+    source: str
+
+
 class ControlStore(ControlFeed, Protocol):
     """Client of the store, which can also write keys under a lease."""
 
--- a/clementinebank/relay/_sources.py
+++ b/clementinebank/relay/_sources.py
@@ -116,6 +116,9 @@
         Region of each data centre.
     rng : random.Random
         Spreads retries of the store and shuffles ``seed_relays``.
+    source : str
+        ``store`` or the address of the relay that answered last; empty before
+        the first answer.
     """
 
     store: ControlStore
@@ -127,11 +130,11 @@
     seed_relays: Sequence[Address] = ()
     regions_by_data_centre: Mapping[str, str] = attrs.Factory(dict)
     rng: random.Random = attrs.Factory(random.Random)
+    source: str = ''
     _paused_until_by_relay: dict[Address, float] = attrs.Factory(dict)
     _store_paused_until: float = 0
     _store_failures: int = 0
     _next_store_watch_at: float = 0
-    _source: str = ''
 
     async def read_all(self) -> Result[StoredState, Failure]:
         """Return every entry, or the failure of the store.
@@ -271,7 +274,8 @@
         if not self._is_fresh(batch.confirmed_at):
             age_s = now() - batch.confirmed_at
             self._pause_relay(address, f'its state is {age_s:.1f} s old')
-            return result if batch.entries else None
+            if not batch.entries:
+                return None
         self._log_source_change(str(address))
         return result
 
@@ -334,8 +338,8 @@
             state = result.ok_value
             if state.revision >= self.log.revision:
                 best = result
+                self._log_source_change(str(address))
                 if self._is_fresh(state.confirmed_at):
-                    self._log_source_change(str(address))
                     return result
         return best
 
@@ -374,8 +378,8 @@
         self._log_source_change('store')
 
     def _log_source_change(self, source: str) -> None:
-        if source != self._source:
+        if source != self.source:
             log_message(
-                message_type='feed:source', source=source, previous=self._source
+                message_type='feed:source', source=source, previous=self.source
             )
-            self._source = source
+            self.source = source
--- a/clementinebank/relay/tests/test_fleet.py
+++ b/clementinebank/relay/tests/test_fleet.py
@@ -11,9 +11,10 @@
 
 import curio
 import pytest
+from result import Ok
 
 from clementinebank.clock import FakeClockKernel, now
-from clementinebank.relay import KEY_PREFIX
+from clementinebank.relay import KEY_PREFIX, ChangeBatch, Entry, RelayClient
 from clementinebank.relay.tests.simulation import MAX_CHANGE_DELAY_S, Fleet
 
 # Time for the instances of a new fleet to load and the relays to register.
@@ -96,6 +97,39 @@
     run_scenario(scenario, 21)
 
 
+def test_feeds_name_the_source_of_their_entries():
+    async def scenario(fleet):
+        for instance in fleet.instances:
+            is_relay = instance.registration.is_active_relay
+            others = {str(each.address) for each in fleet.instances}
+            others.discard(str(instance.address))
+            source = instance.feed.source
+            assert source == 'store' if is_relay else source in others
+
+    run_scenario(scenario)
+
+
+def test_feed_names_a_stale_relay_whose_changes_it_returns(monkeypatch):
+    async def scenario(fleet):
+        follower = next(
+            each
+            for each in fleet.instances
+            if not each.registration.is_active_relay
+        )
+        stale = ChangeBatch((Entry('op', b'v1', 99),), 99, now() - 60)
+
+        async def answer(*arguments):
+            return Ok(stale)
+
+        monkeypatch.setattr(RelayClient, 'wait_for_changes', answer)
+        address = fleet.instances[0].address
+        follower.feed.source = ''
+        assert await follower.feed._watch_relay(address, 1) == Ok(stale)
+        assert follower.feed.source == str(address)
+
+    run_scenario(scenario)
+
+
 def test_calls_to_the_store_do_not_grow_with_the_fleet():
     async def scenario(fleet):
         before = fleet.calls
