Log with each request how long its version is in force, and its route's

A line named only the version in force at the end of a request and confirmed_s. So a version that had just come into force looked like one that the request should have followed from its start.

Lines of ended and refused requests and of gatherings state in_force_s and the revision of the state beside them. Lines of ended requests also state route_version, the version in force when the route was found (null for gatherings, whose route another instance found). It is kept in the copy of the request that admission makes anyway, and nothing decides by it. `explain` prints these fields, and the newest line on a configuration beside the newest other line of the feed.

--- a/clementinebank/cli/_logged_requests.py
+++ b/clementinebank/cli/_logged_requests.py
@@ -16,10 +16,21 @@
 LEAF_LINES_AFTER_END_S = 5.0
 MS_PER_S = 1000
 STARTED_MESSAGE_TYPE = 'gateway:started'
-CONFIGURATION_MESSAGE_TYPE = 'configuration:activated'
-FEED_PREFIX = 'feed:'
+# The newest line of each of these is shown. A line counts for the first one
+# only, so that an outage of the feed and the version that it brought last don't
+# hide each other.
+BELIEF_PREFIXES = ('configuration:activated', 'feed:configuration', 'feed:')
 LEAF_PREFIX = 'leaf:'
 REQUEST_PREFIX = 'request:'
+# Fields of a request that are printed below its first line.
+DETAIL_FIELDS = (
+    'reason',
+    'route_version',
+    'in_force_s',
+    'revision',
+    'confirmed_s',
+    'objective_ms',
+)
 # Fields that the logging library adds to each message; they are not shown.
 LOGGING_LIBRARY_FIELDS = frozenset(('timestamp', 'task_uuid', 'task_level'))
 
@@ -130,9 +141,7 @@
         f'version {facts.get("version", "unknown")}'
     )
     details = [
-        f'  {name}: {facts[name]}'
-        for name in ('reason', 'confirmed_s', 'objective_ms')
-        if name in facts
+        f'  {name}: {facts[name]}' for name in DETAIL_FIELDS if name in facts
     ]
     events = [
         f'  {offset_ms:9.2f} ms  {event}  {_facts_text(event_facts)}'
@@ -170,12 +179,11 @@
     """Return the log lines of the instance that may explain the request."""
     lines_of_instance = [line for line in lines if line.source == ending.source]
     earlier_lines = [line for line in lines_of_instance if line.at <= ending.at]
-    newest_lines: list[LogLine] = []
-    for prefix in (CONFIGURATION_MESSAGE_TYPE, FEED_PREFIX):
-        matching = [
-            line for line in earlier_lines if line.kind.startswith(prefix)
-        ]
-        newest_lines.extend(matching[-1:])
+    newest_lines = {
+        prefix: line
+        for line in earlier_lines
+        for prefix in _belief_prefixes(line)[:1]
+    }
     leafs = _leafs_of(ending)
     leaf_lines = [
         line
@@ -186,7 +194,14 @@
         <= ending.at + LEAF_LINES_AFTER_END_S
         and _leaf_id(str(line.facts.get('leaf', ''))) in leafs
     ]
-    return tuple(sorted([*newest_lines, *leaf_lines], key=lambda line: line.at))
+    return tuple(
+        sorted([*newest_lines.values(), *leaf_lines], key=lambda line: line.at)
+    )
+
+
+def _belief_prefixes(line: LogLine) -> list[str]:
+    """Return the prefixes that the kind of a line has, the longest first."""
+    return [each for each in BELIEF_PREFIXES if line.kind.startswith(each)]
 
 
 def _leafs_of(ending: LogLine) -> set[str]:
--- a/clementinebank/cli/tests/test_explain_logs.py
+++ b/clementinebank/cli/tests/test_explain_logs.py
@@ -28,6 +28,9 @@
         version=12,
         outcome='refused',
         elapsed_ms=100.0,
+        route_version=11,
+        in_force_s=0.05,
+        revision=77,
         confirmed_s=0.4,
         events=events,
         **facts,
@@ -38,7 +41,10 @@
     line(900.0, 'gateway:started', instance='g-1'),
     line(910.0, 'configuration:activated', version=11),
     line(990.0, 'configuration:activated', version=12),
+    line(989.0, 'feed:configuration', version=11, source='store'),
+    line(990.0, 'feed:configuration', version=12, source='store'),
     line(991.0, 'feed:lost', reason='unreachable'),
+    line(992.0, 'feed:configuration_not_newer', version=10, in_force=12),
     line(800.0, 'leaf:ejected', leaf=LEAF, failures=9),
     line(995.0, 'leaf:draining', leaf=LEAF),
     line(996.0, 'leaf:ejected', leaf='i-8@1', failures=1),
@@ -80,8 +86,11 @@
     assert '-4.90 s   leaf:draining' in printed
     assert 'feed:lost' in printed
     assert 'configuration:activated  version=12' in printed
+    assert 'feed:configuration_not_newer  version=10 in_force=12' in printed
+    for detail in ('route_version: 11', 'in_force_s: 0.05', 'revision: 77'):
+        assert detail in printed
     # Lines on other leafs, of other times and of other instances.
-    for unrelated in ('i-8', 'failures=9', 'failures=3', 'version=11)'):
+    for unrelated in ('i-8', 'failures=9', 'failures=3', 'version=11'):
         assert unrelated not in printed
 
 
--- a/clementinebank/forwarding/_messages.py
+++ b/clementinebank/forwarding/_messages.py
@@ -31,6 +31,9 @@
     api_key : str
         Key of the caller until its account is known; afterwards, and if it
         gave none, empty. It never leaves this instance.
+    route_version : int or None
+        Version in force when the route of the request was found; ``None`` if
+        another instance found it. It is only logged.
     """
 
     request_id: str
@@ -40,6 +43,7 @@
     priority: int = 0
     regions: frozenset[str] | None = None
     api_key: str = attrs.field(default='', repr=False)
+    route_version: int | None = None
 
 
 @attrs.frozen
--- a/clementinebank/gateway/_admission.py
+++ b/clementinebank/gateway/_admission.py
@@ -85,12 +85,16 @@
     ) -> ForwardRequest:
         """Return a request with the account, priority and regions it has.
 
+        It also gets the version in force, by which its route was just found:
+        another one may come into force while its quota is awaited.
+
         Raises
         ------
         Failure
             If it must not run.
         """
         self.update()
+        route_version = self.route_table.version
         account = self._authenticate(request, route)
         if account is None:
             return attrs.evolve(
@@ -98,6 +102,7 @@
                 priority=route.priority,
                 regions=route.regions,
                 api_key='',
+                route_version=route_version,
             )
         regions = common_regions(route.regions, account.regions)
         if regions is not None and not regions:
@@ -115,6 +120,7 @@
             ),
             regions=regions,
             api_key='',
+            route_version=route_version,
         )
 
     def create_limit_service(
--- a/clementinebank/gateway/_gateway.py
+++ b/clementinebank/gateway/_gateway.py
@@ -32,6 +32,7 @@
 from clementinebank.gateway._request_log import RequestLog
 from clementinebank.gateway._samples import read_gateway_samples
 from clementinebank.gateway._settings import GatewaySettings
+from clementinebank.gateway._state_facts import read_state_facts
 from clementinebank.gateway._updater import ControlStateUpdater
 from clementinebank.http import (
     HttpRequest,
@@ -226,8 +227,7 @@
             failure,
             request_id=request_id,
             instance=self.settings.instance_id,
-            version=self.route_table.version,
-            confirmed_s=round(now() - self.updater.confirmed_at, 3),
+            **read_state_facts(self.route_table, self.entry_log),
         )
         return self.caller_codec.encode_failure(
             request_id,
--- a/clementinebank/gateway/_request_log.py
+++ b/clementinebank/gateway/_request_log.py
@@ -3,9 +3,9 @@
 import attrs
 from eliot import log_message
 
-from clementinebank.clock import now
 from clementinebank.dispatch import TraceEvent
 from clementinebank.forwarding import ForwardRequest
+from clementinebank.gateway._state_facts import read_state_facts
 from clementinebank.metrics import Metrics, names
 from clementinebank.relay import EntryLog
 from clementinebank.routes import Route, RouteTable
@@ -39,7 +39,7 @@
     route_table : RouteTable
         Holds the version in force, which is logged.
     entry_log : EntryLog
-        Holds the age of the control state, which is logged.
+        Holds the revision and the age of the control state, which are logged.
     instance_id : str
         Id of this instance.
     suppressed_lines : int
@@ -138,11 +138,11 @@
             request_id=request.request_id,
             instance=self.instance_id,
             route=route.name,
-            version=self.route_table.version,
+            route_version=request.route_version,
+            **read_state_facts(self.route_table, self.entry_log),
             outcome=_outcome_of(trace),
             elapsed_ms=round(elapsed_s * MS_PER_S, 1),
             objective_ms=round(route.objective_s * MS_PER_S, 1),
-            confirmed_s=round(self.entry_log.age_s(now()), 3),
             suppressed_lines=self.suppressed_lines,
             events=[
                 [round(each.offset_ms, 1), each.event, each.facts]
--- a/clementinebank/gateway/tests/test_request_log.py
+++ b/clementinebank/gateway/tests/test_request_log.py
@@ -2,13 +2,16 @@
 
 Every late, partial, failed or repeated request must be logged. Ordinary
 requests are sampled, and the lines in one second are limited, because a fault
-of many requests would otherwise flood the log.
+of many requests would otherwise flood the log. A line must tell the version by
+which the route was found from the one in force, and for how long it is.
 """
 
 from unittest import mock
 
+import attrs
 import curio
 
+from clementinebank.clock import FakeClockKernel, now
 from clementinebank.dispatch import TraceEvent
 from clementinebank.forwarding import ForwardRequest
 from clementinebank.forwarding.tests.simulation import make_route
@@ -17,7 +20,7 @@
 from clementinebank.http import HttpRequest
 from clementinebank.metrics import Metrics, names
 from clementinebank.relay import EntryLog
-from clementinebank.routes import RouteTable
+from clementinebank.routes import RouteTable, RoutingConfiguration
 
 REQUEST = ForwardRequest('q-1', 1000.0, HttpRequest('GET', '/'))
 ORDINARY = [
@@ -69,3 +72,30 @@
     refused = [TraceEvent(0, 'refused', {'status': 503})]
     lines, _ = log_requests(refused, count=module.MAX_LINES_PER_SECOND + 5)
     assert len(lines) == module.MAX_LINES_PER_SECOND
+
+
+def test_line_tells_which_state_was_known():
+    async def run():
+        table = RouteTable()
+        entry_log = EntryLog(revision=31, confirmed_at=now())
+        log = RequestLog(Metrics(), table, entry_log, 'g-1')
+        table.activate(RoutingConfiguration(3, (), {}))
+        await curio.sleep(5)
+        table.activate(RoutingConfiguration(4, (), {}))
+        await curio.sleep(0.25)
+        request = attrs.evolve(REQUEST, route_version=3)
+        log.record(request, make_route(), [], 0.3)
+        log.record_gathering(REQUEST, make_route(), [], 0.3)
+
+    with (
+        mock.patch.object(module, 'log_message') as write,
+        FakeClockKernel() as kernel,
+    ):
+        kernel.run(run)
+    ended, gathered = (call.kwargs for call in write.call_args_list)
+    assert ended['version'] == gathered['version'] == 4
+    assert ended['route_version'] == 3
+    assert gathered['route_version'] is None
+    assert ended['in_force_s'] == 0.25
+    assert ended['revision'] == 31
+    assert ended['confirmed_s'] == 5.25
--- a/clementinebank/routes/_table.py
+++ b/clementinebank/routes/_table.py
@@ -5,6 +5,7 @@
 import attrs
 from eliot import log_message
 
+from clementinebank.clock import now
 from clementinebank.invariants import check, invariant
 from clementinebank.routes._model import Route, RoutingConfiguration
 from clementinebank.routes._split import SplitBalancer
@@ -33,10 +34,14 @@
         Active configuration; ``None`` until one is known.
     balancer : SplitBalancer
         Splits the requests of a route among its services by weight.
+    activated_at : float
+        Runtime time in seconds at which the active configuration came into
+        force; minus infinity before the first one.
     """
 
     configuration: RoutingConfiguration | None = None
     balancer: SplitBalancer = attrs.Factory(SplitBalancer)
+    activated_at: float = float('-inf')
     _routes_by_host: dict[str, dict[str, Route]] = attrs.Factory(dict)
 
     @property
@@ -67,6 +72,7 @@
             routes=len(configuration.routes),
         )
         self.configuration = configuration
+        self.activated_at = now()
         routes_by_host: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
             routes_by_host.setdefault(route.host, {})[route.prefix] = route
--- a/clementinebank/routes/tests/test_table.py
+++ b/clementinebank/routes/tests/test_table.py
@@ -7,10 +7,12 @@
 
 from unittest import mock
 
+import curio
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from clementinebank.clock import FakeClockKernel, now
 from clementinebank.routes import (
     Route,
     RouteKind,
@@ -75,6 +77,19 @@
     _activate_in_turn(versions)
 
 
+def test_time_of_activation_is_that_of_the_version_in_force():
+    async def run():
+        table = RouteTable()
+        assert table.activated_at == float('-inf')
+        for wait_s, version in ((1, 5), (2, 6), (4, 6), (8, 4)):
+            await curio.sleep(wait_s)
+            table.activate(RoutingConfiguration(version, (), {}))
+        return now() - table.activated_at
+
+    with FakeClockKernel() as kernel:
+        assert kernel.run(run) == pytest.approx(12)
+
+
 def test_table_that_reverts_is_caught():
     def revert(table, configuration):
         table.configuration = configuration
