Add metrics of the version in force and of the known state

No metric told which version an instance has in force and how old its knowledge is, so an instance that lags was found by its requests only.

Four gauges: clementinebank_configuration_version and _age_seconds, clementinebank_store_revision and _store_confirmation_age_seconds. Ages are left out before the first version and the first confirmation, because an infinite figure makes the text of all metrics fail.

--- a/clementinebank/gateway/_samples.py
+++ b/clementinebank/gateway/_samples.py
@@ -1,7 +1,9 @@
 """Present figures of a gateway, read with its metrics."""
 
+import math
 from typing import Protocol
 
+from clementinebank.clock import now
 from clementinebank.forwarding import ForwardingEngine
 from clementinebank.http import (
     HttpServer,
@@ -10,13 +12,16 @@
 )
 from clementinebank.leafs import LeafDirectory
 from clementinebank.metrics import Sample, create_sample, names
-from clementinebank.relay import ControlStore
+from clementinebank.relay import ControlStore, EntryLog
+from clementinebank.routes import RouteTable
 
 
 class SampledGateway(Protocol):
     """Parts of a gateway whose figures are read."""
 
     store: ControlStore
+    route_table: RouteTable
+    entry_log: EntryLog
     engine: ForwardingEngine
     leaf_directory: LeafDirectory
     server: HttpServer
@@ -27,6 +32,7 @@
     """Return the present figures of a gateway for its metrics."""
     return [
         create_sample(names.KEY_VALUE_CALLS, gateway.store.calls),
+        *read_state_samples(gateway.route_table, gateway.entry_log),
         *_placement_samples(gateway),
         create_sample(
             names.EVACUATED_DATA_CENTRES,
@@ -62,6 +68,29 @@
     ]
 
 
+def read_state_samples(
+    route_table: RouteTable, entry_log: EntryLog
+) -> list[Sample]:
+    """Return the version in force, the known revision and their ages.
+
+    The ages are left out before the first version and the first confirmation.
+    """
+    at = now()
+    samples = [
+        create_sample(names.CONFIGURATION_VERSION, route_table.version),
+        create_sample(names.STORE_REVISION, entry_log.revision),
+    ]
+    ages_s = {
+        names.CONFIGURATION_AGE: at - route_table.activated_at,
+        names.STORE_CONFIRMATION_AGE: entry_log.age_s(at),
+    }
+    return samples + [
+        create_sample(name, age_s)
+        for name, age_s in ages_s.items()
+        if math.isfinite(age_s)
+    ]
+
+
 def _placement_samples(gateway: SampledGateway) -> list[Sample]:
     """Return the calls by their place, none without a placement."""
     placement = gateway.engine.router.placement
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -160,6 +160,26 @@
     'Answers of leafs that were told apart from the one due, by what was done.',
     'check',
 )
+CONFIGURATION_VERSION = _register(
+    'clementinebank_configuration_version',
+    'gauge',
+    'Version of the configuration in force, 0 before the first one.',
+)
+CONFIGURATION_AGE = _register(
+    'clementinebank_configuration_age_seconds',
+    'gauge',
+    'Time since the configuration came into force, in seconds.',
+)
+STORE_REVISION = _register(
+    'clementinebank_store_revision',
+    'gauge',
+    'Revision of the store up to which the changes are known.',
+)
+STORE_CONFIRMATION_AGE = _register(
+    'clementinebank_store_confirmation_age_seconds',
+    'gauge',
+    'Time since the store last confirmed the known state, in seconds.',
+)
 VIOLATIONS = _register(
     'clementinebank_invariant_violations_total',
     'counter',
