--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -7,7 +7,7 @@
 
 from clementinebank.clock import now
 from clementinebank.http import HttpProtocolError, HttpRequest, fetch
-from tests.gateway_process import HOST, GatewayProcess
+from tests.gateway_process import DATA_CENTRE, HOST, GatewayProcess
 
 # Time after a restart by which a fleet must serve again.
 RECOVERY_S = 12
@@ -15,9 +15,13 @@
 CHECK_INTERVAL_S = 0.05
 
 
-def run_fleet(tmp_path, instance_count, scenario):
+def run_fleet(
+    tmp_path, instance_count, scenario, data_centres=(DATA_CENTRE,), bounds=None
+):
     """Run a scenario with gateway processes, which it starts itself.
 
+    The processes are in these data centres in turn.
+
     The stand-ins are served by the test itself, so it calls the processes
     without blocking.
     """
@@ -31,6 +35,8 @@
                     platform.store.address,
                     f'g-{number}',
                     [processes[0].peers] if processes else [],
+                    data_centre=data_centres[number % len(data_centres)],
+                    bounds=bounds or {},
                 )
                 stack.callback(process.close)
                 processes.append(process)
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -18,6 +18,12 @@
 )
 
 HOST = '127.0.0.1'
+DATA_CENTRE = 'dc-1'
+REGIONS_BY_DATA_CENTRE = {
+    'dc-1': 'region-1',
+    'dc-2': 'region-2',
+    'dc-3': 'region-3',
+}
 MEMORY_MB = 80
 MAX_DESCRIPTORS = 1000
 
@@ -40,6 +46,10 @@
         Memory in the settings, in megabytes.
     max_descriptors : int
         Limit of open descriptors of the process.
+    data_centre : str
+        Data centre in the settings.
+    bounds : dict of str to float
+        Bounds in the settings that differ from the usual ones.
     ports : list of int
         Ports for callers, readiness checks, metrics and other instances.
     """
@@ -50,6 +60,8 @@
     seed_ports: list = attrs.Factory(list)
     memory_mb: float = MEMORY_MB
     max_descriptors: int = MAX_DESCRIPTORS
+    data_centre: str = DATA_CENTRE
+    bounds: dict = attrs.Factory(dict)
     process: subprocess.Popen = None
     ports: list = attrs.field(factory=lambda: find_free_ports(4))
 
@@ -108,7 +120,7 @@
         )
         return {
             'instance_id': self.instance_id,
-            'data_centre': 'dc-1',
+            'data_centre': self.data_centre,
             'listen': {
                 'callers': callers,
                 'readiness': readiness,
@@ -119,7 +131,7 @@
                 f'{HOST}:{port}' for port in self.seed_ports or [self.peers]
             ],
             'control_store': str(self.store),
-            'regions_by_data_centre': {'dc-1': 'region-1'},
+            'regions_by_data_centre': REGIONS_BY_DATA_CENTRE,
             'resources': {
                 'processor_share': 0.5,
                 'processor_speed': 2,
@@ -132,5 +144,6 @@
                 'retry_burst': 50,
                 'stable_window_ms': 4000,
                 'change_ms': 3000,
+                **self.bounds,
             },
         }
