Read from relays first while the store has failed a relay

What callers would see: a relay that the store doesn't answer learns from another relay that its history is lost, and then waits for the silent store once more, 1.5 s, before it reads from the relays. Versions and leafs come into force there up to 3 s late.

Cause: wait_for_changes asks the relays first while the store is paused after a failure; read_all went by the role of the instance alone.

--- a/clementinebank/relay/_sources.py
+++ b/clementinebank/relay/_sources.py
@@ -140,11 +140,12 @@
         """Return every entry, or the failure of the store.
 
         At the start every instance reads from the store, because a relay may
-        not be ready yet; later only relays read from the store first. If the
-        store fails, a stale state of a relay is returned too.
+        not be ready yet; later only relays read from the store first, unless it
+        has failed recently. If the store fails, a stale state of a relay is
+        returned too.
         """
         from_relays: Result[StoredState, Failure] | None = None
-        if self.log.is_loaded and not self.registration.is_active_relay:
+        if self.log.is_loaded and self._prefers_relays():
             from_relays = await self._read_from_relays()
             if isinstance(from_relays, Ok) and self._is_fresh(
                 from_relays.ok_value.confirmed_at
@@ -181,7 +182,7 @@
             may not be asked yet, or the failure of the source.
         """
         await self._wait_for_seed_relays()
-        if not self.registration.is_active_relay or self._is_store_paused():
+        if self._prefers_relays():
             changes = await self._watch_relays(revision)
             if changes is not None:
                 return changes
@@ -346,6 +347,10 @@
     def _is_fresh(self, confirmed_at: float) -> bool:
         return now() - confirmed_at <= self.bounds.max_age_s
 
+    def _prefers_relays(self) -> bool:
+        """Return whether relays are asked before the store."""
+        return not self.registration.is_active_relay or self._is_store_paused()
+
     def _is_store_paused(self) -> bool:
         return now() < self._store_paused_until
 
