--- a/benchmarks/bench_relay.py
+++ b/benchmarks/bench_relay.py
@@ -24,6 +24,7 @@
     RelayClient,
     RelayService,
     StoredState,
+    StorePosition,
 )
 from clementinebank.rpc import RpcServer
 from clementinebank.validation import Address
@@ -55,7 +56,7 @@
         """Request changes of the relay until cancelled and append them."""
         while True:
             changes = await self.client.wait_for_changes(
-                address, self.log.revision, WAIT_S
+                address, self.log.position, WAIT_S
             )
             # With hundreds of followers in one process, calls can time out;
             # the follower then calls again.
@@ -72,7 +73,7 @@
 async def measure(count, rounds, entry_bytes):
     """Return the processor time in us and bytes per follower and round."""
     relay_log = EntryLog()
-    await relay_log.load(StoredState((), 1, now()))
+    await relay_log.load(StoredState((), StorePosition(1), now()))
     listening = curio.tcp_server_socket(HOST, 0, backlog=512)
     address = Address(*listening.getsockname()[:2])
     server = RpcServer(
@@ -83,7 +84,7 @@
     followers = []
     for number in range(count):
         own_log = EntryLog()
-        await own_log.load(StoredState((), 1, now()))
+        await own_log.load(StoredState((), StorePosition(1), now()))
         client = RelayClient(f'i-{number}', address, own_log)
         followers.append(Follower(client, own_log))
     for each in followers:
@@ -99,7 +100,11 @@
             else ()
         )
         await relay_log.append(
-            ChangeBatch(entries, relay_log.revision + len(entries), now())
+            ChangeBatch(
+                entries,
+                StorePosition(relay_log.revision + len(entries)),
+                now(),
+            )
         )
         # A follower computes the time from the age in the reply and adds its
         # way, so its value may be earlier than that of the relay. The relay
--- a/clementinebank/gateway/_samples.py
+++ b/clementinebank/gateway/_samples.py
@@ -71,15 +71,19 @@
 def read_state_samples(
     route_table: RouteTable, entry_log: EntryLog
 ) -> list[Sample]:
-    """Return the version in force, the known revision and their ages.
+    """Return the version in force, the known state and their ages.
 
-    The ages are left out before the first version and the first confirmation.
+    The ages are left out before the first version and the first confirmation,
+    and the era as long as none is known.
     """
     at = now()
     samples = [
         create_sample(names.CONFIGURATION_VERSION, route_table.version),
         create_sample(names.STORE_REVISION, entry_log.revision),
+        create_sample(names.STORE_RETURNS, entry_log.restored_count),
     ]
+    if entry_log.position.era is not None:
+        samples.append(create_sample(names.STORE_ERA, entry_log.position.era))
     ages_s = {
         names.CONFIGURATION_AGE: at - route_table.activated_at,
         names.STORE_CONFIRMATION_AGE: entry_log.age_s(at),
--- a/clementinebank/gateway/_state_facts.py
+++ b/clementinebank/gateway/_state_facts.py
@@ -16,10 +16,10 @@
     -------
     dict
         ``version`` in force, ``in_force_s``, the time since it came into
-        force, ``revision`` of the known state, and ``confirmed_s``, the time
-        since the store confirmed it. Times are in seconds; before the first
-        version ``in_force_s`` is ``None``, and before the first confirmation
-        ``confirmed_s`` is infinite.
+        force, ``revision`` and ``era`` of the known state, and ``confirmed_s``,
+        the time since the store confirmed it. Times are in seconds; before the
+        first version ``in_force_s`` is ``None``, and before the first
+        confirmation ``confirmed_s`` is infinite.
     """
     at = now()
     in_force_s = round(at - route_table.activated_at, 3)
@@ -27,5 +27,6 @@
         'version': route_table.version,
         'in_force_s': in_force_s if route_table.version else None,
         'revision': entry_log.revision,
+        'era': entry_log.position.era,
         'confirmed_s': round(entry_log.age_s(at), 3),
     }
--- a/clementinebank/gateway/_updater.py
+++ b/clementinebank/gateway/_updater.py
@@ -14,7 +14,6 @@
     ConfigurationWritten,
     DecodeEntry,
     EvacuationBegun,
-    EvacuationEnded,
     LeafRemoved,
     LeafWritten,
 )
@@ -26,6 +25,8 @@
     EntryLog,
     RelayDirectory,
     SourcedFeed,
+    StoredState,
+    StorePosition,
 )
 from clementinebank.routes import RouteTable
 
@@ -37,6 +38,9 @@
 MAX_RETRY_INTERVAL_S = 0.8
 # Wait after a state that is too large for the memory of the instance.
 TOO_LARGE_RETRY_S = 5.0
+# Time within which writers write again what a store has lost that comes back
+# from an older copy. Leafs register again within about two seconds.
+REWRITE_S = 2.0
 # Interval of the check for removed leafs whose grace period is over.
 EXPIRY_CHECK_INTERVAL_S = 0.1
 
@@ -79,8 +83,13 @@
     watch_wait_s: float = 5.0
     _must_reload: bool = True
     _consecutive_failures: int = 0
-    # Version and revision of the configuration entry that came last.
-    _last_configuration: tuple[int, int] = (0, 0)
+    # Runtime time in seconds of the last load of a state of a later era, while
+    # entries that it lacks are kept.
+    _restored_at: float = float('inf')
+    # Revisions of registrations that a restored store has of removed leafs.
+    _removed_revisions_by_key: dict[str, int] = attrs.Factory(dict)
+    # Version, revision and era of the configuration entry that came last.
+    _last_configuration: tuple[int, int, int | None] = (0, 0, None)
 
     @property
     def is_loaded(self) -> bool:
@@ -113,40 +122,87 @@
         if self._must_reload:
             await self._load_all()
         else:
-            await self._apply_next_changes(self.entry_log.revision)
+            await self._apply_next_changes(self.entry_log.position)
 
     async def _load_all(self) -> None:
         loaded = await self.feed.read_all()
         if isinstance(loaded, Err):
             await self._back_off(loaded.err_value)
             return
-        state = loaded.ok_value
+        await self._apply_state(loaded.ok_value)
+
+    async def _apply_state(self, state: StoredState) -> None:
         if not self.entry_log.can_load(state.entries):
             await self._refuse_state()
             return
         self._on_feed_success()
+        is_restored = self.entry_log.is_restored(state.position)
         removed_at = self.entry_log.removal_time(now())
         await self.entry_log.load(state)
         self._must_reload = False
-        self.relays.load(filter(_is_relay_registration, state.entries), now())
-        changes = self._decode_all(state.entries)
+        if is_restored:
+            self._apply_restored(state)
+        else:
+            self._apply_loaded(state, removed_at)
+        self.leaf_directory.expire(now())
+        await self.on_changes_applied()
+
+    def _apply_loaded(self, state: StoredState, removed_at: float) -> None:
+        """Apply a whole state; what it lacks was removed."""
+        registrations = filter(_is_relay_registration, state.entries)
+        if self._restored_at < float('inf'):
+            self.relays.restore(registrations, now())
+        else:
+            self.relays.load(registrations, now())
+        changes = self._decode_all(
+            each
+            for each in state.entries
+            if self._removed_revisions_by_key.get(each.key) != each.revision
+        )
         self.leaf_directory.retain(_leaf_ids(changes), removed_at)
         self.leaf_directory.evacuate(_evacuated_data_centres(changes))
         for change in changes:
             self._apply_change(change, removed_at)
-        self.leaf_directory.expire(now())
-        await self.on_changes_applied()
 
-    async def _apply_next_changes(self, revision: int) -> None:
-        received = await self.feed.wait_for_changes(revision, self.watch_wait_s)
+    def _apply_restored(self, state: StoredState) -> None:
+        """Apply the state of a store that is back from an older copy.
+
+        Its writers write again what the store has lost, so what the copy lacks
+        or has in an older form stays in force for a limited time.
+        """
+        log_message(
+            message_type='feed:store_restored',
+            era=state.position.era,
+            revision=state.position.revision,
+            version=self.route_table.version,
+        )
+        registrations = filter(_is_relay_registration, state.entries)
+        self.relays.restore(registrations, now())
+        changes_by_entry = {each: self._decode(each) for each in state.entries}
+        changes = [each for each in changes_by_entry.values() if each]
+        ignored_ids = self.leaf_directory.restore(
+            [each.record for each in changes if isinstance(each, LeafWritten)],
+            _evacuated_data_centres(changes),
+        )
+        self._removed_revisions_by_key = {
+            entry.key: entry.revision
+            for entry, change in changes_by_entry.items()
+            if change and _leaf_ids([change]) & ignored_ids
+        }
+        self._restored_at = now()
+        for change in changes:
+            if isinstance(change, ConfigurationWritten):
+                self._apply_change(change, now())
+
+    async def _apply_next_changes(self, position: StorePosition) -> None:
+        received = await self.feed.wait_for_changes(position, self.watch_wait_s)
         if isinstance(received, Err):
-            if received.err_value.code == HISTORY_LOST:
-                log_message(message_type='feed:history_lost', revision=revision)
-                self._must_reload = True
-                return
-            await self._back_off(received.err_value)
+            await self._on_watch_failure(received.err_value)
             return
         batch = received.ok_value
+        if self.entry_log.is_restored(batch.position):
+            await self._apply_state(self.entry_log.state_after(batch))
+            return
         if not self.entry_log.can_hold(batch.entries):
             await self._refuse_state()
             return
@@ -166,6 +222,18 @@
             self.leaf_directory.expire(now())
             await self.on_changes_applied()
 
+    async def _on_watch_failure(self, failure: Failure) -> None:
+        if failure.code != HISTORY_LOST:
+            await self._back_off(failure)
+            return
+        log_message(
+            message_type='feed:history_lost',
+            revision=self.entry_log.position.revision,
+            era=self.entry_log.position.era,
+            reason=str(failure),
+        )
+        self._must_reload = True
+
     async def _refuse_state(self) -> None:
         """Leave the last state in force that is small enough, and wait."""
         log_message(
@@ -176,13 +244,14 @@
         await curio.sleep(TOO_LARGE_RETRY_S)
 
     def _decode_all(self, entries: Iterable[Entry]) -> list[Change]:
-        decoded = [
-            self.decode_entry(entry)
-            for entry in entries
-            if not _is_relay_registration(entry)
-        ]
+        decoded = map(self._decode, entries)
         return [change for change in decoded if change is not None]
 
+    def _decode(self, entry: Entry) -> Change | None:
+        if _is_relay_registration(entry):
+            return None
+        return self.decode_entry(entry)
+
     def _apply_change(self, change: Change, removed_at: float) -> None:
         """Apply a change; a removal counts from ``removed_at`` on."""
         if isinstance(change, ConfigurationWritten):
@@ -191,8 +260,10 @@
             self.leaf_directory.register(change.record)
         elif isinstance(change, LeafRemoved):
             self._apply_removal(change.leaf_id, removed_at)
+        elif isinstance(change, EvacuationBegun):
+            self.leaf_directory.begin_evacuation(change.data_centre)
         else:
-            self._apply_evacuation(change)
+            self.leaf_directory.end_evacuation(change.data_centre)
 
     def _apply_configuration(self, change: ConfigurationWritten) -> None:
         """Put a configuration in force if it is newer; log its arrival.
@@ -201,7 +272,8 @@
         """
         version = change.configuration.version
         is_newer = self.route_table.activate(change.configuration)
-        arrived = (version, change.revision)
+        era = self.entry_log.position.era
+        arrived = (version, change.revision, era)
         is_repeated = arrived == self._last_configuration
         self._last_configuration = arrived
         if is_repeated and not is_newer:
@@ -216,6 +288,7 @@
             in_force=self.route_table.version,
             entry_revision=change.revision,
             revision=self.entry_log.revision,
+            era=era,
             source=self.feed.source,
             confirmed_s=round(now() - self.confirmed_at, 3),
         )
@@ -229,17 +302,6 @@
                 confirmed_s=round(now() - self.confirmed_at, 3),
             )
 
-    def _apply_evacuation(
-        self, change: EvacuationBegun | EvacuationEnded
-    ) -> None:
-        named = {change.data_centre}
-        evacuated = self.leaf_directory.evacuated_data_centres
-        self.leaf_directory.evacuate(
-            evacuated | named
-            if isinstance(change, EvacuationBegun)
-            else evacuated - named
-        )
-
     def _on_feed_success(self) -> None:
         if self._consecutive_failures:
             log_message(
@@ -268,8 +330,7 @@
     async def _expire_leafs(self) -> None:
         while True:
             await curio.sleep(EXPIRY_CHECK_INTERVAL_S)
-            if now() >= self.leaf_directory.next_expiry_at():
-                self.leaf_directory.expire(now())
+            if self._end_grace_periods():
                 try:
                     await self.on_changes_applied()
                 except Exception:
@@ -277,6 +338,26 @@
                     write_traceback()
                     self._must_reload = True
 
+    def _end_grace_periods(self) -> bool:
+        """Drop what is kept for a limited time; return whether anything was."""
+        has_changed = self._end_restoration()
+        if now() < self.leaf_directory.next_expiry_at():
+            return has_changed
+        return self.leaf_directory.expire(now()) or has_changed
+
+    def _end_restoration(self) -> bool:
+        """Drop what a restored store still lacks; return whether it did.
+
+        Until the store has confirmed the state of a time at which its writers
+        have written again, nobody knows what they have written.
+        """
+        if self.confirmed_at < self._restored_at + REWRITE_S:
+            return False
+        self._restored_at = float('inf')
+        self.relays.forget_lost()
+        self.leaf_directory.forget_missing(now())
+        return True
+
 
 def _is_relay_registration(entry: Entry) -> bool:
     return entry.key.startswith(KEY_PREFIX)
--- a/clementinebank/gateway/tests/test_follower.py
+++ b/clementinebank/gateway/tests/test_follower.py
@@ -34,6 +34,7 @@
     EntryLog,
     RelayDirectory,
     StoredState,
+    StorePosition,
 )
 from clementinebank.routes import RouteTable, RoutingConfiguration
 from clementinebank.validation import Address
@@ -90,14 +91,14 @@
         await curio.sleep(0.004)
         return confirm(self.states.pop(0)) if self.states else failure('down')
 
-    async def wait_for_changes(self, revision, wait_s):
+    async def wait_for_changes(self, position, wait_s):
         self.calls += 1
-        self.watch_calls.append((revision, now()))
+        self.watch_calls.append((position.revision, now()))
         await curio.sleep(0.004)
         if self.batches:
             return confirm(self.batches.pop(0))
         await curio.sleep(wait_s)
-        return Ok(ChangeBatch((), revision, now()))
+        return Ok(ChangeBatch((), position, now()))
 
 
 def run_updater(states, batches, seconds=1.0, log=None):
@@ -126,11 +127,15 @@
 
 
 def stored_state(*changes, revision=5):
-    return Ok(StoredState(entries_of(changes, revision), revision, 0))
+    return Ok(
+        StoredState(entries_of(changes, revision), StorePosition(revision), 0)
+    )
 
 
 def change_batch(*changes, revision=6):
-    return Ok(ChangeBatch(entries_of(changes, revision), revision, 0))
+    return Ok(
+        ChangeBatch(entries_of(changes, revision), StorePosition(revision), 0)
+    )
 
 
 def test_instance_that_starts_without_the_store_loads_when_it_is_back():
@@ -220,7 +225,7 @@
 
 def test_state_that_is_too_large_leaves_the_last_one_in_force():
     """The instance would be killed for its memory otherwise."""
-    large = Ok(ChangeBatch((Entry('x', bytes(9_000), 6),), 6, 0))
+    large = Ok(ChangeBatch((Entry('x', bytes(9_000), 6),), StorePosition(6), 0))
     updater = run_updater(
         [stored_state(configuration_change(7))],
         [large, change_batch(configuration_change(8))],
@@ -259,6 +264,7 @@
         'in_force': 7,
         'entry_revision': 5,
         'revision': 5,
+        'era': None,
         'source': 'store',
         'confirmed_s': 0.0,
     }
@@ -275,7 +281,7 @@
                         *entries_of([configuration_change(8)], 6),
                         *entries_of([LeafWritten(LEAF)], 9),
                     ),
-                    9,
+                    StorePosition(9),
                     0,
                 )
             ),
--- a/clementinebank/gateway/tests/test_request_log.py
+++ b/clementinebank/gateway/tests/test_request_log.py
@@ -19,7 +19,7 @@
 from clementinebank.gateway import _request_log as module
 from clementinebank.http import HttpRequest
 from clementinebank.metrics import Metrics, names
-from clementinebank.relay import EntryLog
+from clementinebank.relay import EntryLog, StorePosition
 from clementinebank.routes import RouteTable, RoutingConfiguration
 
 REQUEST = ForwardRequest('q-1', 1000.0, HttpRequest('GET', '/'))
@@ -77,7 +77,7 @@
 def test_line_tells_which_state_was_known():
     async def run():
         table = RouteTable()
-        entry_log = EntryLog(revision=31, confirmed_at=now())
+        entry_log = EntryLog(position=StorePosition(31, 2), confirmed_at=now())
         log = RequestLog(Metrics(), table, entry_log, 'g-1')
         table.activate(RoutingConfiguration(3, (), {}))
         await curio.sleep(5)
@@ -97,5 +97,5 @@
     assert ended['route_version'] == 3
     assert gathered['route_version'] is None
     assert ended['in_force_s'] == 0.25
-    assert ended['revision'] == 31
+    assert (ended['revision'], ended['era']) == (31, 2)
     assert ended['confirmed_s'] == 5.25
--- a/clementinebank/gateway/tests/test_state_facts.py
+++ b/clementinebank/gateway/tests/test_state_facts.py
@@ -15,7 +15,7 @@
 from clementinebank.gateway._state_facts import read_state_facts
 from clementinebank.http import HttpRequest
 from clementinebank.ratelimit import Quota
-from clementinebank.relay import EntryLog
+from clementinebank.relay import EntryLog, StorePosition
 from clementinebank.routes import RouteTable, RoutingConfiguration
 
 ACCOUNT = ClientAccount('a', frozenset(('key',)), quota=Quota(1))
@@ -23,10 +23,12 @@
 
 
 def test_nothing_is_in_force_before_the_first_version():
-    facts = read_state_facts(RouteTable(), EntryLog(revision=4))
+    facts = read_state_facts(
+        RouteTable(), EntryLog(position=StorePosition(4, 2))
+    )
     assert facts['version'] == 0
     assert facts['in_force_s'] is None
-    assert facts['revision'] == 4
+    assert (facts['revision'], facts['era']) == (4, 2)
 
 
 class _SlowQuotas:
--- a/clementinebank/gateway/tests/test_task_edges.py
+++ b/clementinebank/gateway/tests/test_task_edges.py
@@ -41,7 +41,12 @@
 from clementinebank.process import supervise
 from clementinebank.ratelimit import LimitClient, NamedLimit
 from clementinebank.ratelimit.tests.simulation import Fleet
-from clementinebank.relay import EntryLog, RelayDirectory, RelayService
+from clementinebank.relay import (
+    EntryLog,
+    RelayDirectory,
+    RelayService,
+    StorePosition,
+)
 from clementinebank.relay._codec import WatchRequest, encode_request
 from clementinebank.routes import RouteTable, RoutingConfiguration
 from clementinebank.rpc import CallDeadlines, RpcServer
@@ -242,7 +247,7 @@
             instance_id='a',
             address=Address('127.0.0.1', 1),
             data_centre='dc',
-            revision=0,
+            position=StorePosition(),
             wait_s=0.5,
             age_s=1.0,
         )
--- a/clementinebank/leafs/_directory.py
+++ b/clementinebank/leafs/_directory.py
@@ -15,6 +15,11 @@
 # The same bound as a share of the drain limit, the time after which a leaving
 # leaf must get no new requests.
 MAX_REMOVAL_GRACE_SHARE = 0.6
+# Longest time for which a leaf is remembered after its removal, so that an
+# older copy of the registry doesn't bring it back.
+MAX_COPY_AGE_S = 120.0
+# Number of removed leafs that are remembered; each needs about 300 bytes.
+MAX_REMEMBERED_LEAFS = 10_000
 # Part of the drain limit for the check of the grace period and for the way of
 # a request from its choice of a leaf to that leaf.
 REQUEST_RESERVE_S = 0.4
@@ -48,6 +53,11 @@
     removed_at_by_id: dict[str, float] = attrs.Factory(dict)
     evacuated_data_centres: frozenset[str] = frozenset()
     departures: Departures = attrs.Factory(Departures)
+    # Leafs and evacuations that an older copy lacks and that are kept.
+    _missing_ids: set[str] = attrs.Factory(set)
+    _missing_evacuations: frozenset[str] = frozenset()
+    # Last record and time of the removal of leafs that are gone, oldest first.
+    _gone_by_id: dict[str, tuple[LeafRecord, float]] = attrs.Factory(dict)
 
     @property
     def removal_grace_s(self) -> float:
@@ -76,15 +86,33 @@
         Parameters
         ----------
         data_centres : collection of str
-            All data centres whose leafs get no requests from now on.
+            All data centres for which the registry has an order. Those whose
+            order an older copy lacks stay evacuated until ``forget_missing``.
         """
-        evacuated = frozenset(data_centres)
+        self._missing_evacuations -= frozenset(data_centres)
+        evacuated = self._missing_evacuations | frozenset(data_centres)
         for begun in sorted(evacuated - self.evacuated_data_centres):
             log_message(message_type='evacuation:begun', data_centre=begun)
         for ended in sorted(self.evacuated_data_centres - evacuated):
             log_message(message_type='evacuation:ended', data_centre=ended)
         self.evacuated_data_centres = evacuated
 
+    def begin_evacuation(self, data_centre: str) -> None:
+        """Send nothing more to the leafs of a data centre."""
+        self.evacuate(
+            self.evacuated_data_centres - self._missing_evacuations
+            | {data_centre}
+        )
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Send requests to the leafs of a data centre again."""
+        self._missing_evacuations -= {data_centre}
+        self.evacuate(
+            self.evacuated_data_centres
+            - self._missing_evacuations
+            - {data_centre}
+        )
+
     def on_leaving(
         self, incarnation_id: str, now: float, *, is_told_on: bool
     ) -> bool:
@@ -157,6 +185,7 @@
         """
         known = self.records_by_id.get(record.leaf_id)
         previously_removed_at = self.removed_at_by_id.pop(record.leaf_id, None)
+        self._missing_ids.discard(record.leaf_id)
         if known is not None and record.sort_key < known.sort_key:
             log_message(
                 message_type='leaf:stale_record',
@@ -203,6 +232,7 @@
         """
         if leaf_id not in self.records_by_id:
             return False
+        self._missing_ids.discard(leaf_id)
         if leaf_id not in self.removed_at_by_id:
             self.removed_at_by_id[leaf_id] = now
             log_message(message_type='leaf:registration_removed', leaf=leaf_id)
@@ -219,9 +249,77 @@
             Runtime time in seconds from which the removals count.
         """
         for leaf_id in list(self.records_by_id):
-            if leaf_id not in leaf_ids:
+            if leaf_id not in leaf_ids and leaf_id not in self._missing_ids:
                 self.remove(leaf_id, now)
 
+    def restore(
+        self, records: Collection[LeafRecord], evacuated: Collection[str]
+    ) -> set[str]:
+        """Apply the registrations of a registry that is back from a copy.
+
+        A leaf that was removed isn't used again on the word of the copy alone.
+        Leafs and evacuations that the copy lacks stay until ``forget_missing``,
+        so that they can be written again.
+
+        Parameters
+        ----------
+        records : collection of LeafRecord
+            All registrations of the copy.
+        evacuated : collection of str
+            Data centres whose evacuation the copy orders.
+
+        Returns
+        -------
+        set of str
+            Ids of the leafs whose registrations aren't applied, since they
+            were removed.
+        """
+        ignored_ids = {
+            each.leaf_id for each in records if self._is_removed(each)
+        }
+        for record in records:
+            if record.leaf_id not in ignored_ids:
+                self.register(record)
+        copied_ids = {each.leaf_id for each in records}
+        self._missing_ids = (
+            self.records_by_id.keys()
+            - copied_ids
+            - self.removed_at_by_id.keys()
+        )
+        self._missing_evacuations |= self.evacuated_data_centres
+        self.evacuate(evacuated)
+        if ignored_ids:
+            log_message(
+                message_type='leaf:removed_before_copy',
+                leafs=sorted(ignored_ids),
+            )
+        return ignored_ids
+
+    def forget_missing(self, now: float) -> None:
+        """Drop the leafs and evacuations that weren't written again.
+
+        Parameters
+        ----------
+        now : float
+            Runtime time in seconds.
+        """
+        for leaf_id in self._missing_ids:
+            self._forget(leaf_id, now)
+        self._missing_ids.clear()
+        stored = self.evacuated_data_centres - self._missing_evacuations
+        self._missing_evacuations = frozenset()
+        self.evacuate(stored)
+
+    def _is_removed(self, record: LeafRecord) -> bool:
+        """Return whether a record isn't later than the removal of its leaf."""
+        if record.leaf_id in self.removed_at_by_id:
+            last = self.records_by_id[record.leaf_id]
+        elif record.leaf_id in self._gone_by_id:
+            last, _ = self._gone_by_id[record.leaf_id]
+        else:
+            return False
+        return record.sort_key <= last.sort_key
+
     def next_expiry_at(self) -> float:
         """Return when the next grace period ends; infinity if there is none."""
         first_removed_at = min(
@@ -238,7 +336,22 @@
         ]
         for leaf_id in expired:
             self.removed_at_by_id.pop(leaf_id)
-            record = self.records_by_id.pop(leaf_id)
-            self.departures.forget_unknown_start(record.incarnation_id)
-            log_message(message_type='leaf:gone', leaf=leaf_id)
+            self._forget(leaf_id, now)
         return bool(expired)
+
+    def _forget(self, leaf_id: str, now: float) -> None:
+        record = self.records_by_id.pop(leaf_id)
+        self._gone_by_id.pop(leaf_id, None)
+        self._gone_by_id[leaf_id] = (record, now)
+        self._forget_gone(now)
+        self.departures.forget_unknown_start(record.incarnation_id)
+        log_message(message_type='leaf:gone', leaf=leaf_id)
+
+    def _forget_gone(self, now: float) -> None:
+        """Forget leafs that were removed before any copy, and the oldest."""
+        while self._gone_by_id:
+            leaf_id, (_, gone_at) = next(iter(self._gone_by_id.items()))
+            is_old = gone_at < now - MAX_COPY_AGE_S
+            if not is_old and len(self._gone_by_id) <= MAX_REMEMBERED_LEAFS:
+                return
+            self._gone_by_id.pop(leaf_id)
--- a/clementinebank/metrics/_names.py
+++ b/clementinebank/metrics/_names.py
@@ -175,6 +175,16 @@
     'gauge',
     'Revision of the store up to which the changes are known.',
 )
+STORE_ERA = _register(
+    'clementinebank_store_era',
+    'gauge',
+    'Era of the store to which the known state belongs.',
+)
+STORE_RETURNS = _register(
+    'clementinebank_store_returns_total',
+    'counter',
+    'Returns of the store from an older copy that became known.',
+)
 STORE_CONFIRMATION_AGE = _register(
     'clementinebank_store_confirmation_age_seconds',
     'gauge',
--- a/clementinebank/relay/__init__.py
+++ b/clementinebank/relay/__init__.py
@@ -19,6 +19,7 @@
 from clementinebank.relay._log import EntryLog, RemovalBounds
 from clementinebank.relay._model import (
     CONFLICT,
+    EARLIER_ERA,
     HISTORY_LOST,
     LEASE_ENDED,
     ChangeBatch,
@@ -27,6 +28,8 @@
     Entry,
     SourcedFeed,
     StoredState,
+    StorePosition,
+    era_failure_code,
     watch_confirmed_at,
 )
 from clementinebank.relay._registration import RelayRegistration
@@ -35,6 +38,7 @@
 
 __all__ = (
     'CONFLICT',
+    'EARLIER_ERA',
     'HISTORY_LOST',
     'KEY_PREFIX',
     'LEASE_ENDED',
@@ -54,8 +58,10 @@
     'RelayedFeed',
     'RemovalBounds',
     'SourcedFeed',
+    'StorePosition',
     'StoredState',
     'choose_aggregators',
     'decode_content',
+    'era_failure_code',
     'watch_confirmed_at',
 )
--- a/clementinebank/relay/_client.py
+++ b/clementinebank/relay/_client.py
@@ -17,10 +17,12 @@
 )
 from clementinebank.relay._log import EntryLog
 from clementinebank.relay._model import (
+    EARLIER_ERA,
     HISTORY_LOST,
     ChangeBatch,
     Entry,
     StoredState,
+    StorePosition,
 )
 from clementinebank.relay._service import WATCH_PATH
 from clementinebank.rpc import (
@@ -74,20 +76,23 @@
     async def read_all(self, address: Address) -> Result[StoredState, Failure]:
         """Return every entry that a relay knows, read page by page.
 
-        The revision and the confirmation are those of the first page, so that
+        The position and the confirmation are those of the first page, so that
         changes that are made while the pages are read are received again
-        afterwards.
+        afterwards. Pages of different eras don't make up a state.
         """
         entries: list[Entry] = []
         first: _ReceivedReply | None = None
         after_key = ''
         while True:
-            request = self._create_request(0, 0, after_key)
+            request = self._create_request(StorePosition(), 0, after_key)
             result = await self._call(address, request)
             if isinstance(result, Err):
                 return result
             first = first or result.ok_value
             page = result.ok_value.reply
+            if not page.position.shares_era(first.reply.position):
+                message = 'the relay changed its era between two pages'
+                return Err(_failure(HISTORY_LOST, message, address))
             entries.extend(page.entries)
             if not self.log.can_load(entries):
                 message = 'the entries are too large for this instance'
@@ -100,21 +105,21 @@
             after_key = page.entries[-1].key
         return Ok(
             StoredState(
-                tuple(entries), first.reply.revision, first.confirmed_at
+                tuple(entries), first.reply.position, first.confirmed_at
             )
         )
 
     async def wait_for_changes(
-        self, address: Address, revision: int, wait_s: float
+        self, address: Address, position: StorePosition, wait_s: float
     ) -> Result[ChangeBatch, Failure]:
-        """Return the changes that a relay knows after a revision.
+        """Return the changes that a relay knows after a position.
 
         Parameters
         ----------
         address : Address
             Where the relay answers.
-        revision : int
-            Revision up to which this instance knows the changes.
+        position : StorePosition
+            Position up to which this instance knows the changes.
         wait_s : float
             Longest time that the relay waits for a change or a confirmation
             of the store, in seconds.
@@ -122,21 +127,25 @@
         Returns
         -------
         Result
-            The changes; code ``history_lost`` if the relay no longer has all
-            of them, ``not_loaded`` if it has no entries yet, or the code of
-            the failed call.
+            The changes; code ``history_lost`` if the relay can't tell all of
+            them, ``earlier_era`` if what it knows is of an earlier era,
+            ``not_loaded`` if it has no entries yet, or the code of the failed
+            call.
         """
-        request = self._create_request(revision, wait_s)
+        request = self._create_request(position, wait_s)
         result = await self._call(address, request)
         if isinstance(result, Err):
             return result
         received = result.ok_value
         reply = received.reply
+        if reply.position.has_earlier_era(position):
+            message = f'the relay is still in era {reply.position.era}'
+            return Err(_failure(EARLIER_ERA, message, address))
         if reply.is_history_lost:
-            message = 'the relay lacks changes since the known revision'
+            message = 'the relay lacks changes since the known position'
             return Err(_failure(HISTORY_LOST, message, address))
         return Ok(
-            ChangeBatch(reply.entries, reply.revision, received.confirmed_at)
+            ChangeBatch(reply.entries, reply.position, received.confirmed_at)
         )
 
     async def close(self) -> None:
@@ -146,12 +155,12 @@
             await channel.close()
 
     def _create_request(
-        self, revision: int, wait_s: float, after_key: str = ''
+        self, position: StorePosition, wait_s: float, after_key: str = ''
     ) -> WatchRequest:
         return WatchRequest(
             self.instance_id,
             self.address,
-            revision,
+            position,
             wait_s,
             after_key,
             self.log.age_s(now()),
--- a/clementinebank/relay/_codec.py
+++ b/clementinebank/relay/_codec.py
@@ -10,7 +10,7 @@
 from google.protobuf.message import DecodeError
 
 from clementinebank.relay import relay_pb2
-from clementinebank.relay._model import Entry
+from clementinebank.relay._model import Entry, StorePosition
 from clementinebank.rpc import RpcProtocolError
 from clementinebank.validation import Address, FieldReader
 
@@ -33,8 +33,8 @@
         Name of the follower.
     address : Address
         Where the follower answers other instances itself.
-    revision : int
-        Revision that the follower knows; 0 asks for every entry.
+    position : StorePosition
+        Position that the follower knows; revision 0 asks for every entry.
     wait_s : float
         Longest time that the relay waits for a change or a confirmation, in
         seconds.
@@ -53,7 +53,7 @@
 
     instance_id: str
     address: Address
-    revision: int
+    position: StorePosition
     wait_s: float = 0
     after_key: str = ''
     age_s: float = 0
@@ -69,15 +69,15 @@
     ----------
     entries : tuple of Entry
         A page of all entries, or the changes.
-    revision : int
-        Revision after which the follower continues.
+    position : StorePosition
+        Position after which the follower continues.
     age_s : float
         Time since the store last confirmed the relay's state, directly or
         through relays, in seconds.
     is_loaded : bool
         Whether the relay has loaded the entries.
     is_history_lost : bool
-        Whether the relay lacks changes since the revision of the request.
+        Whether the relay lacks changes since the position of the request.
     has_more : bool
         Whether another page follows.
     notice : bytes
@@ -88,7 +88,7 @@
     """
 
     entries: tuple[Entry, ...] = ()
-    revision: int = 0
+    position: StorePosition = attrs.Factory(StorePosition)
     age_s: float = 0
     is_loaded: bool = True
     is_history_lost: bool = False
@@ -102,7 +102,8 @@
     return relay_pb2.WatchRequest(
         protocol_version=PROTOCOL_VERSION,
         instance_id=request.instance_id,
-        revision=request.revision,
+        revision=request.position.revision,
+        era=request.position.era,
         wait_ms=max(0, int(request.wait_s * MS_PER_S)),
         after_key=request.after_key,
         address=str(request.address),
@@ -131,7 +132,7 @@
     return WatchRequest(
         raw.instance_id,
         address,
-        raw.revision,
+        _decode_position(raw),
         raw.wait_ms / MS_PER_S,
         raw.after_key,
         raw.age_ms / MS_PER_S,
@@ -145,7 +146,8 @@
     return relay_pb2.WatchReply(
         protocol_version=PROTOCOL_VERSION,
         entries=map(_encode_entry, reply.entries),
-        revision=reply.revision,
+        revision=reply.position.revision,
+        era=reply.position.era,
         age_ms=_age_ms(reply.age_s),
         is_loaded=reply.is_loaded,
         is_history_lost=reply.is_history_lost,
@@ -167,7 +169,7 @@
     _parse(raw, payload)
     return WatchReply(
         tuple(map(_decode_entry, raw.entries)),
-        raw.revision,
+        _decode_position(raw),
         raw.age_ms / MS_PER_S,
         raw.is_loaded,
         raw.is_history_lost,
@@ -177,6 +179,12 @@
     )
 
 
+def _decode_position(
+    raw: relay_pb2.WatchRequest | relay_pb2.WatchReply,
+) -> StorePosition:
+    return StorePosition(raw.revision, raw.era if raw.HasField('era') else None)
+
+
 def _encode_entry(entry: Entry) -> relay_pb2.Entry:
     return relay_pb2.Entry(
         key=entry.key,
--- a/clementinebank/relay/_directory.py
+++ b/clementinebank/relay/_directory.py
@@ -123,14 +123,43 @@
     # Revisions of entries that hold no registration that can be decoded.
     _invalid_revisions: dict[str, int] = attrs.Factory(dict)
     _recent_sizes: deque[tuple[float, int]] = attrs.Factory(deque)
+    # Data centres whose registrations a restored store has lost.
+    _lost_data_centres: set[str] = attrs.Factory(set)
 
     def load(self, entries: Iterable[Entry], now: float) -> None:
         """Replace all registrations by those of the given entries."""
         self.records_by_data_centre = {}
         self._invalid_revisions = {}
+        self._lost_data_centres.clear()
         for entry in entries:
             self.apply(entry, now)
 
+    def restore(self, entries: Iterable[Entry], now: float) -> None:
+        """Apply the registrations of a store that is back from an older copy.
+
+        It has lost the registrations, since the leases of all have ended. The
+        known relays stay until ``forget_lost``, so that they can register
+        again.
+        """
+        known = self.records_by_data_centre
+        self.load(entries, now)
+        for data_centre in known.keys() - self.records_by_data_centre.keys():
+            self.records_by_data_centre[data_centre] = attrs.evolve(
+                known[data_centre], revision=self.revision_of(data_centre)
+            )
+            self._lost_data_centres.add(data_centre)
+
+    def forget_lost(self) -> None:
+        """Forget lost registrations that weren't written again."""
+        for data_centre in self._lost_data_centres:
+            record = self.records_by_data_centre.pop(data_centre)
+            log_message(
+                message_type='relay:not_registered_again',
+                data_centre=data_centre,
+                instance=record.instance_id,
+            )
+        self._lost_data_centres.clear()
+
     def apply(self, entry: Entry, now: float) -> None:
         """Apply the write or the deletion of one registration.
 
@@ -139,6 +168,7 @@
         """
         data_centre = entry.key.removeprefix(KEY_PREFIX)
         self._invalid_revisions.pop(data_centre, None)
+        self._lost_data_centres.discard(data_centre)
         if entry.value is None:
             self.records_by_data_centre.pop(data_centre, None)
             self._forget_lost_data_centres()
--- a/clementinebank/relay/_log.py
+++ b/clementinebank/relay/_log.py
@@ -8,7 +8,12 @@
 import curio
 
 from clementinebank.clock import now, run_before
-from clementinebank.relay._model import ChangeBatch, Entry, StoredState
+from clementinebank.relay._model import (
+    ChangeBatch,
+    Entry,
+    StoredState,
+    StorePosition,
+)
 
 # Size of the removals that are kept if none is given. A follower that lacks
 # more reads all entries again.
@@ -55,6 +60,47 @@
     stale_after_s: float = 0
 
 
+@attrs.frozen
+class _EarlierEra:
+    """What a log knew when the store came back from an older copy.
+
+    Parameters
+    ----------
+    position : StorePosition
+        Last position of the earlier era.
+    kept_after_revision : int
+        Revision of that era after which all changes are kept.
+    revisions_by_key : dict of str to int
+        Revision of the last change of each key.
+    changed_keys : frozenset of str
+        Keys of the entries that were others in the copy.
+    restored_revision : int
+        Revision of the first state of the present era.
+    """
+
+    position: StorePosition
+    kept_after_revision: int
+    revisions_by_key: dict[str, int]
+    changed_keys: frozenset[str]
+    restored_revision: int
+
+    def has_all_since(self, position: StorePosition) -> bool:
+        """Return whether all changes since a position are known."""
+        return (
+            self.position.era == position.era
+            and self.kept_after_revision <= position.revision
+            and position.revision <= self.position.revision
+        )
+
+    def keys_since(self, revision: int) -> frozenset[str]:
+        """Return the keys that differ from the state at a revision."""
+        return self.changed_keys | {
+            key
+            for key, changed_at in self.revisions_by_key.items()
+            if changed_at > revision
+        }
+
+
 @attrs.define(eq=False)
 class EntryLog:
     """Entries in their newest version, and the recent removals.
@@ -66,9 +112,9 @@
     ----------
     entries_by_key : dict of str to Entry
         Entries that exist.
-    revision : int
-        Revision of the store up to which the changes are known; 0 before the
-        first state is loaded.
+    position : StorePosition
+        Position of the store up to which the changes are known; revision 0
+        before the first state is loaded.
     confirmed_at : float
         Runtime time in seconds at which the store last confirmed, directly or
         through relays, that there were no later changes.
@@ -80,16 +126,20 @@
         When removals count.
     store_failed_at : float
         Runtime time in seconds of the last failed call to the store.
+    restored_count : int
+        Number of states of a later era that were loaded.
     """
 
     entries_by_key: dict[str, Entry] = attrs.Factory(dict)
-    revision: int = 0
+    position: StorePosition = attrs.Factory(StorePosition)
     confirmed_at: float = float('-inf')
     max_state_bytes: float = float('inf')
     max_removal_bytes: float = MAX_REMOVAL_BYTES
     removal_bounds: RemovalBounds = attrs.Factory(RemovalBounds)
     store_failed_at: float = float('-inf')
+    restored_count: int = 0
     _kept_after_revision: int = 0
+    _earlier_era: _EarlierEra | None = None
     # Last change of each key in the order of the revisions.
     _last_changes_by_key: dict[str, Entry] = attrs.Factory(dict)
     # Those of the last changes that are removals.
@@ -100,11 +150,20 @@
     _removal_bytes: int = 0
     _update_event: Any = attrs.Factory(curio.Event)
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the position, 0 before the first load."""
+        return self.position.revision
+
     @property
     def is_loaded(self) -> bool:
         """Return whether a whole state has been loaded."""
         return self.revision > 0
 
+    def is_restored(self, position: StorePosition) -> bool:
+        """Return whether a position is of a later era than the entries."""
+        return self.is_loaded and self.position.has_earlier_era(position)
+
     def age_s(self, at: float) -> float:
         """Return the time from the last confirmation to ``at``, in seconds."""
         return at - self.confirmed_at
@@ -161,16 +220,23 @@
         """
         entries_by_key = {each.key: each for each in state.entries}
         removed_at = self.removal_time(now())
-        if self.is_loaded and state.revision >= self.revision:
+        is_later = not state.position.is_before(self.position)
+        is_restored = self.is_restored(state.position)
+        if is_restored:
+            self.restored_count += 1
+            self._earlier_era = self._describe_era(state)
+        follows = is_later and not is_restored
+        revision = state.position.revision
+        if self.is_loaded and follows:
             missing = self.entries_by_key.keys() - entries_by_key.keys()
             removals = {
                 key: removal
                 for key, removal in self._removals_by_key.items()
                 if key not in entries_by_key
-            } | {key: Entry(key, None, state.revision) for key in missing}
+            } | {key: Entry(key, None, revision) for key in missing}
         else:
             removals = {}
-            self._kept_after_revision = state.revision
+            self._kept_after_revision = revision
         self._removed_at_by_key = {
             key: self._removed_at_by_key.get(key, removed_at)
             for key in removals
@@ -186,11 +252,11 @@
             )
         }
         self._drop_old_removals()
-        self.revision = state.revision
+        self.position = state.position
         await self._record_confirmation(state.confirmed_at)
 
     async def append(self, batch: ChangeBatch) -> None:
-        """Apply the changes that follow the known revision.
+        """Apply the changes that follow the known position.
 
         An empty batch only confirms the known entries.
         """
@@ -205,17 +271,23 @@
                 removed_at = removed_at_by_key[change.key]
                 self._removed_at_by_key[change.key] = removed_at
         self._drop_old_removals()
-        self.revision = max(self.revision, batch.revision)
+        self.position = self.position.advanced_to(batch.position)
         await self._record_confirmation(batch.confirmed_at)
 
-    def changes_since(self, revision: int) -> tuple[Entry, ...] | None:
-        """Return the last change of each key after a revision, in their order.
+    def changes_since(
+        self, position: StorePosition
+    ) -> tuple[Entry, ...] | None:
+        """Return the last change of each key after a position, in their order.
 
         Earlier changes of a key are left out, so that a series of changes to a
         large value doesn't pile up for followers that read slowly.
 
-        ``None`` if some of the changes are not kept any more.
+        After a position of the era before, these are the entries that lead to
+        the present state. ``None`` if some of the changes are not known.
         """
+        if not position.shares_era(self.position):
+            return self._changes_since_era(position)
+        revision = position.revision
         if revision < self._kept_after_revision:
             return None
         at = now()
@@ -226,6 +298,16 @@
             changes.append(self._with_removed_age(change, at))
         return tuple(sorted(changes, key=_revision_of))
 
+    def state_after(self, batch: ChangeBatch) -> StoredState:
+        """Return the whole state to which changes of a later era lead."""
+        entries_by_key = self.entries_by_key | {
+            each.key: each for each in batch.entries
+        }
+        existing = (
+            each for each in entries_by_key.values() if each.value is not None
+        )
+        return StoredState(tuple(existing), batch.position, batch.confirmed_at)
+
     def page_after(self, key: str) -> EntryPage:
         """Return the entries with greater keys, as many as fit a message.
 
@@ -254,6 +336,45 @@
         self._update_event = curio.Event()
         await previous.set()
 
+    def _describe_era(self, restored: StoredState) -> _EarlierEra:
+        """Return what is known of the present era, which has ended."""
+        restored_by_key = {each.key: each for each in restored.entries}
+        keys = self.entries_by_key.keys() | restored_by_key.keys()
+        return _EarlierEra(
+            self.position,
+            self._kept_after_revision,
+            {
+                each.key: each.revision
+                for each in self._last_changes_by_key.values()
+            },
+            frozenset(
+                key
+                for key in keys
+                if self.entries_by_key.get(key) != restored_by_key.get(key)
+            ),
+            restored.position.revision,
+        )
+
+    def _changes_since_era(
+        self, position: StorePosition
+    ) -> tuple[Entry, ...] | None:
+        """Return the entries that lead from the era before to the present."""
+        earlier = self._earlier_era
+        if earlier is None or not earlier.has_all_since(position):
+            return None
+        restored_at = StorePosition(
+            earlier.restored_revision, self.position.era
+        )
+        later = self.changes_since(restored_at)
+        if later is None:
+            return None
+        keys = set(earlier.keys_since(position.revision))
+        keys |= {each.key for each in later}
+        return tuple(
+            self.entries_by_key.get(key, Entry(key, None, self.revision))
+            for key in sorted(keys)
+        )
+
     def _with_removed_age(self, change: Entry, at: float) -> Entry:
         """Return a removal with the time for which it counts already."""
         if change.value is not None:
--- a/clementinebank/relay/_model.py
+++ b/clementinebank/relay/_model.py
@@ -11,6 +11,57 @@
 HISTORY_LOST = 'history_lost'
 CONFLICT = 'conflict'
 LEASE_ENDED = 'lease_ended'
+# The answer is of an earlier era than one that is known already.
+EARLIER_ERA = 'earlier_era'
+
+
+@attrs.frozen
+class StorePosition:
+    """Point in the history of the store.
+
+    A store that comes back from an older copy begins a new era. It gives the
+    revisions after that copy out again, so revisions of different eras can't
+    be compared.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the store; 0 is before its first change.
+    era : int or None
+        Era of the store, which rises each time that it comes back from an
+        older copy. ``None`` if it isn't known, because the store or a relay
+        states none; such a position may belong to any era.
+    """
+
+    revision: int = 0
+    era: int | None = None
+
+    def shares_era(self, other: 'StorePosition') -> bool:
+        """Return whether both may belong to the same era."""
+        return None in {self.era, other.era} or self.era == other.era
+
+    def is_before(self, other: 'StorePosition') -> bool:
+        """Return whether the other position is later.
+
+        That of the later era is, whatever the revisions; within an era, that
+        of the greater revision.
+        """
+        if self.shares_era(other):
+            return self.revision < other.revision
+        return self.has_earlier_era(other)
+
+    def has_earlier_era(self, other: 'StorePosition') -> bool:
+        """Return whether the other position is of a known later era."""
+        return (
+            self.era is not None
+            and other.era is not None
+            and self.era < other.era
+        )
+
+    def advanced_to(self, other: 'StorePosition') -> 'StorePosition':
+        """Return the later one of two positions that share an era."""
+        era = self.era if other.era is None else other.era
+        return StorePosition(max(self.revision, other.revision), era)
 
 
 @attrs.frozen
@@ -38,44 +89,57 @@
 
 @attrs.frozen
 class StoredState:
-    """All entries of the store at a revision.
+    """All entries of the store at a position.
 
     Parameters
     ----------
     entries : tuple of Entry
         Entries that exist.
-    revision : int
-        Revision after which changes are read without a gap.
+    position : StorePosition
+        Position after which changes are read without a gap.
     confirmed_at : float
         Runtime time in seconds up to which the store is known to confirm the
         state, see ``watch_confirmed_at``.
     """
 
     entries: tuple[Entry, ...]
-    revision: int
+    position: StorePosition
     confirmed_at: float
 
 
 @attrs.frozen
 class ChangeBatch:
-    """Changes after a revision, in their order.
+    """Changes after a position, in their order.
 
     Parameters
     ----------
     entries : tuple of Entry
-        Entries as they were written or deleted; empty if nothing changed.
-    revision : int
-        Revision after which the next changes are read.
+        Entries as they were written or deleted; empty if nothing changed. If
+        the position is of a later era, they lead to the state of that era.
+    position : StorePosition
+        Position after which the next changes are read.
     confirmed_at : float
         Runtime time in seconds up to which the store is known to confirm that
         there were no later changes, see ``watch_confirmed_at``.
     """
 
     entries: tuple[Entry, ...]
-    revision: int
+    position: StorePosition
     confirmed_at: float
 
 
+def era_failure_code(known: StorePosition, answered: StorePosition) -> str:
+    """Return the code of an answer that is of another era than is known.
+
+    Returns
+    -------
+    str
+        ``history_lost`` if the answer is of a later era, ``earlier_era`` if it
+        is of an earlier one.
+    """
+    return HISTORY_LOST if known.has_earlier_era(answered) else EARLIER_ERA
+
+
 def watch_confirmed_at(
     sent_at: float, received_at: float, wait_s: float, *, has_changes: bool
 ) -> float:
@@ -114,14 +178,14 @@
         ...
 
     async def wait_for_changes(
-        self, revision: int, wait_s: float
+        self, position: StorePosition, wait_s: float
     ) -> Result[ChangeBatch, Failure]:
-        """Return the changes after a revision, as soon as there are any.
+        """Return the changes after a position, as soon as there are any.
 
         Parameters
         ----------
-        revision : int
-            Revision up to which the caller knows the changes.
+        position : StorePosition
+            Position up to which the caller knows the changes.
         wait_s : float
             Longest time to wait for a change, in seconds.
 
@@ -129,8 +193,9 @@
         -------
         Result
             The changes, none if there were none in time; code
-            ``history_lost`` if the source no longer has all changes since the
-            revision.
+            ``history_lost`` if the source can't tell all changes since the
+            position, most often because it is of an earlier era, and
+            ``earlier_era`` if what the source knows is of an earlier one.
         """
         ...
 
--- a/clementinebank/relay/_registration.py
+++ b/clementinebank/relay/_registration.py
@@ -95,6 +95,8 @@
     cores: float = 0
     _registered_since: float = float('-inf')
     _lease_id: str | None = None
+    # Era of the store that the entries had when the lease was created.
+    _lease_era: int | None = None
     _renew_at: float = 0
     _retry_at: float = 0
     _is_unregistering: bool = False
@@ -134,6 +136,7 @@
 
         If another instance is registered, end the lease of this one.
         """
+        self._forget_lost_lease()
         if self.is_registered:
             await self._renew_or_rewrite()
         elif self._registered is None:
@@ -155,6 +158,18 @@
         """Return the relay of this data centre, as far as it is known."""
         return self.directory.records_by_data_centre.get(self.data_centre)
 
+    def _forget_lost_lease(self) -> None:
+        """Forget a lease that the store lost when it came back older."""
+        if self._lease_id is None or self._lease_era == self.log.position.era:
+            return
+        log_message(
+            message_type='relay:lease_lost',
+            data_centre=self.data_centre,
+            era=self.log.position.era,
+        )
+        self._lease_id = None
+        self._failures = 0
+
     async def _register_if_due(self) -> None:
         if self._no_relay_since is None:
             self._no_relay_since = now()
@@ -266,6 +281,7 @@
             await self._handle_failure(created.err_value)
             return False
         self._lease_id = created.ok_value
+        self._lease_era = self.log.position.era
         self._renew_at = now() + RENEW_INTERVAL_S
         return True
 
--- a/clementinebank/relay/_service.py
+++ b/clementinebank/relay/_service.py
@@ -158,7 +158,11 @@
         candidates = [
             (follower.confirmed_at, follower.request.address)
             for follower in self._followers_by_instance.values()
-            if follower.is_fresher and follower.confirmed_at > fresh_after
+            if follower.is_fresher
+            and (
+                follower.confirmed_at > fresh_after
+                or self.log.is_restored(follower.request.position)
+            )
         ]
         candidates.sort(key=lambda pair: -pair[0])
         return [address for _, address in candidates[:MAX_FRESHER_FOLLOWERS]]
@@ -189,7 +193,12 @@
             self._follower_bytes -= follower.size
 
     def _is_follower_fresher(self, request: WatchRequest) -> bool:
-        """Return whether the follower's state is fresher than the own one."""
+        """Return whether the follower's state is fresher than the own one.
+
+        That of a later era is, whatever its age.
+        """
+        if not request.position.shares_era(self.log.position):
+            return self.log.position.has_earlier_era(request.position)
         own_age_s = self.log.age_s(now())
         return request.age_s + AGE_TOLERANCE_S < own_age_s
 
@@ -204,27 +213,29 @@
         if not log.is_loaded:
             return WatchReply(is_loaded=False)
         age_s = log.age_s(now())
-        if not request.revision:
+        if not request.position.revision:
             page = log.page_after(request.after_key)
             return WatchReply(
-                page.entries, log.revision, age_s, has_more=page.has_more
+                page.entries, log.position, age_s, has_more=page.has_more
             )
-        changes = log.changes_since(request.revision)
+        changes = log.changes_since(request.position)
         if changes is None or size_of(changes) > MAX_PAGE_BYTES:
             # What doesn't fit a message is read in pages as well.
             return WatchReply(
-                revision=log.revision, age_s=age_s, is_history_lost=True
+                position=log.position, age_s=age_s, is_history_lost=True
             )
-        return WatchReply(changes, log.revision, age_s)
+        return WatchReply(changes, log.position, age_s)
 
     def _has_update(self, request: WatchRequest) -> bool:
         """Return whether a reply sent now has news for the follower.
 
         True for entries, changes, lost history or a newer confirmation.
         """
-        if not request.revision:
+        if not request.position.revision:
             return self.log.is_loaded
-        changes = self.log.changes_since(request.revision)
+        if not request.position.shares_era(self.log.position):
+            return True
+        changes = self.log.changes_since(request.position)
         if changes is None or changes:
             return True
         # The follower lacks a confirmation that came while its request was
--- a/clementinebank/relay/_sources.py
+++ b/clementinebank/relay/_sources.py
@@ -14,10 +14,12 @@
 from clementinebank.relay._directory import RelayDirectory
 from clementinebank.relay._log import EntryLog
 from clementinebank.relay._model import (
+    EARLIER_ERA,
     HISTORY_LOST,
     ChangeBatch,
     ControlStore,
     StoredState,
+    StorePosition,
 )
 from clementinebank.relay._registration import RelayRegistration
 from clementinebank.validation import Address
@@ -160,17 +162,17 @@
         return from_relays if isinstance(from_relays, Ok) else stored
 
     async def wait_for_changes(
-        self, revision: int, wait_s: float
+        self, position: StorePosition, wait_s: float
     ) -> Result[ChangeBatch, Failure]:
-        """Return the changes after a revision from the best source.
+        """Return the changes after a position from the best source.
 
         The nearest fresh relay comes first, then the store; for the relay of
         a data centre the store comes first.
 
         Parameters
         ----------
-        revision : int
-            Revision up to which this instance knows the changes.
+        position : StorePosition
+            Position up to which this instance knows the changes.
         wait_s : float
             Longest watch of the store, in seconds; a relay waits at most
             ``bounds.relay_watch_wait_s``.
@@ -183,25 +185,25 @@
         """
         await self._wait_for_seed_relays()
         if self._prefers_relays():
-            changes = await self._watch_relays(revision)
+            changes = await self._watch_relays(position)
             if changes is not None:
                 return changes
             if self._is_store_paused():
                 message = 'no relay is usable and the store failed recently'
                 return Err(Failure('no_source', message, Step.READ_HEAD))
-            return await self._watch_store(revision, wait_s)
-        stored = await self._watch_store(revision, wait_s)
+            return await self._watch_store(position, wait_s)
+        stored = await self._watch_store(position, wait_s)
         if isinstance(stored, Ok) or stored.err_value.code == HISTORY_LOST:
             return stored
         # The caller waits after a failure, so the others are asked now.
-        return await self._watch_relays(revision) or stored
+        return await self._watch_relays(position) or stored
 
     async def _watch_relays(
-        self, revision: int
+        self, position: StorePosition
     ) -> Result[ChangeBatch, Failure] | None:
         """Return the changes that the first fresh relay knows, if any is."""
         for address in self._usable_relays():
-            changes = await self._watch_relay(address, revision)
+            changes = await self._watch_relay(address, position)
             if changes is not None:
                 return changes
         return None
@@ -249,9 +251,9 @@
         return others
 
     async def _watch_relay(
-        self, address: Address, revision: int
+        self, address: Address, position: StorePosition
     ) -> Result[ChangeBatch, Failure] | None:
-        """Return the changes that a relay knows after a revision.
+        """Return the changes that a relay knows after a position.
 
         ``None`` if the relay failed, or is stale and has no changes, so that
         the next source is asked.
@@ -265,7 +267,7 @@
             store_pause_s = self._store_paused_until - now()
             remaining_s = min(remaining_s, store_pause_s)
         wait_s = max(0, remaining_s)
-        result = await self.client.wait_for_changes(address, revision, wait_s)
+        result = await self.client.wait_for_changes(address, position, wait_s)
         if isinstance(result, Err):
             if result.err_value.code == HISTORY_LOST:
                 return result
@@ -281,12 +283,12 @@
         return result
 
     async def _watch_store(
-        self, revision: int, wait_s: float
+        self, position: StorePosition, wait_s: float
     ) -> Result[ChangeBatch, Failure]:
         if self._next_store_watch_at > now():
             await curio.sleep(self._next_store_watch_at - now())
         result = await self.store.wait_for_changes(
-            revision, self._store_wait_s(wait_s)
+            position, self._store_wait_s(wait_s)
         )
         if isinstance(result, Ok):
             self._on_store_reply()
@@ -303,10 +305,12 @@
 
         0 if the state of this instance is stale. A store that was silent never
         answers a call that began meanwhile, so a long watch would delay the
-        next call after the store or a relay is back. A relay with an older
-        state waits less, so that its followers get a confirmation in time.
+        next call after the store or a relay is back. 0 also after a failure,
+        because only an answer tells whether the store is back in another era.
+        A relay with an older state waits less, so that its followers get a
+        confirmation in time.
         """
-        if not self._is_fresh(self.log.confirmed_at):
+        if self._store_failures or not self._is_fresh(self.log.confirmed_at):
             return 0
         if not self.registration.is_active_relay:
             return longest_s
@@ -314,6 +318,11 @@
 
     async def _read_from_store(self) -> Result[StoredState, Failure]:
         result = await self.store.read_all()
+        if isinstance(result, Ok) and result.ok_value.position.has_earlier_era(
+            self.log.position
+        ):
+            message = 'the store sent a state of an earlier era'
+            result = Err(Failure(EARLIER_ERA, message, Step.READ_HEAD))
         if isinstance(result, Ok):
             self._on_store_reply()
         else:
@@ -324,8 +333,8 @@
         """Return the first fresh state that a relay sends.
 
         If all are stale, the last one is returned; code ``no_relay`` if there
-        is none. States of a lower revision than this instance knows are left
-        out.
+        is none. States of an earlier position than this instance knows are
+        left out.
         """
         best: Result[StoredState, Failure] = Err(
             Failure(
@@ -337,7 +346,7 @@
             if isinstance(result, Err):
                 continue
             state = result.ok_value
-            if state.revision >= self.log.revision:
+            if not state.position.is_before(self.log.position):
                 best = result
                 self._log_source_change(str(address))
                 if self._is_fresh(state.confirmed_at):
--- a/clementinebank/relay/tests/simulation.py
+++ b/clementinebank/relay/tests/simulation.py
@@ -13,6 +13,7 @@
 from clementinebank.clock import now, run_before
 from clementinebank.errors import Failure, Step
 from clementinebank.gateway import (
+    ConfigurationWritten,
     ControlStateUpdater,
     LeafRemoved,
     LeafWritten,
@@ -33,9 +34,12 @@
     RelayService,
     RemovalBounds,
     StoredState,
+    StorePosition,
+    era_failure_code,
     watch_confirmed_at,
 )
-from clementinebank.routes import RouteTable
+from clementinebank.relay.relay_pb2 import WatchReply, WatchRequest
+from clementinebank.routes import RouteTable, RoutingConfiguration
 from clementinebank.validation import Address
 
 # Bound on the time until a change is in force, and on that of a drain.
@@ -47,6 +51,7 @@
 # Longer than any test.
 NEVER_S = 1e6
 LEAF_PREFIX = 'servers/'
+CONFIGURATION_KEY = 'configuration'
 REGIONS = {'dc-0': 'r-0', 'dc-1': 'r-0', 'dc-2': 'r-1'}
 
 
@@ -55,14 +60,32 @@
 
 
 def decode_entry(entry):
-    """Return the change of a registered leaf; other keys change nothing."""
+    """Return the change of an entry; other keys change nothing.
+
+    The value of a leaf is its incarnation and sequence as ``1.2``, or empty,
+    and that of the configuration its version.
+    """
+    if entry.key == CONFIGURATION_KEY and entry.value is not None:
+        configuration = RoutingConfiguration(int(entry.value), (), {})
+        return ConfigurationWritten(configuration)
     if not entry.key.startswith(LEAF_PREFIX):
         return None
     leaf_id = entry.key.removeprefix(LEAF_PREFIX)
     if entry.value is None:
         return LeafRemoved(leaf_id)
+    incarnation, sequence = map(int, (entry.value or b'1.1').split(b'.'))
     address = Address('127.0.0.1', 1)
-    return LeafWritten(LeafRecord(leaf_id, 1, 1, 's', address, 'dc-0', 3))
+    return LeafWritten(
+        LeafRecord(leaf_id, incarnation, sequence, 's', address, 'dc-0', 3)
+    )
+
+
+def without_era(message_type, payload):
+    """Return an encoded message as the release before eras sends it."""
+    message = message_type()
+    message.ParseFromString(payload)
+    message.ClearField('era')
+    return message.SerializeToString()
 
 
 async def ignore():
@@ -79,6 +102,12 @@
     oldest: int = 0
     leases: dict = attrs.Factory(dict)
     changed: object = attrs.Factory(curio.Event)
+    era: int | None = 1
+    is_away: bool = False
+
+    @property
+    def position(self):
+        return StorePosition(self.revision, self.era)
 
     async def write(self, key, value, lease=''):
         self.revision += 1
@@ -97,6 +126,34 @@
         self.oldest = self.revision
         self.history.clear()
 
+    def copy(self):
+        """Return a copy to which the store can come back."""
+        items = {
+            key: (entry, lease)
+            for key, (entry, lease) in self.items.items()
+            if not lease
+        }
+        return self.revision, items, list(self.history)
+
+    async def go_away(self):
+        """Refuse all calls, and break those that wait."""
+        self.is_away = True
+        changed = self.changed
+        self.changed = curio.Event()
+        await changed.set()
+
+    async def come_back(self, copy):
+        """Go on from an older copy without any lease, in the next era."""
+        self.revision, items, history = copy
+        self.items, self.history = dict(items), list(history)
+        self.leases.clear()
+        if self.era is not None:
+            self.era += 1
+        self.is_away = False
+        changed = self.changed
+        self.changed = curio.Event()
+        await changed.set()
+
     async def end_lease(self, lease):
         self.leases.pop(lease, None)
         held = [key for key, (_, owner) in self.items.items() if owner == lease]
@@ -116,7 +173,8 @@
     """Store client of one instance, with faults.
 
     Calls fail with the code ``refusal``, or get no reply if ``is_silent``.
-    While the link ``is_held``, messages in both directions are held up.
+    While the link ``is_held``, messages in both directions are held up. An
+    instance of the release before eras ``knows_no_era``.
     """
 
     store: FakeStore
@@ -125,6 +183,13 @@
     is_silent: bool = False
     is_held: bool = False
     ttl_s: float = 0
+    knows_no_era: bool = False
+    writes: int = 0
+
+    @property
+    def _position(self):
+        era = None if self.knows_no_era else self.store.era
+        return StorePosition(self.store.revision, era)
 
     async def _cross_link(self):
         await curio.sleep(DELAY_S / 2)
@@ -139,6 +204,8 @@
             # Such a call gets no reply, even if the store is back meanwhile.
             await curio.sleep(wait_s + STORE_TIMEOUT_S)
             return failure('unreachable')
+        if self.store.is_away:
+            return failure('unreachable')
         return failure(self.refusal) if self.refusal else None
 
     async def read_all(self):
@@ -147,28 +214,30 @@
         if failed:
             return failed
         entries = tuple(entry for entry, _ in self.store.items.values())
-        state = StoredState(entries, self.store.revision, sent_at)
+        state = StoredState(entries, self._position, sent_at)
         await self._cross_link()
         return Ok(state)
 
-    async def wait_for_changes(self, revision, wait_s):
+    async def wait_for_changes(self, position, wait_s):
         sent_at = now()
         try:
             answer = await run_before(
                 sent_at + wait_s + STORE_TIMEOUT_S,
                 self._watch,
-                revision,
+                position.revision,
                 wait_s,
             )
         except curio.TaskTimeout:
             return failure('unreachable')
         if isinstance(answer, Err):
             return answer
-        entries, store_revision = answer
+        entries, answered = answer
+        if not position.shares_era(answered):
+            return failure(era_failure_code(position, answered))
         confirmed_at = watch_confirmed_at(
             sent_at, now(), wait_s, has_changes=bool(entries)
         )
-        return Ok(ChangeBatch(entries, store_revision, confirmed_at))
+        return Ok(ChangeBatch(entries, answered, confirmed_at))
 
     async def _watch(self, revision, wait_s):
         """Return the changes and the store's revision, or a failure."""
@@ -178,20 +247,25 @@
         end = now() + wait_s
         while True:
             store = self.store
+            if store.is_away:
+                return failure('unreachable')
+            if store.revision < revision:
+                return failure(HISTORY_LOST)
             if revision < store.oldest:
                 return failure(HISTORY_LOST)
             entries = tuple(
                 each for each in store.history if each.revision > revision
             )
             if (entries or now() >= end) and not self.is_silent:
-                store_revision = store.revision
+                answered = self._position
                 await self._cross_link()
-                return entries, store_revision
+                return entries, answered
             remaining_s = end - now() if now() < end else STORE_TIMEOUT_S
             async with curio.ignore_after(remaining_s):
                 await store.changed.wait()
 
     async def create_lease(self, ttl_s):
+        self.writes += 1
         failed = await self._begin_call()
         if failed:
             return failed
@@ -201,6 +275,7 @@
         return Ok(lease)
 
     async def renew_lease(self, lease_id):
+        self.writes += 1
         failed = await self._begin_call()
         if failed:
             return failed
@@ -210,6 +285,7 @@
         return Ok(None)
 
     async def end_lease(self, lease_id):
+        self.writes += 1
         failed = await self._begin_call()
         if failed:
             return failed
@@ -217,6 +293,7 @@
         return Ok(None)
 
     async def put(self, entry, lease_id):
+        self.writes += 1
         failed = await self._begin_call()
         if failed:
             return failed
@@ -247,10 +324,16 @@
         if target is None or target.is_dead:
             raise ConnectionRefusedError('no process')
         caller = self.fleet.instances[self.caller]
-        if caller.is_cut or target.is_cut:
+        if caller.is_cut or target.is_cut or caller.is_deaf:
             await curio.sleep(NEVER_S)
         await curio.sleep(DELAY_S)
+        knows_no_era = target.store.knows_no_era or caller.store.knows_no_era
+        if knows_no_era:
+            payload = without_era(WatchRequest, payload)
         reply = await target.service.handle_watch(payload)
+        if knows_no_era:
+            reply = without_era(WatchReply, reply)
+        self.fleet.reply_bytes += len(reply)
         while target.is_cut or caller.is_cut:
             await curio.sleep(NEVER_S)
         await curio.sleep(DELAY_S)
@@ -265,6 +348,8 @@
     number: int
     is_cut: bool = False
     is_dead: bool = False
+    # Whether its calls to other instances get no reply.
+    is_deaf: bool = False
     tasks: list = attrs.Factory(list)
     store: StoreClient = attrs.field(init=False)
 
@@ -367,6 +452,8 @@
     size: int = 7
     seed: int = 1
     store: FakeStore = attrs.Factory(FakeStore)
+    # Size of all replies that instances sent each other.
+    reply_bytes: int = 0
 
     def __attrs_post_init__(self):
         """Create the instances."""
@@ -382,6 +469,10 @@
     def calls(self):
         return sum(each.store.calls for each in self.instances)
 
+    @property
+    def writes(self):
+        return sum(each.store.writes for each in self.instances)
+
     @property
     def relays(self):
         return [
--- a/clementinebank/relay/tests/test_log.py
+++ b/clementinebank/relay/tests/test_log.py
@@ -20,6 +20,7 @@
     EntryLog,
     RemovalBounds,
     StoredState,
+    StorePosition,
 )
 from clementinebank.relay._log import MAX_REMOVAL_BYTES
 
@@ -64,11 +65,13 @@
         history = history_of(changes)
         relay = EntryLog(max_removal_bytes=max_bytes)
         follower = EntryLog()
-        await relay.load(StoredState((), 1, now()))
-        await follower.load(StoredState((), 1, now()))
+        await relay.load(StoredState((), StorePosition(1), now()))
+        await follower.load(StoredState((), StorePosition(1), now()))
         for at in range(0, len(history), 3):
             batch = tuple(history[at : at + 3])
-            await relay.append(ChangeBatch(batch, batch[-1].revision, now()))
+            await relay.append(
+                ChangeBatch(batch, StorePosition(batch[-1].revision), now())
+            )
             if rng.random() < 0.4:
                 await catch_up(follower, relay)
         await catch_up(follower, relay)
@@ -81,12 +84,12 @@
 
 
 async def catch_up(follower, relay):
-    changes = relay.changes_since(follower.revision)
+    changes = relay.changes_since(follower.position)
     if changes is None:
         page = relay.page_after('')
-        await follower.load(StoredState(page.entries, relay.revision, now()))
+        await follower.load(StoredState(page.entries, relay.position, now()))
     else:
-        await follower.append(ChangeBatch(changes, relay.revision, now()))
+        await follower.append(ChangeBatch(changes, relay.position, now()))
 
 
 @seed(6)
@@ -104,16 +107,20 @@
         history = history_of(changes)
         relay = EntryLog(max_removal_bytes=max_bytes)
         follower = EntryLog()
-        await relay.load(StoredState((), 1, now()))
-        await follower.load(StoredState((), 1, now()))
+        await relay.load(StoredState((), StorePosition(1), now()))
+        await follower.load(StoredState((), StorePosition(1), now()))
         for at in range(0, len(history), 3):
             batch = tuple(history[at : at + 3])
             revision = batch[-1].revision
             if rng.random() < 0.5:
                 stored = tuple(stored_at(history, revision).values())
-                await relay.load(StoredState(stored, revision, now()))
+                await relay.load(
+                    StoredState(stored, StorePosition(revision), now())
+                )
             else:
-                await relay.append(ChangeBatch(batch, revision, now()))
+                await relay.append(
+                    ChangeBatch(batch, StorePosition(revision), now())
+                )
             if rng.random() < 0.4:
                 await catch_up(follower, relay)
         await catch_up(follower, relay)
@@ -128,10 +135,12 @@
 
     async def scenario():
         log = EntryLog()
-        await log.load(StoredState((Entry('a', b'', 7),), 10, now()))
-        await log.load(StoredState((), 5, now()))
-        assert log.changes_since(4) is None
-        assert log.changes_since(5) == ()
+        await log.load(
+            StoredState((Entry('a', b'', 7),), StorePosition(10), now())
+        )
+        await log.load(StoredState((), StorePosition(5), now()))
+        assert log.changes_since(StorePosition(4)) is None
+        assert log.changes_since(StorePosition(5)) == ()
 
     run_scenario(scenario)
 
@@ -150,15 +159,17 @@
 
     async def scenario():
         log = EntryLog(removal_bounds=RemovalBounds(0.8, 1.8))
-        await log.load(StoredState((Entry('a', b'', 9),), 10, now()))
+        await log.load(
+            StoredState((Entry('a', b'', 9),), StorePosition(10), now())
+        )
         loaded_at = now()
         await curio.sleep(silent_s)
         if has_store_failed:
             log.store_failed_at = now()
         counts_at = log.removal_time(now(), REMOVAL)
-        await log.append(ChangeBatch((REMOVAL,), 11, now()))
+        await log.append(ChangeBatch((REMOVAL,), StorePosition(11), now()))
         await curio.sleep(1)
-        [change] = log.changes_since(10)
+        [change] = log.changes_since(StorePosition(10))
         assert change.removed_age_s == pytest.approx(now() - counts_at)
         return counts_at - loaded_at
 
@@ -172,10 +183,12 @@
         told = attrs.evolve(REMOVAL, removed_age_s=1.25)
         for _ in range(4):
             log = EntryLog()
-            await log.load(StoredState((Entry('a', b'', 9),), 10, now()))
-            await log.append(ChangeBatch((told,), 11, now()))
+            await log.load(
+                StoredState((Entry('a', b'', 9),), StorePosition(10), now())
+            )
+            await log.append(ChangeBatch((told,), StorePosition(11), now()))
             await curio.sleep(0.25)
-            [told] = log.changes_since(10)
+            [told] = log.changes_since(StorePosition(10))
         return told.removed_age_s
 
     assert run_scenario(scenario) == pytest.approx(2.25)
@@ -184,9 +197,9 @@
 def test_changes_before_a_load_are_reported_as_missing():
     async def scenario():
         log = EntryLog()
-        await log.load(StoredState((), 10, now()))
-        assert log.changes_since(9) is None
-        assert log.changes_since(10) == ()
+        await log.load(StoredState((), StorePosition(10), now()))
+        assert log.changes_since(StorePosition(9)) is None
+        assert log.changes_since(StorePosition(10)) == ()
 
     run_scenario(scenario)
 
@@ -196,8 +209,12 @@
 
     async def scenario():
         log = EntryLog()
-        await log.load(StoredState((Entry('a', b'new', 7),), 5, now()))
-        await log.append(ChangeBatch((Entry('a', b'old', 6),), 6, now()))
+        await log.load(
+            StoredState((Entry('a', b'new', 7),), StorePosition(5), now())
+        )
+        await log.append(
+            ChangeBatch((Entry('a', b'old', 6),), StorePosition(6), now())
+        )
         assert log.entries_by_key['a'].value == b'new'
 
     run_scenario(scenario)
@@ -209,7 +226,7 @@
         entries = tuple(
             Entry(f'k{number:02}', bytes(400_000), 1) for number in range(7)
         )
-        await log.load(StoredState(entries, 1, now()))
+        await log.load(StoredState(entries, StorePosition(1), now()))
         found, key, has_more = [], '', True
         while has_more:
             page = log.page_after(key)
@@ -224,10 +241,10 @@
 def test_confirmation_wakes_waiting_followers_and_never_goes_back():
     async def scenario():
         log = EntryLog()
-        await log.load(StoredState((), 1, now() - 0.5))
+        await log.load(StoredState((), StorePosition(1), now() - 0.5))
         waiting = await curio.spawn(log.wait_for_update, 100)
         await curio.sleep(1)
-        await log.append(ChangeBatch((), 1, now() - 5))
+        await log.append(ChangeBatch((), StorePosition(1), now() - 5))
         await waiting.join()
         assert log.age_s(log.confirmed_at) == 0
         await curio.sleep(1)
@@ -248,11 +265,11 @@
 
         async def scenario():
             log = EntryLog()
-            await log.load(StoredState((), 1, now()))
+            await log.load(StoredState((), StorePosition(1), now()))
             waiting = await curio.spawn(log.wait_for_update, 1)
             await curio.sleep(0.5)
             kernel.clock.advance(0.5 + late_s)
-            await log.append(ChangeBatch((), 1, now()))
+            await log.append(ChangeBatch((), StorePosition(1), now()))
             await waiting.join()
 
         kernel.run(scenario)
@@ -268,13 +285,13 @@
 
     async def run():
         log = EntryLog()
-        await log.load(StoredState((), 10, now()))
+        await log.load(StoredState((), StorePosition(10), now()))
         changes = [
             Entry('op', b'%d' % number, number) for number in range(11, 35)
         ]
         changes.insert(3, Entry('leaf', b'x', 13))
         changes.append(Entry('leaf', None, 35))
-        await log.append(ChangeBatch(tuple(changes), 35, now()))
-        return log.changes_since(10)
+        await log.append(ChangeBatch(tuple(changes), StorePosition(35), now()))
+        return log.changes_since(StorePosition(10))
 
     assert curio.run(run) == (Entry('op', b'34', 34), Entry('leaf', None, 35))
--- a/clementinebank/relay/tests/test_memory.py
+++ b/clementinebank/relay/tests/test_memory.py
@@ -21,6 +21,7 @@
     RelayDirectory,
     RelayService,
     StoredState,
+    StorePosition,
 )
 from clementinebank.relay._codec import WatchRequest, encode_request
 from clementinebank.validation import Address
@@ -57,26 +58,30 @@
 
 async def write_versions(count):
     log = EntryLog()
-    await log.load(StoredState((), 1, now()))
+    await log.load(StoredState((), StorePosition(1), now()))
     for number in range(2, count):
         entry = Entry('op/config', b'%06d' % number * 20_000, number)
-        await log.append(ChangeBatch((entry,), number, now()))
+        await log.append(ChangeBatch((entry,), StorePosition(number), now()))
     return log
 
 
 def test_earlier_versions_of_a_value_are_not_kept():
     used, log = measure(write_versions, 200)
     assert used < MEGABYTE
-    assert log.changes_since(1) == (log.entries_by_key['op/config'],)
+    assert log.changes_since(StorePosition(1)) == (
+        log.entries_by_key['op/config'],
+    )
 
 
 async def remove_many(count):
     log = EntryLog(max_removal_bytes=50_000)
-    await log.load(StoredState((), 1, now()))
+    await log.load(StoredState((), StorePosition(1), now()))
     for number in range(2, count):
         key = f'servers/i-{number:0>150}'
         await log.append(
-            ChangeBatch((Entry(key, None, number),), number, now())
+            ChangeBatch(
+                (Entry(key, None, number),), StorePosition(number), now()
+            )
         )
     return log
 
@@ -84,15 +89,18 @@
 def test_removals_are_bounded_in_bytes_and_their_loss_is_told():
     used, log = measure(remove_many, 3000)
     assert used < 2 * 50_000
-    assert log.changes_since(1) is None
-    assert len(log.changes_since(2990)) == 9
+    assert log.changes_since(StorePosition(1)) is None
+    assert len(log.changes_since(StorePosition(2990))) == 9
 
 
 async def follow_from_many(count):
     service = RelayService(await write_versions(3), max_follower_bytes=50_000)
     for number in range(count):
         request = WatchRequest(
-            f'i-{number}', Address('127.0.0.1', number + 1), 2, age_s=-1.0
+            f'i-{number}',
+            Address('127.0.0.1', number + 1),
+            StorePosition(2),
+            age_s=-1.0,
         )
         await service.handle_watch(encode_request(request))
         await curio.sleep(0.001)
@@ -112,11 +120,11 @@
     The relay has heard nothing from the store, so that each is fresher.
     """
     log = EntryLog()
-    await log.load(StoredState((), 2, now() - 100))
+    await log.load(StoredState((), StorePosition(2), now() - 100))
     service = RelayService(log)
     for number in range(count):
         request = WatchRequest(
-            f'i-{number}', Address('127.0.0.1', number + 1), 2
+            f'i-{number}', Address('127.0.0.1', number + 1), StorePosition(2)
         )
         await service.handle_watch(encode_request(request))
         await curio.sleep(20)
@@ -150,7 +158,11 @@
         log = EntryLog(max_state_bytes=50_000)
         assert log.can_load((Entry('a', bytes(40_000), 1),))
         assert not log.can_load((Entry('a', bytes(60_000), 1),))
-        await log.load(StoredState((Entry('b', bytes(30_000), 1),), 1, now()))
+        await log.load(
+            StoredState(
+                (Entry('b', bytes(30_000), 1),), StorePosition(1), now()
+            )
+        )
         assert log.can_hold((Entry('b', bytes(40_000), 2),))
         assert not log.can_hold((Entry('a', bytes(40_000), 2),))
         removal = Entry('b', None, 2)
--- a/clementinebank/relay/tests/test_messages.py
+++ b/clementinebank/relay/tests/test_messages.py
@@ -19,6 +19,7 @@
     RelayClient,
     RelayService,
     StoredState,
+    StorePosition,
 )
 from clementinebank.relay import _directory as directory_module
 from clementinebank.relay._codec import (
@@ -39,21 +40,23 @@
 from clementinebank.validation import Address
 
 ADDRESS = Address('127.0.0.1', 7)
-REQUEST = WatchRequest('i-1', ADDRESS, 9, 1.5, 'key', 0.25)
+REQUEST = WatchRequest('i-1', ADDRESS, StorePosition(9), 1.5, 'key', 0.25)
 ENTRIES = (Entry('a', b'\x00raw', 3), Entry('b', None, 4), Entry('c', b'', 5))
 
 
 def test_messages_survive_encoding():
     assert decode_request(encode_request(REQUEST)) == REQUEST
-    reply = WatchReply(ENTRIES, 5, 1.25, has_more=True)
+    reply = WatchReply(ENTRIES, StorePosition(5), 1.25, has_more=True)
     assert decode_reply(encode_reply(reply)) == reply
-    lost = WatchReply(revision=5, is_history_lost=True)
+    lost = WatchReply(position=StorePosition(5), is_history_lost=True)
     assert decode_reply(encode_reply(lost)) == lost
 
 
 def test_age_of_a_removal_survives_encoding_and_never_shrinks():
     removal = Entry('b', None, 4, removed_age_s=0.7001)
-    reply = WatchReply((removal, Entry('c', None, 5)), 5, held_s=1.2)
+    reply = WatchReply(
+        (removal, Entry('c', None, 5)), StorePosition(5), held_s=1.2
+    )
     decoded = decode_reply(encode_reply(reply))
     assert 0.7001 <= decoded.entries[0].removed_age_s < 0.71
     assert decoded.entries[1].removed_age_s is None
@@ -134,7 +137,9 @@
         self.address = address
 
     async def call_before(self, deadline, path, payload, decode):
-        return decode(encode_reply(WatchReply(revision=5, has_more=True)))
+        return decode(
+            encode_reply(WatchReply(position=StorePosition(5), has_more=True))
+        )
 
 
 def test_empty_page_before_the_last_one_is_malformed():
@@ -169,18 +174,18 @@
         entries = tuple(
             Entry(f'k{number}', bytes(600_000), 1) for number in range(4)
         )
-        await log.load(StoredState(entries, 12, now()))
+        await log.load(StoredState(entries, StorePosition(12), now()))
         server = RpcServer(
             '127.0.0.1', 0, {WATCH_PATH: RelayService(log).handle_watch}
         )
         client, address, task = await connect_client(server)
         found = await client.read_all(address)
         assert found == Ok(
-            StoredState(entries, 12, found.ok_value.confirmed_at)
+            StoredState(entries, StorePosition(12), found.ok_value.confirmed_at)
         )
-        changes = await client.wait_for_changes(address, 12, 0)
+        changes = await client.wait_for_changes(address, StorePosition(12), 0)
         assert changes.ok_value.entries == ()
-        lost = await client.wait_for_changes(address, 11, 0)
+        lost = await client.wait_for_changes(address, StorePosition(11), 0)
         assert lost.err_value.code == 'history_lost'
         await client.close()
         await task.join()
@@ -212,8 +217,10 @@
 
     async def run():
         log = EntryLog()
-        await log.load(StoredState((), 12, now()))
-        request = WatchRequest('i-2', ADDRESS, 12, 2.0, age_s=age_s)
+        await log.load(StoredState((), StorePosition(12), now()))
+        request = WatchRequest(
+            'i-2', ADDRESS, StorePosition(12), 2.0, age_s=age_s
+        )
         started = now()
         await RelayService(log).handle_watch(encode_request(request))
         return now() - started
@@ -227,21 +234,21 @@
 
     async def run():
         log = EntryLog()
-        await log.load(StoredState((), 12, now()))
+        await log.load(StoredState((), StorePosition(12), now()))
         changes = tuple(
             Entry(f'k{number}', bytes(600_000), 13 + number)
             for number in range(4)
         )
-        await log.append(ChangeBatch(changes, 16, now()))
+        await log.append(ChangeBatch(changes, StorePosition(16), now()))
         server = RpcServer(
             '127.0.0.1', 0, {WATCH_PATH: RelayService(log).handle_watch}
         )
         client, address, task = await connect_client(server)
-        lost = await client.wait_for_changes(address, 12, 0)
+        lost = await client.wait_for_changes(address, StorePosition(12), 0)
         assert lost.err_value.code == 'history_lost'
         found = await client.read_all(address)
         assert found.ok_value.entries == changes
-        some = await client.wait_for_changes(address, 15, 0)
+        some = await client.wait_for_changes(address, StorePosition(15), 0)
         assert some.ok_value.entries == changes[-1:]
         await client.close()
         await task.join()
--- a/clementinebank/rpc/tests/test_closing.py
+++ b/clementinebank/rpc/tests/test_closing.py
@@ -7,7 +7,7 @@
 import curio
 
 from clementinebank.clock import now, run_service
-from clementinebank.relay import RelayClient
+from clementinebank.relay import RelayClient, StorePosition
 from clementinebank.relay import _client as relay_module
 from clementinebank.relay._codec import WatchReply, encode_reply
 from clementinebank.relay._log import EntryLog
@@ -27,7 +27,7 @@
 
 async def answer_watch(payload):
     await curio.sleep(WORK_S)
-    return encode_reply(WatchReply(revision=5))
+    return encode_reply(WatchReply(position=StorePosition(5)))
 
 
 async def start_server():
@@ -90,7 +90,9 @@
         watches = []
         for address in addresses:
             watches.append(
-                await curio.spawn(client.wait_for_changes, address, 5, 1.0)
+                await curio.spawn(
+                    client.wait_for_changes, address, StorePosition(5), 1.0
+                )
             )
             await curio.sleep(WORK_S / 4)
         outcomes = [await each.join() for each in watches]
