--- a/clementinebank/gateway/_updater.py
+++ b/clementinebank/gateway/_updater.py
@@ -21,6 +21,7 @@
 from clementinebank.relay import (
     HISTORY_LOST,
     KEY_PREFIX,
+    ChangeBatch,
     Entry,
     EntryLog,
     RelayDirectory,
@@ -41,6 +42,9 @@
 # Time within which writers write again what a store has lost that comes back
 # from an older copy. Leafs register again within about two seconds.
 REWRITE_S = 2.0
+# Allowance for the later news of followers, so that the same confirmation ends
+# their wait as well.
+NEWS_RESERVE_S = 0.2
 # Interval of the check for removed leafs whose grace period is over.
 EXPIRY_CHECK_INTERVAL_S = 0.1
 
@@ -86,6 +90,8 @@
     # Runtime time in seconds of the last load of a state of a later era, while
     # entries that it lacks are kept.
     _restored_at: float = float('inf')
+    # Position of the last state that was applied as a whole.
+    _applied: StorePosition = attrs.Factory(StorePosition)
     # Revisions of registrations that a restored store has of removed leafs.
     _removed_revisions_by_key: dict[str, int] = attrs.Factory(dict)
     # Version, revision and era of the configuration entry that came last.
@@ -136,7 +142,7 @@
             await self._refuse_state()
             return
         self._on_feed_success()
-        is_restored = self.entry_log.is_restored(state.position)
+        is_restored = self._applied.has_earlier_era(state.position)
         removed_at = self.entry_log.removal_time(now())
         await self.entry_log.load(state)
         self._must_reload = False
@@ -144,6 +150,7 @@
             self._apply_restored(state)
         else:
             self._apply_loaded(state, removed_at)
+        self._applied = state.position
         self.leaf_directory.expire(now())
         await self.on_changes_applied()
 
@@ -195,13 +202,15 @@
                 self._apply_change(change, now())
 
     async def _apply_next_changes(self, position: StorePosition) -> None:
-        received = await self.feed.wait_for_changes(position, self.watch_wait_s)
+        received = await self.feed.wait_for_changes(
+            position, self._next_wait_s()
+        )
         if isinstance(received, Err):
             await self._on_watch_failure(received.err_value)
             return
         batch = received.ok_value
-        if self.entry_log.is_restored(batch.position):
-            await self._apply_state(self.entry_log.state_after(batch))
+        if batch.position.era not in {None, position.era}:
+            await self._apply_new_era(batch)
             return
         if not self.entry_log.can_hold(batch.entries):
             await self._refuse_state()
@@ -222,6 +231,26 @@
             self.leaf_directory.expire(now())
             await self.on_changes_applied()
 
+    async def _apply_new_era(self, batch: ChangeBatch) -> None:
+        """Apply changes of a later era than that of the entries.
+
+        They lead on from the known position only, and entries of an unknown
+        era may belong to another history.
+        """
+        log = self.entry_log
+        if log.is_restored(batch.position) and log.is_exact:
+            await self._apply_state(log.state_after(batch))
+        else:
+            self._must_reload = True
+
+    def _next_wait_s(self) -> float:
+        """Return the longest watch of the store, in seconds.
+
+        After a return of the store it ends when the state has to be confirmed.
+        """
+        confirmed_until = self._restored_at + REWRITE_S + NEWS_RESERVE_S
+        return max(0, min(self.watch_wait_s, confirmed_until - now()))
+
     async def _on_watch_failure(self, failure: Failure) -> None:
         if failure.code != HISTORY_LOST:
             await self._back_off(failure)
--- a/clementinebank/gateway/tests/test_follower.py
+++ b/clementinebank/gateway/tests/test_follower.py
@@ -101,7 +101,7 @@
         return Ok(ChangeBatch((), position, now()))
 
 
-def run_updater(states, batches, seconds=1.0, log=None):
+def run_updater(states, batches, seconds=1.0, log=None, decode=decode_entry):
     """Run an updater on a fake feed for some seconds and return it."""
 
     async def ignore():
@@ -111,7 +111,7 @@
         feed = FakeFeed(states, batches)
         updater = ControlStateUpdater(
             feed,
-            decode_entry,
+            decode,
             RouteTable(),
             LeafDirectory(DRAIN_S),
             RelayDirectory(),
@@ -223,6 +223,34 @@
     assert updater.leaf_directory.evacuated_data_centres == {'other'}
 
 
+def test_exception_while_a_restored_state_is_applied_keeps_its_rules():
+    """The read after it took the copy for a state of the same history."""
+    kept = LeafWritten(LEAF)
+    raised = []
+
+    def decode_once_with_an_error(entry):
+        if entry.revision == 4 and not raised:
+            raised.append(entry)
+            raise ArithmeticError
+        return decode_entry(entry)
+
+    def at_era(state, era):
+        position = attrs.evolve(state.ok_value.position, era=era)
+        return state.map(lambda each: attrs.evolve(each, position=position))
+
+    copy = at_era(stored_state(configuration_change(6), revision=4), 2)
+    updater = run_updater(
+        [at_era(stored_state(configuration_change(7), kept), 1), copy, copy],
+        [failure(HISTORY_LOST)],
+        seconds=1.5,
+        decode=decode_once_with_an_error,
+    )
+    assert raised
+    assert updater.route_table.version == 7
+    assert LEAF.leaf_id in updater.leaf_directory.records_by_id
+    assert not updater.leaf_directory.removed_at_by_id
+
+
 def test_state_that_is_too_large_leaves_the_last_one_in_force():
     """The instance would be killed for its memory otherwise."""
     large = Ok(ChangeBatch((Entry('x', bytes(9_000), 6),), StorePosition(6), 0))
--- a/clementinebank/leafs/_directory.py
+++ b/clementinebank/leafs/_directory.py
@@ -203,6 +203,7 @@
         if was_draining or record.incarnation_id in self.departures:
             record = attrs.evolve(record, is_draining=True)
         self.records_by_id[record.leaf_id] = record
+        self._gone_by_id.pop(record.leaf_id, None)
         if known == record and previously_removed_at is None:
             return False
         log_message(
--- a/clementinebank/relay/_client.py
+++ b/clementinebank/relay/_client.py
@@ -105,7 +105,10 @@
             after_key = page.entries[-1].key
         return Ok(
             StoredState(
-                tuple(entries), first.reply.position, first.confirmed_at
+                tuple(entries),
+                first.reply.position,
+                first.confirmed_at,
+                page.position.revision,
             )
         )
 
--- a/clementinebank/relay/_log.py
+++ b/clementinebank/relay/_log.py
@@ -139,6 +139,7 @@
     store_failed_at: float = float('-inf')
     restored_count: int = 0
     _kept_after_revision: int = 0
+    _last_read_revision: int = 0
     _earlier_era: _EarlierEra | None = None
     # Last change of each key in the order of the revisions.
     _last_changes_by_key: dict[str, Entry] = attrs.Factory(dict)
@@ -160,6 +161,15 @@
         """Return whether a whole state has been loaded."""
         return self.revision > 0
 
+    @property
+    def is_exact(self) -> bool:
+        """Return whether the entries are those of the position.
+
+        Entries that were read in pages may be later ones, until the changes
+        up to the last page are known.
+        """
+        return self.revision >= self._last_read_revision
+
     def is_restored(self, position: StorePosition) -> bool:
         """Return whether a position is of a later era than the entries."""
         return self.is_loaded and self.position.has_earlier_era(position)
@@ -224,7 +234,9 @@
         is_restored = self.is_restored(state.position)
         if is_restored:
             self.restored_count += 1
-            self._earlier_era = self._describe_era(state)
+            self._earlier_era = (
+                self._describe_era(state) if self.is_exact else None
+            )
         follows = is_later and not is_restored
         revision = state.position.revision
         if self.is_loaded and follows:
@@ -253,6 +265,7 @@
         }
         self._drop_old_removals()
         self.position = state.position
+        self._last_read_revision = state.last_revision
         await self._record_confirmation(state.confirmed_at)
 
     async def append(self, batch: ChangeBatch) -> None:
--- a/clementinebank/relay/_model.py
+++ b/clementinebank/relay/_model.py
@@ -100,11 +100,15 @@
     confirmed_at : float
         Runtime time in seconds up to which the store is known to confirm the
         state, see ``watch_confirmed_at``.
+    last_revision : int
+        Revision of the source when its last page was read. Changes up to it
+        may be among the entries, or not.
     """
 
     entries: tuple[Entry, ...]
     position: StorePosition
     confirmed_at: float
+    last_revision: int = 0
 
 
 @attrs.frozen
--- a/clementinebank/relay/_registration.py
+++ b/clementinebank/relay/_registration.py
@@ -95,8 +95,8 @@
     cores: float = 0
     _registered_since: float = float('-inf')
     _lease_id: str | None = None
-    # Era of the store that the entries had when the lease was created.
-    _lease_era: int | None = None
+    # Era of the store at the last check.
+    _era: int | None = None
     _renew_at: float = 0
     _retry_at: float = 0
     _is_unregistering: bool = False
@@ -127,6 +127,7 @@
         """Register and renew the registration until the task is cancelled."""
         while True:
             await curio.sleep(CHECK_INTERVAL_S)
+            self._notice_return()
             is_due = self.log.is_loaded and now() >= self._retry_at
             if is_due and not self._is_unregistering:
                 await self.update()
@@ -136,7 +137,6 @@
 
         If another instance is registered, end the lease of this one.
         """
-        self._forget_lost_lease()
         if self.is_registered:
             await self._renew_or_rewrite()
         elif self._registered is None:
@@ -158,17 +158,21 @@
         """Return the relay of this data centre, as far as it is known."""
         return self.directory.records_by_data_centre.get(self.data_centre)
 
-    def _forget_lost_lease(self) -> None:
-        """Forget a lease that the store lost when it came back older."""
-        if self._lease_id is None or self._lease_era == self.log.position.era:
+    def _notice_return(self) -> None:
+        """Begin anew if the store is back from an older copy without leases."""
+        era = self.log.position.era
+        if era == self._era:
             return
-        log_message(
-            message_type='relay:lease_lost',
-            data_centre=self.data_centre,
-            era=self.log.position.era,
-        )
-        self._lease_id = None
-        self._failures = 0
+        if self._era is not None:
+            log_message(
+                message_type='relay:lease_lost',
+                data_centre=self.data_centre,
+                era=era,
+            )
+            self._lease_id = None
+            self._failures = 0
+            self._retry_at = 0
+        self._era = era
 
     async def _register_if_due(self) -> None:
         if self._no_relay_since is None:
@@ -281,7 +285,6 @@
             await self._handle_failure(created.err_value)
             return False
         self._lease_id = created.ok_value
-        self._lease_era = self.log.position.era
         self._renew_at = now() + RENEW_INTERVAL_S
         return True
 
--- a/clementinebank/relay/tests/test_log.py
+++ b/clementinebank/relay/tests/test_log.py
@@ -295,3 +295,59 @@
         return log.changes_since(StorePosition(10))
 
     assert curio.run(run) == (Entry('op', b'34', 34), Entry('leaf', None, 35))
+
+
+async def load_earlier_era(log, *, last_revision=0):
+    """Load a state of era 1 and then an empty one of era 2."""
+    entries = (Entry('a', b'', 7),)
+    await log.load(
+        StoredState(entries, StorePosition(10, 1), now(), last_revision)
+    )
+    await log.load(StoredState((), StorePosition(8, 2), now()))
+
+
+def test_changes_lead_from_the_era_before_to_the_present_one():
+    async def run():
+        log, follower = EntryLog(), EntryLog()
+        known = (Entry('a', b'', 7), Entry('b', b'', 6))
+        for each in (log, follower):
+            await each.load(StoredState(known, StorePosition(9, 1), now()))
+        lost = (Entry('a', None, 10), Entry('c', b'', 11))
+        await log.append(ChangeBatch(lost, StorePosition(11, 1), now()))
+        restored = (Entry('a', b'', 7), Entry('b', b'new', 9))
+        await log.load(StoredState(restored, StorePosition(9, 2), now()))
+        written = (Entry('d', b'', 10),)
+        await log.append(ChangeBatch(written, StorePosition(10, 2), now()))
+        changes = log.changes_since(follower.position)
+        batch = ChangeBatch(changes, log.position, now())
+        await follower.load(follower.state_after(batch))
+        assert follower.entries_by_key == log.entries_by_key
+        assert log.changes_since(StorePosition(9, 0)) is None
+        assert log.changes_since(StorePosition(12, 1)) is None
+
+    run_scenario(run)
+
+
+def test_state_read_in_pages_tells_no_changes_between_eras():
+    """It may hold later entries than its position, and lack earlier ones."""
+
+    async def run():
+        log = EntryLog()
+        await load_earlier_era(log)
+        assert log.changes_since(StorePosition(10, 1)) is not None
+        mixed = EntryLog()
+        await load_earlier_era(mixed, last_revision=12)
+        assert mixed.changes_since(StorePosition(10, 1)) is None
+
+    run_scenario(run)
+
+
+def test_state_read_in_pages_is_exact_after_the_changes_up_to_its_last_page():
+    async def run():
+        log = EntryLog()
+        await log.load(StoredState((), StorePosition(10), now(), 12))
+        assert not log.is_exact
+        await log.append(ChangeBatch((), StorePosition(12), now()))
+        assert log.is_exact
+
+    run_scenario(run)
--- a/clementinebank/relay/tests/test_messages.py
+++ b/clementinebank/relay/tests/test_messages.py
@@ -181,7 +181,9 @@
         client, address, task = await connect_client(server)
         found = await client.read_all(address)
         assert found == Ok(
-            StoredState(entries, StorePosition(12), found.ok_value.confirmed_at)
+            StoredState(
+                entries, StorePosition(12), found.ok_value.confirmed_at, 12
+            )
         )
         changes = await client.wait_for_changes(address, StorePosition(12), 0)
         assert changes.ok_value.entries == ()
