Ask the store after three relays that may be silent

Cause: an instance asked every relay in turn, 0.3 s each, before it asked the store; the bound leaves time for three.

--- a/clementinebank/relay/_sources.py
+++ b/clementinebank/relay/_sources.py
@@ -37,6 +37,9 @@
 MAX_AGE_FRACTION = 0.6
 # Lower bound of ``FreshnessBounds.relay_watch_wait_s``.
 MIN_WATCH_WAIT_S = 0.3
+# Relays that are asked in a row before the store is; MAX_AGE_FRACTION leaves time
+# for no more of them.
+MAX_RELAYS_IN_A_ROW = 3
 # A relay that failed or was stale isn't asked again for this time.
 RELAY_PAUSE_S = 1.0
 # Time after the start within which the seed relays register: instances start
@@ -201,8 +204,11 @@
     async def _watch_relays(
         self, position: StorePosition
     ) -> Result[ChangeBatch, Failure] | None:
-        """Return the changes that the first fresh relay knows, if any is."""
-        for address in self._usable_relays():
+        """Return the changes that the first fresh relay knows, if any is.
+
+        At most ``MAX_RELAYS_IN_A_ROW`` are asked, since each may be silent.
+        """
+        for address in self._usable_relays()[:MAX_RELAYS_IN_A_ROW]:
             changes = await self._watch_relay(address, position)
             if changes is not None:
                 return changes
