Bound the doubt in a copy, and register anew after long outages

- A registration that an older copy brings back, although its leaf was removed, was ignored for as long as it stood.
A leaf whose removal was undone may never write a changed entry, so an entry that still stands after 10 s counts: its leaf renews it, others end after three heartbeats of silence.
- An instance that stops doesn't end a lease that a store has lost.

--- a/clementinebank/gateway/_updater.py
+++ b/clementinebank/gateway/_updater.py
@@ -39,7 +39,10 @@
 MAX_RETRY_INTERVAL_S = 0.8
 # Time within which writers write again what a store has lost that comes back
 # from an older copy. Leafs register again within about two seconds.
-REWRITE_S = 2.0
+REWRITE_S = 2.2
+# Time after which a registration that still stands in a restored store counts,
+# though its leaf was removed before: a leaf that doesn't renew it has lost it.
+COPY_DOUBT_S = 10.0
 # Allowance for the later news of followers, so that the same confirmation ends
 # their wait as well.
 NEWS_RESERVE_S = 0.2
@@ -88,6 +91,8 @@
     # Runtime time in seconds of the last load of a state of a later era, while
     # entries that it lacks are kept.
     _restored_at: float = float('inf')
+    # Runtime time in seconds until which the registrations below are ignored.
+    _doubted_until: float = float('inf')
     # Position of the last state that was applied as a whole.
     _applied: StorePosition = attrs.Factory(StorePosition)
     # Revisions of registrations that a restored store has of removed leafs.
@@ -195,6 +200,7 @@
             if change and _leaf_ids([change]) & ignored_ids
         }
         self._restored_at = now()
+        self._doubted_until = now() + COPY_DOUBT_S
         for change in changes:
             if isinstance(change, ConfigurationWritten):
                 self._apply_change(change, now())
@@ -370,7 +376,7 @@
 
     def _end_grace_periods(self) -> bool:
         """Drop what is kept for a limited time; return whether anything was."""
-        has_changed = self._end_restoration()
+        has_changed = self._end_restoration() or self._end_doubt()
         if now() < self.leaf_directory.next_expiry_at():
             return has_changed
         return self.leaf_directory.expire(now()) or has_changed
@@ -388,6 +394,19 @@
         self.leaf_directory.forget_missing(now())
         return True
 
+    def _end_doubt(self) -> bool:
+        """Apply what was ignored and still stands; return whether it's due."""
+        if now() < self._doubted_until:
+            return False
+        self._doubted_until = float('inf')
+        for key, revision in self._removed_revisions_by_key.items():
+            entry = self.entry_log.entries_by_key.get(key)
+            if entry is not None and entry.revision == revision:
+                for change in self._decode_all([entry]):
+                    self._apply_change(change, now())
+        self._removed_revisions_by_key = {}
+        return True
+
 
 def _is_relay_registration(entry: Entry) -> bool:
     return entry.key.startswith(KEY_PREFIX)
--- a/clementinebank/relay/_registration.py
+++ b/clementinebank/relay/_registration.py
@@ -151,6 +151,7 @@
         ``run`` doesn't register again afterwards.
         """
         self._is_unregistering = True
+        self._notice_return()
         await self._end_lease()
 
     @property
--- a/clementinebank/relay/_sources.py
+++ b/clementinebank/relay/_sources.py
@@ -37,8 +37,8 @@
 MAX_AGE_FRACTION = 0.6
 # Lower bound of ``FreshnessBounds.relay_watch_wait_s``.
 MIN_WATCH_WAIT_S = 0.3
-# Relays that are asked in a row before the store is; MAX_AGE_FRACTION leaves time
-# for no more of them.
+# Relays that are asked in a row before the store is; MAX_AGE_FRACTION leaves
+# time for no more of them.
 MAX_RELAYS_IN_A_ROW = 3
 # A relay that failed or was stale isn't asked again for this time.
 RELAY_PAUSE_S = 1.0
--- a/clementinebank/relay/tests/simulation.py
+++ b/clementinebank/relay/tests/simulation.py
@@ -15,6 +15,8 @@
 from clementinebank.gateway import (
     ConfigurationWritten,
     ControlStateUpdater,
+    EvacuationBegun,
+    EvacuationEnded,
     LeafRemoved,
     LeafWritten,
 )
@@ -53,6 +55,7 @@
 # Longer than any test.
 NEVER_S = 1e6
 LEAF_PREFIX = 'servers/'
+EVACUATION_PREFIX = 'evacuations/'
 CONFIGURATION_KEY = 'configuration'
 REGIONS = {'dc-0': 'r-0', 'dc-1': 'r-0', 'dc-2': 'r-1'}
 
@@ -70,6 +73,11 @@
     if entry.key == CONFIGURATION_KEY and entry.value is not None:
         configuration = RoutingConfiguration(int(entry.value), (), {})
         return ConfigurationWritten(configuration)
+    if entry.key.startswith(EVACUATION_PREFIX):
+        data_centre = entry.key.removeprefix(EVACUATION_PREFIX)
+        if entry.value is None:
+            return EvacuationEnded(data_centre)
+        return EvacuationBegun(data_centre)
     if not entry.key.startswith(LEAF_PREFIX):
         return None
     leaf_id = entry.key.removeprefix(LEAF_PREFIX)
