--- a/tests/gateway_clients.py
+++ b/tests/gateway_clients.py
@@ -51,10 +51,13 @@
         Returns the method and path of the next request.
     exchanges : list of Exchange
         Requests that have ended.
+    pause_s : float
+        Time between a response and the next request.
     """
 
     choose_request: object
     exchanges: list = attrs.Factory(list)
+    pause_s: float = PAUSE_S
     _is_over: bool = False
     _tasks: list = attrs.Factory(list)
     _sent: int = 0
@@ -75,7 +78,7 @@
         connection = HttpConnection(HOST, process.callers)
         while not self._is_over:
             await self._send(process, connection)
-            await curio.sleep(PAUSE_S)
+            await curio.sleep(self.pause_s)
         await connection.close()
 
     async def _send(self, process, connection):
