Sharpen the drill of the gateway soak

Change: at the return most drills write a new version and a removal first and pass the lost revisions, and the operator is quiet for up to 15 s afterwards. New checks of processes that end by themselves and of requests that aren't served by processes in touch.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SOURCES := clementinebank platform standins tests benchmarks examples
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: test lint types unit run faults soak format clean
+.PHONY: test lint types unit run faults soak gateway-soak format clean
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt
 	python3 -m venv $(VENV)
@@ -35,6 +35,10 @@
 	$(PYTHON) -m tests.soak --seed $(SEED) --seconds $(SECONDS) \
 	  --deployment $(DEPLOYMENT)
 
+gateway-soak: $(VENV)/.installed
+	PYTHONPATH=$(CURDIR):$(CURDIR)/platform $(PYTHON) -m tests.soak.gateways \
+	  --seed $(SEED) --seconds $(SECONDS) --deployment $(DEPLOYMENT)
+
 run: $(VENV)/.installed
 	sh examples/run.sh $(PYTHON)
 
--- a/tests/soak/gateway_checks.py
+++ b/tests/soak/gateway_checks.py
@@ -18,6 +18,9 @@
 DISTURBED_ROLLBACK_S = 2.0
 OWN_REFUSALS = frozenset((408, 421, 429))
 STORE = 'store'
+# Begin of the routes that are in all versions and never move.
+LASTING_PREFIX = '/f'
+MAX_UNSERVED_SHARE = 0.02
 CHECKS = {}
 
 
@@ -113,6 +116,7 @@
     arrivals: list = attrs.Factory(list)
     exchanges: list = attrs.Factory(list)
     starts_by_id: dict = attrs.Factory(dict)
+    ended_ids: list = attrs.Factory(list)
 
     def writings(self):
         """Return everything that the store may lose."""
@@ -267,6 +271,25 @@
                 yield drill, each
 
 
+@check
+def ended(history):
+    """Return processes that have ended by themselves."""
+    return history.ended_ids
+
+
+@check
+def unserved(history):
+    """Return unserved requests in touch, if they are more than a few."""
+    due = [
+        each
+        for each in history.exchanges
+        if each.path.startswith(LASTING_PREFIX)
+        and history.in_touch(each.instance_id, each.sent_at, each.ended_at)
+    ]
+    unserved = [each for each in due if each.status != 200]
+    return unserved if len(unserved) > MAX_UNSERVED_SHARE * len(due) else []
+
+
 @check
 def wrong_service(history):
     """Return requests run by a service that no version allows, or denied."""
--- a/tests/soak/gateway_faults.py
+++ b/tests/soak/gateway_faults.py
@@ -84,8 +84,14 @@
             return None
         process = self.rng.choice(free)
         self._disturbed_ids.add(process.instance_id)
+        self.note_end(process)
         return process
 
+    def note_end(self, process):
+        """Record a process that has ended by itself."""
+        if process.process.poll() is not None:
+            self.history.ended_ids.append(process.instance_id)
+
     def release(self, process):
         self._disturbed_ids.discard(process.instance_id)
 
@@ -124,12 +130,13 @@
             await curio.sleep(self.rng.uniform(0.3, 1.5))
             lost_revision = store.revision
             store.restore(copy)
+            writers.is_away = False
+            writers.quiet_until = now() + self.rng.uniform(0, 15)
             is_rush = self.rng.random() < 0.7
             if is_rush:
-                extra = self.rng.randint(-10, 10)
+                extra = self.rng.randint(-5, 20)
                 await writers.write_at_once(keys, lost_revision + extra)
             await store.serve()
-            writers.is_away = False
             disturbance.end = now()
             if not is_rush:
                 await writers.write_in_time(keys, disturbance.end)
--- a/tests/soak/gateway_run.py
+++ b/tests/soak/gateway_run.py
@@ -13,6 +13,7 @@
 from tests.gateway_clients import KeptClients
 from tests.gateway_fleet import run_fleet, start_processes
 from tests.soak.gateway_checks import (
+    LASTING_PREFIX,
     Arrival,
     Deployment,
     GatewayHistory,
@@ -82,6 +83,8 @@
         Where they write, what records it, and the source of choices.
     is_away : bool
         Whether the store is away, so that writes wait.
+    quiet_until : float
+        Time before which the operator writes no version, in seconds.
     """
 
     platform: object
@@ -89,6 +92,7 @@
     rng: random.Random
     is_away: bool = False
     is_over: bool = False
+    quiet_until: float = 0
     routes: dict = attrs.Factory(dict)
     leafs_by_id: dict = attrs.Factory(dict)
     _content_by_key: dict = attrs.Factory(dict)
@@ -125,8 +129,13 @@
         return sorted(keys, key=lambda _: self.rng.random())
 
     async def write_at_once(self, keys, revision):
-        """Write the keys again and pass a revision, before any watch."""
+        """Write the keys again and pass a revision, before any watch.
+
+        A new version and a removal come first. Unlike the entries of leafs,
+        neither is written anew with the heartbeats.
+        """
         await self._write_version()
+        await self._remove_leaf(self._choose_leaf(self.rng.choice(SERVICES)))
         for key in keys:
             if key != CONFIGURATION_KEY:
                 await self._write_again(key)
@@ -144,7 +153,8 @@
     async def change_versions(self):
         """Write new versions until the run is over.
 
-        In a long pause no later version makes up for one that was missed.
+        In a long pause, and after a drill, no later version makes up for one
+        that was missed.
         """
         while not self.is_over:
             await self._pause()
@@ -157,12 +167,14 @@
             (self.rng.uniform(0.2, 4), self.rng.uniform(8, 13))
         )
         end = now() + pause_s
-        while now() < end and not self.is_over:
+        while now() < max(end, self.quiet_until) and not self.is_over:
             await curio.sleep(AWAY_CHECK_S)
 
     async def _write_version(self):
         number = len(self.history.versions) + 1
-        movable = [each for each in self.routes if not each.startswith('/f')]
+        movable = [
+            each for each in self.routes if not each.startswith(LASTING_PREFIX)
+        ]
         added = [each for each in self.routes if each.startswith('/n')]
         if len(added) > 3 and self.rng.random() < 0.4:
             self.routes.pop(self.rng.choice(added))
@@ -198,13 +210,15 @@
         while not self.is_over:
             await curio.sleep(self.rng.uniform(0.5, 2))
             service = self.rng.choice(SERVICES)
-            leaf_ids = [
-                each for each in self.leafs_by_id if each.startswith(service)
-            ]
-            if len(leaf_ids) <= MIN_LEAFS or self.rng.random() < 0.5:
+            if self.rng.random() < 0.5:
                 await self.add_leaf(service)
             else:
-                await self._remove_leaf(self.rng.choice(leaf_ids))
+                await self._remove_leaf(self._choose_leaf(service))
+
+    def _choose_leaf(self, service):
+        return self.rng.choice(
+            [each for each in self.leafs_by_id if each.startswith(service)]
+        )
 
     async def add_leaf(self, service):
         """Start a leaf and register it."""
@@ -227,7 +241,15 @@
         self.leafs_by_id[leaf_id] = entry
 
     async def _remove_leaf(self, leaf_id):
-        """Let a leaf drain, or remove its registration at once."""
+        """Let a leaf drain, or remove its registration at once.
+
+        If few are left, another one is registered instead.
+        """
+        service = leaf_id.partition('-')[0]
+        count = sum(each.startswith(service) for each in self.leafs_by_id)
+        if count <= MIN_LEAFS:
+            await self.add_leaf(service)
+            return
         entry = self.leafs_by_id.pop(leaf_id)
         self._writings_by_key[f'servers/{leaf_id}'].lose_since(0, now())
         removal = Writing(leaf_id, now())
@@ -304,6 +326,8 @@
     for task in tasks:
         await task.join()
     await clients.stop()
+    for process in processes:
+        faults.note_end(process)
 
 
 async def _start(platform, processes, writers):
@@ -311,7 +335,7 @@
     for service in SERVICES:
         for _ in range(LEAFS_PER_SERVICE):
             await writers.add_leaf(service)
-        writers.routes[f'/f{service}/'] = service
+        writers.routes[f'{LASTING_PREFIX}{service}/'] = service
         writers.routes[f'/m{service}/'] = service
         writers.routes[f'/u{service}/'] = service
     await writers.write_routes(1)
--- a/tests/soak/tests/test_gateway_soak.py
+++ b/tests/soak/tests/test_gateway_soak.py
@@ -128,6 +128,13 @@
     assert problem_counts(history)['wrong_service'] == 3
 
 
+def test_ended_process_and_unserved_requests_are_found(history):
+    history.ended_ids.append('g-0')
+    add(history, '/f/x', None, 14, 503)
+    add(history, '/f/x', None, 52, 503)
+    assert problem_counts(history) == {'ended': 1, 'unserved': 1}
+
+
 def test_unsafe_request_that_ran_twice_or_after_a_promise_is_found(history):
     add(history, '/u/x', 's1-1', 5)
     history.arrivals.append(history.arrivals[0])
