--- a/tests/soak/gateway_faults.py
+++ b/tests/soak/gateway_faults.py
@@ -59,14 +59,21 @@
             kind = remaining.pop()
             self.injected[kind] += 1
             tasks.append(await curio.spawn(GATEWAY_FAULTS[kind], self))
-            # The next fault overlaps this one, or finds the system calm.
-            pause_s = self.rng.choice(
-                (self.rng.uniform(0, 2), self.rng.uniform(7, 11))
-            )
-            await curio.sleep(min(pause_s, max(0, end - now())))
+            await curio.sleep(min(self._pause_s(kind), max(0, end - now())))
         for task in tasks:
             await task.join()
 
+    def _pause_s(self, kind):
+        """Return the time from the start of a fault to the next one.
+
+        The next one overlaps it or finds the system calm. A drill without
+        another fault is judged first.
+        """
+        if kind == 'drill':
+            return self.rng.uniform(12, 16)
+        pauses_s = self.rng.uniform(0, 2), self.rng.uniform(7, 11)
+        return self.rng.choice(pauses_s)
+
     def begin(self, target, kind):
         """Record the begin of a disturbance; the caller sets its end."""
         disturbance = Disturbance(target, kind, now())
