Cut paths to the store in the gateway soak, and judge leafs exactly

Change: in each drill the only leaf of a service registers and sends no heartbeat; every request to that service must be served by every process in touch. That is stricter: it holds for each process, not for one of them. The path of one process to the store may be cut, alone and beside a drill.

--- a/tests/soak/gateway_checks.py
+++ b/tests/soak/gateway_checks.py
@@ -21,6 +21,8 @@
 # Begin of the routes that are in all versions and never move.
 LASTING_PREFIX = '/f'
 MAX_UNSERVED_SHARE = 0.02
+# Begin of the routes to services that get their only leaf in a drill.
+SPARE_PREFIX = '/d'
 CHECKS = {}
 
 
@@ -247,28 +249,21 @@
 
 
 @check
-def unused_leaf(history):
-    """Return leafs that get no request once a drill, and no more, is over."""
-    window_s = history.deployment.stable_s
-    everything = {STORE, *history.starts_by_id}
-    last_at = max((each.sent_at for each in history.exchanges), default=0)
-    for drill in history.drills():
-        begin = drill.end + window_s
-        end = begin + window_s
-        others = history.disturbances_of(everything, drill.end, end)
-        if others or end > last_at:
+def missed_leaf(history):
+    """Return requests that aren't served though their only leaf is known."""
+    bound_s = history.deployment.change_s
+    for each in history.exchanges:
+        if each.status == 200 or not each.path.startswith(SPARE_PREFIX):
             continue
-        used = {
-            each.leaf_id for each in history.arrivals if begin < each.at < end
-        }
-        for each in history.registrations:
-            is_known = each.is_due(begin, history.deployment.change_s)
-            if (
-                is_known
-                and each.is_due(end, window_s)
-                and each.name not in used
-            ):
-                yield drill, each
+        service = each.path.split('/')[1]
+        is_known = any(
+            one.name.startswith(service) and one.is_due(each.sent_at, bound_s)
+            for one in history.registrations
+        )
+        if is_known and history.in_touch(
+            each.instance_id, each.sent_at, each.ended_at
+        ):
+            yield each
 
 
 @check
--- a/tests/soak/gateway_faults.py
+++ b/tests/soak/gateway_faults.py
@@ -32,6 +32,8 @@
         Source of all choices.
     processes, writers
         What is disturbed, and who writes again what the store loses.
+    paths_by_id : dict of str to StorePath
+        Path of each process to the store.
     injected : Counter of str
         Injected faults by kind.
     """
@@ -40,6 +42,7 @@
     rng: object
     processes: list = attrs.Factory(list)
     writers: object = None
+    paths_by_id: dict = attrs.Factory(dict)
     injected: Counter = attrs.Factory(Counter)
     _disturbed_ids: set = attrs.Factory(set)
     _store_lock: object = attrs.Factory(curio.Lock)
@@ -124,11 +127,15 @@
     async def drill(self):
         """Let the store come back from a copy, with its writers' next writes.
 
-        In most drills they write at once, and more than the copy lacks.
+        In most drills they write at once, and more than the copy lacks; in
+        the others each after a time, also what it wrote first in the lost time.
         """
         store, writers = self.writers.platform.store, self.writers
         async with self._store_lock:
             copy, copied_at = store.copy(), now()
+            is_rush = self.rng.random() < 0.7
+            if not is_rush:
+                await writers.add_spare_leaf()
             await curio.sleep(self.rng.uniform(1, 4))
             writers.is_away = True
             disturbance = self.begin(STORE, 'drill')
@@ -139,7 +146,6 @@
             store.restore(copy)
             writers.is_away = False
             writers.quiet_until = now() + self.rng.uniform(0, 15)
-            is_rush = self.rng.random() < 0.7
             if is_rush:
                 extra = self.rng.randint(-5, 20)
                 await writers.write_at_once(keys, lost_revision + extra)
@@ -178,6 +184,25 @@
     await task.join()
 
 
+@gateway_fault
+async def drill_beside_path_cut(faults):
+    await _beside(faults, path_cut)
+
+
+@gateway_fault
+async def path_cut(faults):
+    """Let the path of a process to the store pass nothing on."""
+    process = faults.reserve()
+    if process is not None:
+        path = faults.paths_by_id[process.instance_id]
+        disturbance = faults.begin(process.instance_id, 'path_cut')
+        path.is_cut = True
+        await curio.sleep(faults.rng.uniform(0.5, 8))
+        path.is_cut = False
+        disturbance.end = now()
+        faults.release(process)
+
+
 @gateway_fault
 async def kill(faults):
     """Kill a process and start it again."""
--- a/tests/soak/gateway_run.py
+++ b/tests/soak/gateway_run.py
@@ -21,6 +21,7 @@
     find_problems,
 )
 from tests.soak.gateway_faults import GATEWAY_FAULTS, GatewayFaults
+from tests.soak.gateway_paths import StorePath
 
 CONFIGURATION_KEY = 'op/config'
 DEPLOYMENTS = {
@@ -31,8 +32,11 @@
     'small': Deployment(('dc-1', 'dc-2', 'dc-3'), 3, 3, 4),
 }
 SERVICES = ('s1', 's2', 's3')
+SPARE_SERVICES = ('d1', 'd2', 'd3')
 DATA_CENTRES = ('dc-1', 'dc-2', 'dc-3')
 LEAFS_PER_SERVICE = 6
+# First letters of the routes that move between services.
+MOVABLE = 'mnu'
 MIN_LEAFS = 3
 CLIENTS_PER_PROCESS = 2
 CLIENT_PAUSE_S = 0.06
@@ -131,10 +135,11 @@
     async def write_at_once(self, keys, revision):
         """Write the keys again and pass a revision, before any watch.
 
-        A new version and a removal come first. Unlike the entries of leafs,
-        neither is written anew with the heartbeats.
+        A new version, a removal and a new leaf come first. None of them is
+        written anew with the heartbeats.
         """
         await self._write_version()
+        await self.add_spare_leaf()
         await self._remove_leaf(self._choose_leaf(self.rng.choice(SERVICES)))
         for key in keys:
             if key != CONFIGURATION_KEY:
@@ -172,9 +177,7 @@
 
     async def _write_version(self):
         number = len(self.history.versions) + 1
-        movable = [
-            each for each in self.routes if not each.startswith(LASTING_PREFIX)
-        ]
+        movable = [each for each in self.routes if each[1] in MOVABLE]
         added = [each for each in self.routes if each.startswith('/n')]
         if len(added) > 3 and self.rng.random() < 0.4:
             self.routes.pop(self.rng.choice(added))
@@ -198,7 +201,10 @@
                 )
                 for prefix, service in self.routes.items()
             ],
-            'services': [{'name': each, 'max_conns': 31} for each in SERVICES],
+            'services': [
+                {'name': each, 'max_conns': 31}
+                for each in (*SERVICES, *SPARE_SERVICES)
+            ],
             'limits': {'idle_timeout_ms': 15000},
         }
         self._content_by_key[CONFIGURATION_KEY] = content
@@ -221,7 +227,7 @@
         )
 
     async def add_leaf(self, service):
-        """Start a leaf and register it."""
+        """Start a leaf and register it; those of drills send no heartbeats."""
         self._added[service] += 1
         number = self._added[service]
         leaf_id = f'{service}-{number}'
@@ -238,7 +244,14 @@
         registration = Writing(leaf_id, now())
         self.history.registrations.append(registration)
         await self.write(f'servers/{leaf_id}', entry, registration)
-        self.leafs_by_id[leaf_id] = entry
+        if service in SERVICES:
+            self.leafs_by_id[leaf_id] = entry
+
+    async def add_spare_leaf(self):
+        """Register the only leaf of a service, if one has none yet."""
+        spare = [each for each in SPARE_SERVICES if not self._added[each]]
+        if spare:
+            await self.add_leaf(spare[0])
 
     async def _remove_leaf(self, leaf_id):
         """Let a leaf drain, or remove its registration at once.
@@ -299,7 +312,7 @@
 async def _run(plan, platform, processes, faults):
     history = faults.history
     writers = Writers(platform, history, random.Random(f'{plan.seed}/writers'))
-    await _start(platform, processes, writers)
+    await _start(platform, processes, writers, faults)
     for process in processes:
         history.starts_by_id[process.instance_id] = [now()]
     choices = random.Random(f'{plan.seed}/clients')
@@ -330,7 +343,7 @@
         faults.note_end(process)
 
 
-async def _start(platform, processes, writers):
+async def _start(platform, processes, writers, faults):
     platform.store = SoakStore(platform.store.address, era=1)
     for service in SERVICES:
         for _ in range(LEAFS_PER_SERVICE):
@@ -338,8 +351,15 @@
         writers.routes[f'{LASTING_PREFIX}{service}/'] = service
         writers.routes[f'/m{service}/'] = service
         writers.routes[f'/u{service}/'] = service
+    for service in SPARE_SERVICES:
+        writers.routes[f'/{service}/'] = service
     await writers.write_routes(1)
     await platform.store.serve()
+    for process in processes:
+        path = StorePath(platform.store.address)
+        await path.serve()
+        process.store = path.address
+        faults.paths_by_id[process.instance_id] = path
     await start_processes(processes)
 
 
--- a/tests/soak/tests/test_gateway_soak.py
+++ b/tests/soak/tests/test_gateway_soak.py
@@ -112,13 +112,15 @@
     assert problem_counts(history) == {'late_at_leaf': 1}
 
 
-def test_unused_leaf_is_found_after_a_drill(history):
-    for leaf_id in ('s2-1', 's2-2'):
-        spans = [[20, float('inf')]]
-        history.registrations.append(Writing(leaf_id, 20, spans=spans))
-    add(history, '/a/x', 's2-1', 56)
-    add(history, '/a/x', 's2-1', 60)
-    assert problem_counts(history) == {'unused_leaf': 1}
+def test_missed_leaf_is_found(history):
+    history.registrations.append(Writing('d1-1', 20, spans=[[20, 50]]))
+    add(history, '/d1/x', None, 22.9, 503)
+    assert not problem_counts(history)
+    add(history, '/d1/x', None, 23.1, 503)
+    add(history, '/d1/x', None, 55.1, 503)
+    assert problem_counts(history) == {'missed_leaf': 1}
+    history.registrations[0].acknowledge(50.9)
+    assert problem_counts(history) == {'missed_leaf': 2}
 
 
 def test_wrong_answers_are_found(history):
