--- a/tests/soak/gateway_run.py
+++ b/tests/soak/gateway_run.py
@@ -163,8 +163,6 @@
         """
         while not self.is_over:
             await self._pause()
-            while self.is_away:
-                await curio.sleep(AWAY_CHECK_S)
             await self._write_version()
 
     async def _pause(self):
@@ -172,7 +170,9 @@
             (self.rng.uniform(0.2, 4), self.rng.uniform(8, 13))
         )
         end = now() + pause_s
-        while now() < max(end, self.quiet_until) and not self.is_over:
+        while self.is_away or (
+            now() < max(end, self.quiet_until) and not self.is_over
+        ):
             await curio.sleep(AWAY_CHECK_S)
 
     async def _write_version(self):
