--- a/tests/soak/gateway_run.py
+++ b/tests/soak/gateway_run.py
@@ -182,7 +182,9 @@
         if len(added) > 3 and self.rng.random() < 0.4:
             self.routes.pop(self.rng.choice(added))
         elif self.rng.random() < 0.5:
-            self.routes[self.rng.choice(movable)] = self.rng.choice(SERVICES)
+            prefix = self.rng.choice(movable)
+            others = [each for each in SERVICES if each != self.routes[prefix]]
+            self.routes[prefix] = self.rng.choice(others)
         else:
             self.routes[f'/n{number}/'] = self.rng.choice(SERVICES)
         await self.write_routes(number)
