--- a/clementinebank/relay/tests/simulation.py
+++ b/clementinebank/relay/tests/simulation.py
@@ -54,6 +54,7 @@
 KEEP_ALIVE_S = 3.0
 # Longer than any test.
 NEVER_S = 1e6
+HEARTBEAT_S = 0.1
 LEAF_PREFIX = 'servers/'
 EVACUATION_PREFIX = 'evacuations/'
 CONFIGURATION_KEY = 'configuration'
@@ -197,6 +198,12 @@
         for key in held:
             await self.write(key, None)
 
+    async def beat(self):
+        """Write a key again and again, like the heartbeats of leafs."""
+        while True:
+            await curio.sleep(HEARTBEAT_S)
+            await self.write('beat', b'')
+
     async def expire_leases(self):
         while True:
             await curio.sleep(0.1)
--- a/clementinebank/relay/tests/test_silent_connections.py
+++ b/clementinebank/relay/tests/test_silent_connections.py
@@ -21,20 +21,14 @@
 CHANGE_AFTER_S = 0.1
 # Faults in a row: only connections that were used before can go silent.
 FAULTS = 6
-HEARTBEAT_S = 0.1
 
 
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_change_is_in_force_a_stable_window_after_connections_went_silent(seed):
-    async def beat(fleet):
-        while True:
-            await curio.sleep(HEARTBEAT_S)
-            await fleet.store.write('beat', b'')
-
     async def run():
         fleet = Fleet(6, seed)
         await fleet.start()
-        await curio.spawn(beat, fleet, daemon=True)
+        await curio.spawn(fleet.store.beat, daemon=True)
         await curio.sleep(START_UP_S)
         rng = random.Random(seed)
         for number in range(FAULTS):
--- a/clementinebank/relay/tests/test_silent_watch_of_the_store.py
+++ b/clementinebank/relay/tests/test_silent_watch_of_the_store.py
@@ -19,7 +19,6 @@
 # Time after the fault from which the bound on a change must be kept again; it
 # is longer than the bound.
 STABLE_WINDOW_S = 4.0
-HEARTBEAT_S = 0.1
 
 
 @pytest.mark.parametrize('change_after_s', [0.1, STABLE_WINDOW_S])
@@ -27,15 +26,10 @@
 def test_change_is_in_force_in_time_after_a_watch_went_silent(
     seed, change_after_s
 ):
-    async def beat(fleet):
-        while True:
-            await curio.sleep(HEARTBEAT_S)
-            await fleet.store.write('beat', b'')
-
     async def run():
         fleet = Fleet(6, seed)
         await fleet.start()
-        await curio.spawn(beat, fleet, daemon=True)
+        await curio.spawn(fleet.store.beat, daemon=True)
         await curio.sleep(START_UP_S)
         lost = fleet.relays
         for relay in lost:
