Don't watch the store without a wait once a return is over

What the store would see: an instance that watches it itself called it each 4 ms for up to 0.1 s, 2.4 s after each return: its wait had run out, but the task that ends the grace period hadn't looked yet.

Change: a state that is confirmed already is watched with the usual wait.

The code runs only after a return of the store.

--- a/clementinebank/gateway/_updater.py
+++ b/clementinebank/gateway/_updater.py
@@ -252,8 +252,11 @@
 
         After a return of the store it ends when the state has to be confirmed.
         """
-        confirmed_until = self._restored_at + REWRITE_S + NEWS_RESERVE_S
-        return max(0, min(self.watch_wait_s, confirmed_until - now()))
+        rewritten_at = self._restored_at + REWRITE_S
+        if self.confirmed_at >= rewritten_at:
+            return self.watch_wait_s
+        remaining_s = rewritten_at + NEWS_RESERVE_S - now()
+        return max(0, min(self.watch_wait_s, remaining_s))
 
     async def _on_watch_failure(self, failure: Failure) -> None:
         if failure.code != HISTORY_LOST:
--- a/clementinebank/gateway/tests/test_follower.py
+++ b/clementinebank/gateway/tests/test_follower.py
@@ -251,6 +251,22 @@
     assert not updater.leaf_directory.removed_at_by_id
 
 
+def test_confirmed_state_after_a_return_is_not_watched_without_a_wait():
+    """The store got a call each few ms until the wait for rewrites ended."""
+    first = stored_state(configuration_change(7))
+    states = [
+        first.map(
+            lambda each, era=era: attrs.evolve(
+                each, position=StorePosition(5, era)
+            )
+        )
+        for era in (1, 2)
+    ]
+    updater = run_updater(states, [failure(HISTORY_LOST)], seconds=5)
+    assert updater.entry_log.position.era == 2
+    assert len(updater.feed.watch_calls) < 5
+
+
 def test_state_that_is_too_large_leaves_the_last_one_in_force():
     """The instance would be killed for its memory otherwise."""
     large = Ok(ChangeBatch((Entry('x', bytes(9_000), 6),), StorePosition(6), 0))
